--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# The two commands of the README: `make demo` and `make test`.
+PYTHON ?= python3
+BIN := .venv/bin
+READY := .venv/ready
+
+.PHONY: demo demo-check test lint format slopes measure lock clean
+
+$(READY): requirements.lock pyproject.toml packages/*/pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+	    -e packages/common -e packages/daemon -e packages/client
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/python -m tools.demo examples/peachtree
+
+demo-check: $(READY)
+	$(BIN)/python -m tools.demo examples/peachtree --check
+
+test: $(READY)
+	$(BIN)/python -m tools.known_red
+
+lint: $(READY)
+	$(BIN)/black --quiet --check --diff packages tests tools
+	$(BIN)/flake8 packages tests tools
+
+format: $(READY)
+	$(BIN)/black --quiet packages tests tools
+
+slopes: $(READY)
+	$(BIN)/python -m tools.slopes
+
+measure: $(READY)
+	$(BIN)/python -m tools.measure
+
+lock:
+	uv pip compile --quiet --generate-hashes --no-emit-index-url \
+	    --no-emit-find-links --no-emit-package camphorhook \
+	    --no-emit-package camphorhook-common \
+	    --no-emit-package camphorhook-daemon \
+	    --all-extras -o requirements.lock pyproject.toml
+
+clean:
+	rm -rf .venv run
--- /dev/null
+++ b/packages/client/src/camphorhook/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line of camphorhook."""
--- /dev/null
+++ b/packages/client/src/camphorhook/commands.py
@@ -0,0 +1,222 @@
+"""What each command of the operators' command line does."""
+
+import sys
+
+from camphorhook import csvfiles
+from camphorhook import formatting
+from camphorhook import keys
+from camphorhook_common import errors
+from camphorhook_common import tables
+from camphorhook_common import timeline
+
+STATUS_COLUMNS = (
+    "name",
+    "failure_domain",
+    "state",
+    "index",
+    "log_role",
+    "term",
+    "last_index",
+    "upstreams",
+    "active",
+)
+UPSTREAM_COLUMNS = (
+    "name",
+    "failure_domain",
+    "service",
+    "state",
+    "heard",
+    "cold",
+    "flapping",
+    "active",
+    "capacity",
+    "incarnation",
+)
+
+
+def show_table(client, arguments):
+    """Show a table."""
+    answer = client.read_table(arguments["TABLE"])
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+    else:
+        formatting.echo_table(answer)
+
+
+def _echo_outcome(arguments, answer):
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+    else:
+        version = answer["version"]
+        index = answer["index"]
+        formatting.echo(f"accepted at index {index}, version {version}")
+
+
+def _read_expected(arguments):
+    text = arguments["--expected"]
+    if text is None:
+        return None
+    try:
+        return int(text)
+    except ValueError as error:
+        raise errors.CamphorhookError(
+            "give a whole number", step="--expected", peer=text
+        ) from error
+
+
+def _check(result):
+    """Return a checked value or raise its fault."""
+    if result.is_error():
+        raise errors.CamphorhookError(
+            result.error.format(), step="check cells"
+        )
+    return result.ok
+
+
+def _change(client, arguments, table, row, cells, method="PUT"):
+    answer = client.change_row(
+        table,
+        row,
+        cells,
+        expected=_read_expected(arguments),
+        operation=arguments["--operation"],
+        method=method,
+    )
+    _echo_outcome(arguments, answer)
+
+
+def set_cell(client, arguments):
+    """Set one cell."""
+    table, row = arguments["TABLE"], arguments["ROW"]
+    column = arguments["COLUMN"]
+    value = _check(tables.check_cell(table, row, column, arguments["VALUE"]))
+    _change(client, arguments, table, row, {column: value})
+
+
+def add_row(client, arguments):
+    """Add a row; cells that are not given take defaults."""
+    table, row = arguments["TABLE"], arguments["ROW"]
+    given = dict(pair.partition("=")[::2] for pair in arguments["CELL"])
+    cells = _check(tables.check_row(table, row, given))
+    arguments["--expected"] = arguments["--expected"] or "0"
+    _change(client, arguments, table, row, cells)
+
+
+def remove_row(client, arguments):
+    """Remove a row."""
+    table, row = arguments["TABLE"], arguments["ROW"]
+    _change(client, arguments, table, row, {}, "DELETE")
+
+
+def import_table(client, arguments):
+    """Set a table's rows from a CSV file; other rows stay."""
+    table = arguments["TABLE"]
+    rows = csvfiles.load(table, arguments["FILE"][0])
+    known = client.read_table(table)["rows"]
+    changed = 0
+    for row, cells in rows.items():
+        stored = known.get(row)
+        if stored and stored["cells"] == cells:
+            continue
+        version = stored["version"] if stored else 0
+        client.change_row(table, row, cells, expected=version)
+        changed += 1
+    formatting.echo(f"{changed} rows set, {len(rows) - changed} unchanged")
+
+
+def export_table(client, arguments):
+    """Write a table as CSV to a file or standard output."""
+    answer = client.read_table(arguments["TABLE"])
+    if not arguments["FILE"]:
+        csvfiles.write(answer, sys.stdout)
+        return
+    with open(arguments["FILE"][0], "w", newline="") as file:
+        csvfiles.write(answer, file)
+
+
+def _set_domain(client, arguments, state):
+    row = arguments["DOMAIN"]
+    _change(client, arguments, "failure_domains", row, {"state": state})
+
+
+def take_out(client, arguments):
+    """Take a failure domain out of service."""
+    _set_domain(client, arguments, "out")
+
+
+def bring_back(client, arguments):
+    """Bring a failure domain back into service."""
+    _set_domain(client, arguments, "in")
+
+
+def drain(client, arguments):
+    """Drain an upstream or an instance, or undo it."""
+    table = "upstreams" if arguments["upstream"] else "instances"
+    state = "in" if arguments["--undo"] else "drain"
+    _change(client, arguments, table, arguments["NAME"], {"state": state})
+
+
+def show_status(client, arguments):
+    """Show which instance has which configuration in force."""
+    answer = client.read("/status")
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+        return
+    rows = [
+        [instance.get(column, "") for column in STATUS_COLUMNS]
+        for instance in answer["instances"]
+    ]
+    formatting.echo_rows(STATUS_COLUMNS, rows)
+
+
+def show_upstreams(client, arguments):
+    """Show the upstreams that an instance knows."""
+    answer = client.read("/upstreams")
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+        return
+    rows = [
+        [upstream.get(column, "") for column in UPSTREAM_COLUMNS]
+        for upstream in answer["upstreams"]
+    ]
+    formatting.echo_rows(UPSTREAM_COLUMNS, rows)
+
+
+def show_timeline(client, arguments):
+    """Merge the events of all processes and show them in causal order."""
+    if arguments["FILE"]:
+        lists = [timeline.load(path) for path in arguments["FILE"]]
+    else:
+        answers = client.call_each("GET", "/timeline?limit=20000")
+        lists = [
+            answer["events"] for status, answer in answers if status == 200
+        ]
+    events = timeline.select(
+        timeline.merge(lists),
+        word=arguments["--word"] or "",
+        instance=arguments["--instance"] or "",
+        event=arguments["--event"] or "",
+    )
+    events = events[-int(arguments["--limit"]) :]
+    if arguments["--json"]:
+        formatting.echo_json(events)
+        return
+    for event in events:
+        formatting.echo(timeline.format_event(event))
+
+
+def make_keys(_client, arguments):
+    """Make CURVE keys for instances."""
+    names = arguments["NAMES"]
+    made = keys.make_instance_keys(arguments["FOLDER"], names)
+    formatting.echo(f"made keys of: {', '.join(made) or 'none, all exist'}")
+
+
+def make_bearer_key(_client, arguments):
+    """Make a bearer key and show it with its hash."""
+    key, key_hash = keys.make_bearer_key()
+    if arguments["--json"]:
+        formatting.echo_json({"key": key, "hash": key_hash})
+        return
+    formatting.echo(f"key  {key}")
+    formatting.echo(f"hash {key_hash}")
--- /dev/null
+++ b/packages/client/src/camphorhook/main.py
@@ -0,0 +1,100 @@
+"""Operates a fleet of camphorhook instances.
+
+Usage:
+    camphorhook [options] table TABLE
+    camphorhook [options] set TABLE ROW COLUMN VALUE
+    camphorhook [options] add TABLE ROW [CELL...]
+    camphorhook [options] remove TABLE ROW
+    camphorhook [options] import TABLE FILE
+    camphorhook [options] export TABLE [FILE]
+    camphorhook [options] take-out DOMAIN
+    camphorhook [options] bring-back DOMAIN
+    camphorhook [options] drain (upstream | instance) NAME [--undo]
+    camphorhook [options] status
+    camphorhook [options] upstreams
+    camphorhook [options] timeline [FILE...]
+    camphorhook [options] keys FOLDER NAMES...
+    camphorhook [options] make-key
+    camphorhook (-h | --help)
+
+Tables are client_accounts, services, routes, failure_domains, upstreams and
+instances. CELL is COLUMN=VALUE.
+
+Options:
+    --server LIST     Operators' ports, ADDRESS:PORT with commas between;
+                      else CAMPHORHOOK_SERVERS.
+    --key KEY         An operator's key; else CAMPHORHOOK_KEY.
+    --expected N      Version that the row must be at; 0: a new row, -1: any.
+    --operation ID    Id of the change; sent again with the same id, it gets
+                      the first outcome.
+    --undo            Take a drain back.
+    --word ID         Only events of this request, operation or peer.
+    --instance NAME   Only events of this instance.
+    --event PREFIX    Only events whose name starts so.
+    --limit N         The newest N events [default: 200].
+    --json            Print JSON.
+    -h --help         Show this text.
+
+Exit codes: 0 done; 1 refused or failed; 2 wrong usage or settings;
+3 the row was at another version; 4 no instance or no quorum answered.
+"""
+
+import os
+import sys
+
+import docopt
+
+from camphorhook import commands
+from camphorhook import core
+from camphorhook_common import errors
+
+COMMANDS = {
+    "table": commands.show_table,
+    "set": commands.set_cell,
+    "add": commands.add_row,
+    "remove": commands.remove_row,
+    "import": commands.import_table,
+    "export": commands.export_table,
+    "take-out": commands.take_out,
+    "bring-back": commands.bring_back,
+    "drain": commands.drain,
+    "status": commands.show_status,
+    "upstreams": commands.show_upstreams,
+    "timeline": commands.show_timeline,
+    "keys": commands.make_keys,
+    "make-key": commands.make_bearer_key,
+}
+LOCAL_COMMANDS = ("keys", "make-key")
+DEFAULT_SERVER = "127.0.0.1:8103"
+
+
+def _make_client(arguments):
+    environment = os.environ
+    servers = arguments["--server"] or environment.get(
+        "CAMPHORHOOK_SERVERS", DEFAULT_SERVER
+    )
+    key = arguments["--key"] or environment.get("CAMPHORHOOK_KEY", "")
+    return core.Client(servers.split(","), key)
+
+
+def main(argv=None):
+    """Run a command; exits with the code of the error, if any."""
+    try:
+        arguments = docopt.docopt(__doc__, argv)
+    except docopt.DocoptExit as error:
+        print(error, file=sys.stderr)
+        sys.exit(errors.EXIT_USAGE)
+    name = next(name for name in COMMANDS if arguments[name])
+    if isinstance(arguments["FILE"], str):
+        arguments["FILE"] = [arguments["FILE"]]
+    try:
+        COMMANDS[name](_make_client(arguments), arguments)
+    except errors.CamphorhookError as error:
+        print(error.format(), file=sys.stderr)
+        sys.exit(error.exit_code)
+    except BrokenPipeError:
+        sys.exit(errors.EXIT_FAILURE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/common/src/camphorhook_common/__init__.py
@@ -0,0 +1,1 @@
+"""Types, messages, settings and logs shared by the camphorhook programs."""
--- /dev/null
+++ b/packages/common/src/camphorhook_common/settings.py
@@ -0,0 +1,377 @@
+"""INI settings of an instance, checked whole.
+
+Every fault is collected, so that one run names all of them.
+"""
+
+import configparser
+import ipaddress
+import pathlib
+import typing
+
+import msgspec
+
+from camphorhook_common import errors
+
+ROLES = ("entry", "replica")
+REQUIRED = object()
+LOWEST_ELECTION_MS = 200
+
+
+class Listener(typing.NamedTuple):
+    """A TCP address that the process listens on or connects to."""
+
+    address: str
+    port: int
+
+    def format(self):
+        """Return address:port."""
+        return f"{self.address}:{self.port}"
+
+
+class Peer(typing.NamedTuple):
+    """Another instance as this one reaches it.
+
+    Attributes:
+        name: the instance's name; its public key is NAME.key.
+        failure_domain: the failure domain it runs in.
+        roles: any of ROLES.
+        listener: where its peers port is reached from here.
+    """
+
+    name: str
+    failure_domain: str
+    roles: tuple[str, ...]
+    listener: Listener
+
+
+class Timing(typing.NamedTuple):
+    """Intervals of the replicated log and the exchange, in milliseconds."""
+
+    heartbeat_ms: int
+    election_ms: int
+    drift_percent: int
+    exchange_ms: int
+    watch_ms: int
+
+
+class Limits(typing.NamedTuple):
+    """Bounds on what one caller may send."""
+
+    body_bytes: int
+    header_bytes: int
+    body_seconds: float
+    stop_seconds: float
+    detached_seconds: float
+
+
+class Settings(typing.NamedTuple):
+    """All settings of one instance."""
+
+    file: str
+    name: str
+    failure_domain: str
+    roles: tuple[str, ...]
+    data_folder: pathlib.Path | None
+    timeline_file: pathlib.Path | None
+    log_level: str
+    callers: Listener
+    upstreams: Listener
+    operators: Listener
+    peers_listener: Listener
+    secret_key_file: pathlib.Path
+    known_keys_folder: pathlib.Path
+    operator_keys_file: pathlib.Path
+    tls_certificate: pathlib.Path | None
+    tls_key: pathlib.Path | None
+    upstream_ca: pathlib.Path | None
+    peers: tuple[Peer, ...]
+    timing: Timing
+    limits: Limits
+
+    def is_replica(self):
+        """Tell whether this instance keeps the replicated log."""
+        return "replica" in self.roles
+
+    def list_replicas(self):
+        """Return the names of all replicas, this one included, sorted."""
+        names = [peer.name for peer in self.peers if "replica" in peer.roles]
+        if self.is_replica():
+            names.append(self.name)
+        return sorted(names)
+
+
+class Option(typing.NamedTuple):
+    """What an option of a section holds."""
+
+    type: type
+    default: object
+    help: str
+
+
+def _listener_options(what):
+    return {
+        "address": Option(str, REQUIRED, f"IP number {what}."),
+        "port": Option(int, REQUIRED, f"TCP port {what}."),
+    }
+
+
+SECTIONS = {
+    "instance": {
+        "name": Option(str, REQUIRED, "Name of this instance."),
+        "failure_domain": Option(str, REQUIRED, "Its failure domain."),
+        "roles": Option(str, "entry", "Any of entry, replica; with commas."),
+        "data_folder": Option(str, "", "Folder on a disk; for a replica."),
+        "timeline_file": Option(str, "", "File for events; empty: none."),
+        "log_level": Option(
+            typing.Literal["debug", "info", "warning", "error"],
+            "info",
+            "Least level of log lines.",
+        ),
+    },
+    "callers": {
+        **_listener_options("for callers"),
+        "tls_certificate": Option(str, "", "PEM file; empty: no TLS."),
+        "tls_key": Option(str, "", "PEM file of the certificate's key."),
+    },
+    "upstreams": {
+        **_listener_options("for announcements of upstreams"),
+        "certificate_authority": Option(
+            str, "", "PEM file trusted for upstreams over TLS."
+        ),
+    },
+    "operators": {
+        **_listener_options("for operators and metrics"),
+        "key_hashes": Option(str, REQUIRED, "File of `NAME HASH` lines."),
+    },
+    "peers": {
+        **_listener_options("for other instances"),
+        "secret_key": Option(str, REQUIRED, "This instance's secret key."),
+        "known_keys": Option(str, REQUIRED, "Folder of public keys."),
+    },
+    "timing": {
+        "heartbeat_ms": Option(int, 500, "Between heartbeats of the leader."),
+        "election_ms": Option(int, 2000, "Least wait before an election."),
+        "drift_percent": Option(int, 5, "Most that two clocks' rates differ."),
+        "exchange_ms": Option(int, 1000, "Between exchanges with a peer."),
+        "watch_ms": Option(int, 2000, "Longest wait of a watch."),
+    },
+    "limits": {
+        "body_bytes": Option(int, 4194304, "Largest request body."),
+        "header_bytes": Option(int, 32768, "Largest request head."),
+        "body_seconds": Option(float, 10.0, "Longest wait for a body."),
+        "stop_seconds": Option(float, 120.0, "Longest graceful shutdown."),
+        "detached_seconds": Option(
+            float, 30.0, "How long a dropped caller may come back."
+        ),
+    },
+}
+
+PEER_OPTIONS = {
+    "failure_domain": Option(str, REQUIRED, "Its failure domain."),
+    "roles": Option(str, "entry", "Its roles."),
+    "address": Option(str, REQUIRED, "IP number of its peers port."),
+    "port": Option(int, REQUIRED, "TCP port of its peers port."),
+}
+PEER_PREFIX = "instance "
+
+
+class _Reader:
+    """Reads sections and collects faults."""
+
+    def __init__(self, path):
+        self.path = pathlib.Path(path)
+        self.faults = []
+        self.parser = configparser.ConfigParser(interpolation=None)
+
+    def fault(self, section, option, text):
+        self.faults.append(f"{self.path}: [{section}] {option}: {text}")
+
+    def parse(self):
+        """Parse the file; return False when it can't be read at all."""
+        try:
+            with open(self.path) as lines:
+                self.parser.read_file(lines)
+        except (OSError, configparser.Error, UnicodeDecodeError) as error:
+            self.faults.append(f"{self.path}: {error}")
+            return False
+        return True
+
+    def read_section(self, section, options):
+        """Return a section's options converted to their types."""
+        values = {}
+        given = {}
+        if self.parser.has_section(section):
+            given = dict(self.parser.items(section))
+        for name in given:
+            if name not in options:
+                known = ", ".join(options)
+                self.fault(section, name, f"unknown option; known: {known}")
+        for name, option in options.items():
+            values[name] = self._read_option(section, name, option, given)
+        return values
+
+    def _read_option(self, section, name, option, given):
+        if name not in given:
+            if option.default is REQUIRED:
+                self.fault(section, name, f"missing; {option.help}")
+                return None
+            return option.default
+        try:
+            return msgspec.convert(given[name], option.type, strict=False)
+        except msgspec.ValidationError as error:
+            self.fault(section, name, f"{given[name]!r}: {error}")
+            return None
+
+    def read_listener(self, section, values):
+        """Return the section's Listener, or None after a fault."""
+        address, port = values["address"], values["port"]
+        if address is not None:
+            try:
+                ipaddress.ip_address(address)
+            except ValueError:
+                self.fault(section, "address", f"{address!r} is no IP number")
+        if port is not None and not 1 <= port <= 65535:
+            self.fault(section, "port", f"{port} is not from 1 to 65535")
+        if address is None or port is None:
+            return None
+        return Listener(address, port)
+
+    def read_roles(self, section, text):
+        """Return the roles of a comma-separated list."""
+        roles = tuple(word.strip() for word in (text or "").split(","))
+        for role in roles:
+            if role not in ROLES:
+                known = ", ".join(ROLES)
+                self.fault(section, "roles", f"{role!r} is not of {known}")
+        return roles
+
+    def read_path(self, section, name, values, must_exist=False):
+        """Return a path relative to the settings file, or None if empty."""
+        text = values[name]
+        if not text:
+            return None
+        path = self.path.parent / text
+        if must_exist and not path.exists():
+            self.fault(section, name, f"{path} does not exist; create it")
+        return path
+
+
+def _check_ports(reader, listeners):
+    seen = {}
+    for section, listener in listeners.items():
+        if listener is None:
+            continue
+        other = seen.setdefault(listener, section)
+        if other != section:
+            text = f"{listener.format()} is used by [{other}] already"
+            reader.fault(section, "port", text)
+
+
+def _check_timing(reader, timing):
+    for name, value in timing._asdict().items():
+        if value is not None and value < 1 and name != "drift_percent":
+            reader.fault("timing", name, f"{value} is not above 0")
+    if None in timing:
+        return
+    if timing.election_ms < max(3 * timing.heartbeat_ms, LOWEST_ELECTION_MS):
+        text = "give at least three times heartbeat_ms, and 200 at the least"
+        reader.fault("timing", "election_ms", text)
+    if not 0 <= timing.drift_percent <= 50:
+        reader.fault("timing", "drift_percent", "give 0 to 50")
+
+
+def _read_peers(reader, own_name):
+    peers = []
+    for section in reader.parser.sections():
+        if not section.startswith(PEER_PREFIX):
+            continue
+        values = reader.read_section(section, PEER_OPTIONS)
+        name = section[len(PEER_PREFIX) :]
+        listener = reader.read_listener(section, values)
+        roles = reader.read_roles(section, values["roles"])
+        if name != own_name and listener is not None:
+            domain = values["failure_domain"] or ""
+            peers.append(Peer(name, domain, roles, listener))
+    return tuple(peers)
+
+
+def _check_sections(reader):
+    for section in reader.parser.sections():
+        if section not in SECTIONS and not section.startswith(PEER_PREFIX):
+            known = ", ".join(SECTIONS) + ", instance NAME"
+            reader.fault(section, "-", f"unknown section; known: {known}")
+
+
+def load(path):
+    """Read and check the settings of an instance.
+
+    Args:
+        path: the INI file.
+
+    Returns:
+        Settings; paths are relative to the folder of the file.
+
+    Raises:
+        errors.SettingsError: lists every fault, a line each.
+    """
+    reader = _Reader(path)
+    if reader.parse():
+        settings = _build(reader)
+        if not reader.faults:
+            return settings
+    raise errors.SettingsError(
+        "\n".join(reader.faults), step="settings", peer=str(path)
+    )
+
+
+def _build(reader):
+    _check_sections(reader)
+    raw = {
+        section: reader.read_section(section, options)
+        for section, options in SECTIONS.items()
+    }
+    listeners = {
+        section: reader.read_listener(section, raw[section])
+        for section in ("callers", "upstreams", "operators", "peers")
+    }
+    _check_ports(reader, listeners)
+    instance = raw["instance"]
+    roles = reader.read_roles("instance", instance["roles"])
+    if "replica" in roles and not instance["data_folder"]:
+        reader.fault("instance", "data_folder", "missing; a replica needs it")
+    timing = Timing(**raw["timing"])
+    _check_timing(reader, timing)
+    callers = raw["callers"]
+    if bool(callers["tls_certificate"]) != bool(callers["tls_key"]):
+        reader.fault("callers", "tls_key", "give both certificate and key")
+    peers = _read_peers(reader, instance["name"])
+    replicas = sum("replica" in peer.roles for peer in peers)
+    if not replicas and "replica" not in roles:
+        reader.fault("instance NAME", "roles", "no instance is a replica")
+    path = reader.read_path
+    return Settings(
+        file=str(reader.path),
+        name=instance["name"],
+        failure_domain=instance["failure_domain"],
+        roles=roles,
+        data_folder=path("instance", "data_folder", instance),
+        timeline_file=path("instance", "timeline_file", instance),
+        log_level=instance["log_level"],
+        callers=listeners["callers"],
+        upstreams=listeners["upstreams"],
+        operators=listeners["operators"],
+        peers_listener=listeners["peers"],
+        secret_key_file=path("peers", "secret_key", raw["peers"], True),
+        known_keys_folder=path("peers", "known_keys", raw["peers"], True),
+        operator_keys_file=path(
+            "operators", "key_hashes", raw["operators"], True
+        ),
+        tls_certificate=path("callers", "tls_certificate", callers, True),
+        tls_key=path("callers", "tls_key", callers, True),
+        upstream_ca=path(
+            "upstreams", "certificate_authority", raw["upstreams"], True
+        ),
+        peers=peers,
+        timing=timing,
+        limits=Limits(**raw["limits"]),
+    )
--- /dev/null
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -0,0 +1,629 @@
+"""Messages between instances, and their codec.
+
+A message travels as three frames: its kind (one short word), the sender's
+clock stamp and request number, and the body in MessagePack.
+"""
+
+import typing
+
+import msgspec
+
+from camphorhook_common import errors
+from camphorhook_common import tables
+
+# --- commands of the replicated log -------------------------------------
+
+
+class SetCells(typing.NamedTuple):
+    """Sets cells of one row, if the row is at the expected version.
+
+    Attributes:
+        operation: id under which the outcome is remembered.
+        expected: the row's version; 0 creates the row; -1 takes any.
+        cells: checked cells by column.
+        at: leader's wall clock, seconds since the epoch.
+    """
+
+    operation: str
+    table: str
+    row: str
+    expected: int
+    cells: tables.Row
+    at: float
+
+
+class RemoveRow(typing.NamedTuple):
+    """Removes a row, if it is at the expected version."""
+
+    operation: str
+    table: str
+    row: str
+    expected: int
+    at: float
+
+
+class Claim(typing.NamedTuple):
+    """Claims the right to the only attempt of a request.
+
+    Attributes:
+        account: client account.
+        key: the caller's idempotency key.
+        digest: digest of method, path and body.
+        attempt: id of the attempt that asks.
+        instance: the instance that would run it.
+        retention: seconds to remember the claim for.
+        patience: seconds after which a running attempt counts as one
+            with an unknown outcome.
+        at: leader's wall clock, seconds since the epoch.
+    """
+
+    account: str
+    key: str
+    digest: str
+    attempt: str
+    instance: str
+    retention: float
+    patience: float
+    at: float
+
+
+class Settle(typing.NamedTuple):
+    """Records the outcome of a claimed attempt.
+
+    Attributes:
+        state: finished, unknown or abandoned.
+        status: HTTP status of the answer; 0 when there is none.
+        content_type: the answer's media type.
+        body: the answer's body.
+    """
+
+    account: str
+    key: str
+    attempt: str
+    state: str
+    status: int
+    content_type: str
+    body: bytes
+    at: float
+
+
+class TakeFence(typing.NamedTuple):
+    """Takes a new fencing number; the answer is the entry's index."""
+
+    holder: str
+    at: float
+
+
+class Voters(typing.NamedTuple):
+    """Replaces the set of voters; one voter differs at the most."""
+
+    members: dict[str, str]
+    at: float
+
+
+class Begin(typing.NamedTuple):
+    """The first entry of a leader's term."""
+
+    leader: str
+    at: float
+
+
+Command = SetCells | RemoveRow | Claim | Settle | TakeFence | Voters | Begin
+COMMANDS = {
+    "set": SetCells,
+    "remove": RemoveRow,
+    "claim": Claim,
+    "settle": Settle,
+    "fence": TakeFence,
+    "voters": Voters,
+    "begin": Begin,
+}
+
+
+class Entry(typing.NamedTuple):
+    """One entry of the replicated log.
+
+    Attributes:
+        index: place in the log, from 1.
+        term: term of the leader that made it.
+        kind: a key of COMMANDS.
+        data: the command in MessagePack.
+    """
+
+    index: int
+    term: int
+    kind: str
+    data: bytes
+
+
+class Outcome(typing.NamedTuple):
+    """What a command came to.
+
+    Attributes:
+        code: done, conflict, replay, running, mismatch or refused.
+        index: index at which it was applied.
+        version: the row's version after it, where it has one.
+        detail: words for a person.
+        status: of a replayed answer.
+        content_type: of a replayed answer.
+        body: of a replayed answer.
+    """
+
+    code: str
+    index: int = 0
+    version: int = 0
+    detail: str = ""
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+# --- messages between replicas ------------------------------------------
+
+
+class VoteRequest(typing.NamedTuple):
+    """Asks for a vote.
+
+    Attributes:
+        trial: ask without changing terms (pre-vote).
+        transfer: the leader itself asked the candidate to stand.
+    """
+
+    term: int
+    candidate: str
+    identity: str
+    last_index: int
+    last_term: int
+    trial: bool
+    transfer: bool
+
+
+class VoteReply(typing.NamedTuple):
+    """Answers VoteRequest."""
+
+    term: int
+    granted: bool
+    identity: str
+
+
+class StandNow(typing.NamedTuple):
+    """Asks a replica to stand for election, as the leader is leaving."""
+
+    term: int
+
+
+class StandReply(typing.NamedTuple):
+    """Answers StandNow."""
+
+    term: int
+
+
+class Append(typing.NamedTuple):
+    """Carries entries, or none as a heartbeat, from the leader."""
+
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    entries: list[Entry]
+    commit: int
+
+
+class AppendReply(typing.NamedTuple):
+    """Answers Append; `last_index` is the highest index known to match."""
+
+    term: int
+    accepted: bool
+    last_index: int
+    identity: str
+
+
+class Snapshot(typing.NamedTuple):
+    """A piece of the leader's snapshot; `total` is its length in bytes."""
+
+    term: int
+    leader: str
+    last_index: int
+    last_term: int
+    offset: int
+    total: int
+    data: bytes
+
+
+class SnapshotReply(typing.NamedTuple):
+    """Answers Snapshot; `offset` is the next wanted byte."""
+
+    term: int
+    offset: int
+    identity: str
+
+
+# --- messages between any instances -------------------------------------
+
+
+class Submit(typing.NamedTuple):
+    """Hands a command to a replica."""
+
+    kind: str
+    data: bytes
+
+
+class SubmitReply(typing.NamedTuple):
+    """Answers Submit.
+
+    Attributes:
+        code: applied; not_leader (nothing was done); or unknown (the
+            command may or may not have been accepted).
+        leader: name of the leader as far as known.
+        outcome: what the command came to, when applied.
+    """
+
+    code: str
+    leader: str
+    outcome: Outcome | None
+
+
+class ReadClaim(typing.NamedTuple):
+    """Asks the leader what became of a claimed request.
+
+    The reply is an Outcome: none, abandoned, running, unknown, replay, or
+    not_leader with the leader's name as detail.
+    """
+
+    account: str
+    key: str
+
+
+class Watch(typing.NamedTuple):
+    """Asks a replica for changes of the tables after an index.
+
+    Attributes:
+        index: highest index in force at the sender; -1 for none.
+        wait_ms: how long to wait for a change.
+        confirm: ask for a state that the leader confirms as current.
+    """
+
+    index: int
+    wait_ms: int
+    confirm: bool
+
+
+class Change(typing.NamedTuple):
+    """A row's new state; `cells` is None for a removed row."""
+
+    table: str
+    row: str
+    version: int
+    cells: tables.Row | None
+
+
+class WatchReply(typing.NamedTuple):
+    """Answers Watch.
+
+    Attributes:
+        index: state after these changes.
+        whole: the changes are the whole tables, not a delta.
+        changes: rows in the order of their changes.
+        age_ms: time since the replica heard from a leader; -1 if unknown.
+        leader: name of the leader as far as known.
+    """
+
+    index: int
+    whole: bool
+    changes: list[Change]
+    age_ms: int
+    leader: str
+
+
+class ConfirmIndex(typing.NamedTuple):
+    """Asks the leader for the lowest index that is surely current."""
+
+    sender: str
+
+
+class IndexReply(typing.NamedTuple):
+    """Answers ConfirmIndex; index -1 when not the leader."""
+
+    index: int
+
+
+class ShowStatus(typing.NamedTuple):
+    """Asks an instance for its state, for operators."""
+
+    sender: str
+
+
+class StatusReply(typing.NamedTuple):
+    """State of an instance as operators see it.
+
+    Attributes:
+        index: configuration index in force; -1 for none.
+        state: starting, ready, stopping or cut_off.
+        log_role: leader, follower, learner, candidate or none.
+        term: the log's term.
+        last_index: end of its log.
+        voters: names of the voters.
+        upstreams: number of live upstreams it sees.
+        active: requests in flight.
+    """
+
+    name: str
+    failure_domain: str
+    index: int
+    state: str
+    log_role: str
+    term: int
+    last_index: int
+    voters: list[str]
+    upstreams: int
+    active: int
+
+
+class Upstream(typing.NamedTuple):
+    """What an instance knows of an upstream.
+
+    Attributes:
+        name: unique name.
+        failure_domain: where it runs.
+        service: service it belongs to.
+        models: models it serves; empty for a plain service.
+        address: IP number.
+        port: TCP port.
+        incarnation: grows with every start of the upstream.
+        sequence: grows with every announcement of an incarnation.
+        ttl_ms: how long an announcement holds.
+        state: live or leaving.
+        active: requests in flight as it reported.
+        capacity: requests it can run at once.
+        features: any of FEATURES.
+        warm: permit holders that found this incarnation warm.
+    """
+
+    name: str
+    failure_domain: str
+    service: str
+    models: tuple[str, ...]
+    address: str
+    port: int
+    incarnation: int
+    sequence: int
+    ttl_ms: int
+    state: str
+    active: int
+    capacity: int
+    features: tuple[str, ...]
+    warm: tuple[str, ...]
+
+
+FEATURES = ("continue", "resume", "kv", "fencing")
+
+
+class Usage(typing.NamedTuple):
+    """Recent use of a client account on one instance.
+
+    Attributes:
+        account: the client account.
+        instance: where the use was.
+        requests: requests a second, waiting ones included.
+        tokens: tokens a minute.
+        active: requests in flight.
+        stamp: clock stamp of the reading.
+    """
+
+    account: str
+    instance: str
+    requests: float
+    tokens: float
+    active: int
+    stamp: int
+
+
+class Suspect(typing.NamedTuple):
+    """A request digest that upstreams crashed under.
+
+    Attributes:
+        digest: of the account and request body.
+        crashes: `upstream/incarnation` of each crash.
+        cleared: a later run of it succeeded.
+        stamp: clock stamp of the last change.
+    """
+
+    digest: str
+    crashes: tuple[str, ...]
+    cleared: bool
+    stamp: int
+
+
+class Exchange(typing.NamedTuple):
+    """What changed at the sender since its last exchange with a peer.
+
+    Attributes:
+        sender: name of the sending instance.
+        upstreams: records that changed in more than their load.
+        loads: packed loads, as `membership` defines them.
+        usages: recent use of client accounts.
+        suspects: request digests under which upstreams crashed.
+        stopping: the sender is shutting down.
+    """
+
+    sender: str
+    upstreams: list[Upstream]
+    loads: bytes
+    usages: list[Usage]
+    suspects: list[Suspect]
+    stopping: bool
+
+
+class ExchangeReply(typing.NamedTuple):
+    """Answers Exchange."""
+
+    received: int
+
+
+class AskPermit(typing.NamedTuple):
+    """Asks a permit holder for one run.
+
+    Attributes:
+        reason: cold (upstream), or suspect (upstream run alone).
+        subject: upstream's name and incarnation, with a slash.
+        request: id of the request.
+        hold_ms: longest time the permit is needed for.
+    """
+
+    reason: str
+    subject: str
+    request: str
+    hold_ms: int
+
+
+class PermitReply(typing.NamedTuple):
+    """Answers AskPermit."""
+
+    granted: bool
+    warm: bool
+
+
+class ReturnPermit(typing.NamedTuple):
+    """Gives a permit back; `completed` tells whether the run succeeded."""
+
+    reason: str
+    subject: str
+    request: str
+    completed: bool
+
+
+class ReturnReply(typing.NamedTuple):
+    """Answers ReturnPermit."""
+
+    warm: bool
+
+
+class RequestFailure(typing.NamedTuple):
+    """Why a request got no answer, or only a part of one.
+
+    Attributes:
+        status: HTTP status.
+        code: short machine-readable word.
+        message: a sentence that says what to do.
+        disposition: not-run, maybe-run or run.
+        retry_after: seconds; 0 when a retry can't help.
+    """
+
+    status: int
+    code: str
+    message: str
+    disposition: str
+    retry_after: float = 0.0
+
+
+class ReadStream(typing.NamedTuple):
+    """Asks the owner of a response for its events after a number."""
+
+    response: str
+    account: str
+    after: int
+    wait_ms: int
+
+
+class StreamEvent(typing.NamedTuple):
+    """One event of a streamed answer.
+
+    Attributes:
+        point: where to take the stream up after it, as `streams` defines.
+        data: the event's payload.
+    """
+
+    point: str
+    data: str
+
+
+class StreamReply(typing.NamedTuple):
+    """Answers ReadStream.
+
+    Attributes:
+        found: the owner has the response for this account.
+        events: events in order from `after` + 1.
+        finished: no event follows these.
+        failure: why the answer ended early, if it did.
+    """
+
+    found: bool
+    events: list[StreamEvent]
+    finished: bool
+    failure: RequestFailure | None
+
+
+class Failure(typing.NamedTuple):
+    """Answers any message that could not be handled."""
+
+    step: str
+    detail: str
+
+
+KINDS = {
+    "vr": VoteRequest,
+    "vy": VoteReply,
+    "ap": Append,
+    "ay": AppendReply,
+    "sn": Snapshot,
+    "sy": SnapshotReply,
+    "sd": StandNow,
+    "se": StandReply,
+    "su": Submit,
+    "uy": SubmitReply,
+    "rc": ReadClaim,
+    "oc": Outcome,
+    "wa": Watch,
+    "wy": WatchReply,
+    "ci": ConfirmIndex,
+    "cy": IndexReply,
+    "st": ShowStatus,
+    "ty": StatusReply,
+    "ex": Exchange,
+    "ey": ExchangeReply,
+    "pe": AskPermit,
+    "py": PermitReply,
+    "re": ReturnPermit,
+    "ry": ReturnReply,
+    "rs": ReadStream,
+    "sr": StreamReply,
+    "fa": Failure,
+}
+KIND_OF = {message: kind for kind, message in KINDS.items()}
+COMMAND_KIND_OF = {command: kind for kind, command in COMMANDS.items()}
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders = {
+    kind: msgspec.msgpack.Decoder(type_)
+    for kind, type_ in [*KINDS.items(), *COMMANDS.items()]
+}
+
+
+def encode(message):
+    """Return the message's kind and body."""
+    return KIND_OF[type(message)], _encoder.encode(message)
+
+
+def decode(kind, body):
+    """Return the message of a kind and body.
+
+    Raises:
+        errors.ProtocolError: unknown kind or a body that does not fit it.
+    """
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        raise errors.ProtocolError(f"unknown kind {kind!r}", step="decode")
+    try:
+        return decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise errors.ProtocolError(str(error), step="decode") from error
+
+
+def encode_command(command):
+    """Return the command's kind and body for an entry."""
+    return COMMAND_KIND_OF[type(command)], _encoder.encode(command)
+
+
+def decode_command(kind, data):
+    """Return the command of an entry."""
+    return decode(kind, data)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The camphorhook instance daemon: entry points, placement and the log."""
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: HTTP, ZeroMQ, disk and metrics."""
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/announcements.py
@@ -0,0 +1,48 @@
+"""The upstreams' HTTP interface: announcements."""
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import http
+from camphorhook_daemon.domain import membership
+
+ANNOUNCEMENTS_PATH = "/announcements"
+HTTP_OVERHEAD_BYTES = 300
+
+
+class AnnouncementsApp:
+    """ASGI application to which upstreams announce themselves."""
+
+    def __init__(self, parts):
+        """Create the application from the composition's parts."""
+        self._parts = parts
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        request = http.read_request(scope)
+        if (request.method, request.path) != ("POST", ANNOUNCEMENTS_PATH):
+            text = f"POST announcements to {ANNOUNCEMENTS_PATH}"
+            failure = wire.RequestFailure(404, "not_found", text, "not-run")
+            await http.send_failure(send, failure)
+            return
+        try:
+            body = await http.read_body(receive, self._parts.settings.limits)
+        except http.BodyError as error:
+            if error.failure is not None:
+                await http.send_failure(send, error.failure)
+            return
+        await self._take(body, send)
+
+    async def _take(self, body, send):
+        size = len(body) + HTTP_OVERHEAD_BYTES
+        self._parts.meter.count_control("announcement", "received", size)
+        domain = self._parts.settings.failure_domain
+        try:
+            announcement = membership.parse_announcement(body, domain)
+        except errors.ProtocolError as error:
+            failure = wire.RequestFailure(
+                400, "invalid_announcement", error.message, "not-run"
+            )
+            await http.send_failure(send, failure)
+            return
+        self._parts.directory.announce(announcement)
+        await http.send_json(send, 200, {"accepted": True})
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/answering.py
@@ -0,0 +1,85 @@
+"""Answers messages of other instances, by the message's type."""
+
+import functools
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+
+
+class Answerer:
+    """Hands each message to the part that answers it."""
+
+    def __init__(self, parts):
+        """Create an answerer from the composition's parts."""
+        self._parts = parts
+
+    def _get_replica(self):
+        if self._parts.replica is None:
+            raise errors.UnreachableError(
+                "this instance is no replica",
+                step="answer",
+                peer=self._parts.settings.name,
+            )
+        return self._parts.replica
+
+    @functools.singledispatchmethod
+    async def answer(self, message):
+        """Return the reply to a message."""
+        raise errors.ProtocolError(
+            f"unexpected {type(message).__name__}", step="answer"
+        )
+
+    @answer.register
+    async def _(self, message: wire.VoteRequest):
+        return await self._get_replica().handle_vote(message)
+
+    @answer.register
+    async def _(self, message: wire.StandNow):
+        return await self._get_replica().handle_stand(message)
+
+    @answer.register
+    async def _(self, message: wire.Append):
+        return await self._get_replica().handle_append(message)
+
+    @answer.register
+    async def _(self, message: wire.Snapshot):
+        return await self._get_replica().handle_snapshot(message)
+
+    @answer.register
+    async def _(self, message: wire.Submit):
+        command = wire.decode_command(message.kind, message.data)
+        return await self._get_replica().submit(command)
+
+    @answer.register
+    async def _(self, message: wire.ReadClaim):
+        return self._get_replica().read_claim(message)
+
+    @answer.register
+    async def _(self, message: wire.ConfirmIndex):
+        index = await self._get_replica().confirm_index()
+        return wire.IndexReply(index)
+
+    @answer.register
+    async def _(self, message: wire.Watch):
+        self._get_replica()
+        return await self._parts.watch_server.answer(message)
+
+    @answer.register
+    async def _(self, message: wire.ShowStatus):
+        return self._parts.describe_status()
+
+    @answer.register
+    async def _(self, message: wire.Exchange):
+        return self._parts.exchanger.receive(message)
+
+    @answer.register
+    async def _(self, message: wire.AskPermit):
+        return self._parts.office.grant(message)
+
+    @answer.register
+    async def _(self, message: wire.ReturnPermit):
+        return self._parts.office.take_back(message)
+
+    @answer.register
+    async def _(self, message: wire.ReadStream):
+        return await self._parts.streams.answer(message)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -0,0 +1,488 @@
+"""The callers' HTTP interface: chats, plain services and their status."""
+
+import msgspec
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import secrets
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import http
+from camphorhook_daemon.domain import chats
+from camphorhook_daemon.domain import requests
+from camphorhook_daemon.domain import services
+from camphorhook_daemon.domain import streams
+
+CHAT_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+OPERATIONS_PREFIX = "/v1/operations/"
+SERVICES_PREFIX = "/services/"
+CHAT_HEADER = "x-chat-id"
+MOST_HEADER_BYTES = 32768
+STATUS_SECONDS = 4.0
+RESUME_WAIT_MS = 1000
+LONGEST_KEY = 255
+PASSED_HEADERS = ("accept", "accept-language", "content-type", "traceparent")
+
+
+class CallersApp:
+    """ASGI application for callers.
+
+    Every request runs through the same steps: the probes, the account's
+    key, the body, the account's limits, then its route.
+    """
+
+    def __init__(self, parts):
+        """Create the application from the composition's parts."""
+        self._parts = parts
+        self._accounts = {}
+        self._accounts_index = None
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        request = http.read_request(scope)
+        request_id = chats.make_request_id()
+        headers = [
+            (http.REQUEST_HEADER, request_id),
+            (http.INSTANCE_HEADER, self._parts.settings.name),
+        ]
+        self._parts.active += 1
+        try:
+            failure = await self._serve(
+                request, request_id, receive, send, headers
+            )
+            if failure is not None:
+                self._parts.meter.count_refusal(failure.code)
+                await http.send_failure(send, failure, headers)
+        except http.BodyError as error:
+            if error.failure is not None:
+                await http.send_failure(send, error.failure, headers)
+        finally:
+            self._parts.active -= 1
+
+    async def _serve(self, request, request_id, receive, send, headers):
+        """Serve a request; return a Failure when nothing was sent yet."""
+        if request.path in ("/livez", "/readyz"):
+            await self._serve_probe(request, send, headers)
+            return None
+        failure = self._check_head(request)
+        if failure is not None:
+            return failure
+        account, row = self._find_account(request)
+        if account is None:
+            return self._refuse_key()
+        if request.path == MODELS_PATH and request.method == "GET":
+            await self._serve_models(send, headers)
+            return None
+        if request.path.startswith(OPERATIONS_PREFIX):
+            return await self._serve_operation(request, account, send, headers)
+        context = _Context(request, request_id, account, row, send, headers)
+        if request.path == CHAT_PATH:
+            return await self._serve_chat(context, receive)
+        if request.path.startswith(CHAT_PATH + "/"):
+            return await self._serve_resume(context, receive)
+        if request.path.startswith(SERVICES_PREFIX):
+            return await self._serve_service(context, receive)
+        text = f"no such path; chats are at {CHAT_PATH}, services below "
+        text += SERVICES_PREFIX
+        return wire.RequestFailure(404, "not_found", text, "not-run")
+
+    # --- probes, keys and limits -----------------------------------------
+
+    async def _serve_probe(self, request, send, headers):
+        if request.path == "/livez":
+            await http.send_json(send, 200, {"status": "alive"}, headers)
+            return
+        state = self._parts.describe_state()
+        status = 200 if state in ("ready", "cut_off") else 503
+        await http.send_json(send, status, {"status": state}, headers)
+
+    def _check_head(self, request):
+        if self._parts.is_refusing:
+            text = "this instance is shutting down; send it again"
+            return wire.RequestFailure(503, "stopping", text, "not-run", 1.0)
+        size = sum(
+            len(name) + len(value) for name, value in request.headers.items()
+        )
+        if size > MOST_HEADER_BYTES:
+            text = f"the headers are larger than {MOST_HEADER_BYTES} bytes"
+            return wire.RequestFailure(
+                431, "headers_too_large", text, "not-run"
+            )
+        if self._parts.configuration.index < 0:
+            text = "this instance has no configuration yet"
+            return wire.RequestFailure(503, "starting", text, "not-run", 1.0)
+        return None
+
+    def _find_account(self, request):
+        """Return (account, row) of the bearer key, or (None, None)."""
+        configuration = self._parts.configuration
+        if self._accounts_index != configuration.index:
+            self._accounts = {
+                cells["key_hash"]: (name, cells)
+                for name, (_, cells) in configuration.list_rows(
+                    "client_accounts"
+                ).items()
+                if cells["key_hash"] and cells["enabled"] == "yes"
+            }
+            self._accounts_index = configuration.index
+        scheme, _, key = request.headers.get("authorization", "").partition(
+            " "
+        )
+        if scheme.lower() != "bearer" or not key:
+            return None, None
+        hashed = secrets.hash_key(key.strip())
+        return self._accounts.get(hashed, (None, None))
+
+    def _refuse_key(self):
+        text = "send the key of a client account: Authorization: Bearer KEY"
+        return wire.RequestFailure(401, "invalid_api_key", text, "not-run")
+
+    def _admit(self, context):
+        refusal = self._parts.limits.admit(context.account, context.row)
+        if refusal is None:
+            return None
+        text = (
+            f"client account {context.account} is at its limit "
+            f"{refusal.limit}; come back after the time in Retry-After"
+        )
+        wait = refusal.retry_after
+        return wire.RequestFailure(429, "rate_limited", text, "not-run", wait)
+
+    # --- chats -----------------------------------------------------------
+
+    async def _serve_models(self, send, headers):
+        names = sorted(
+            {
+                model
+                for record in self._parts.directory.list_live()
+                for model in record.models
+            }
+        )
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "fleet"}
+            for name in names
+        ]
+        await http.send_json(
+            send, 200, {"object": "list", "data": data}, headers
+        )
+
+    def _find_service(self, model):
+        """Return the service that serves a model; empty if none does."""
+        services_found = {
+            record.service
+            for record in self._parts.directory.list_known()
+            if model in record.models
+        }
+        return min(services_found, default="")
+
+    async def _serve_chat(self, context, receive):
+        if context.request.method != "POST":
+            return _refuse_method("POST")
+        body = await http.read_body(receive, self._parts.settings.limits)
+        named = context.request.headers.get(CHAT_HEADER, "")
+        result = requests.parse_chat(body, context.account, named)
+        if result.is_error():
+            return result.error
+        chat = result.ok
+        service = self._find_service(chat.model)
+        if not service:
+            text = f"no model {chat.model!r}; GET {MODELS_PATH} lists them"
+            return wire.RequestFailure(404, "model_not_found", text, "not-run")
+        failure = self._admit(context)
+        if failure is not None:
+            return failure
+        self._parts.retries.earn(service, self._find_ratio(service))
+        response = streams.make_response_id(self._parts.settings.name)
+        admitted = chats.Admitted(
+            context.request_id,
+            response,
+            context.account,
+            context.row,
+            service,
+            chat,
+        )
+        self._parts.recorder.record(
+            "chat.admitted", request=context.request_id, operation=response
+        )
+        if chat.is_stream:
+            return await self._stream_chat(context, admitted, receive)
+        return await self._answer_chat(context, admitted, receive)
+
+    def _find_ratio(self, service):
+        row = self._parts.configuration.get_or_default("services", service)
+        return row["retry_ratio"]
+
+    async def _answer_chat(self, context, admitted, receive):
+        """Answer a chat as a whole; stops the run if the caller leaves."""
+        tokens = 0
+        outcome = None
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_leave, receive, nursery)
+                runner = self._parts.chat_runner
+                outcome = await runner.run_whole(admitted)
+                nursery.cancel_scope.cancel()
+        finally:
+            if outcome is not None:
+                tokens = outcome[2]
+            self._parts.limits.release(context.account, tokens)
+        if outcome is None:
+            return None
+        answer, failure, _ = outcome
+        if failure is not None:
+            return failure
+        headers = [
+            *context.headers,
+            ("content-type", answer.content_type),
+            (http.DISPOSITION_HEADER, "run"),
+        ]
+        await http.send_whole(
+            context.send, answer.status, headers, answer.body
+        )
+        return None
+
+    async def _stream_chat(self, context, admitted, receive):
+        stream = streams.ResponseStream(admitted.response, context.account)
+        self._parts.streams.add(stream)
+        stream.attach()
+        self._parts.nursery.start_soon(self._run_stream, admitted, stream)
+        try:
+            return await self._send_stream(context, stream, 0, receive)
+        finally:
+            stream.detach()
+
+    async def _run_stream(self, admitted, stream):
+        tokens = 0
+        try:
+            tokens = await self._parts.chat_runner.run_stream(admitted, stream)
+        finally:
+            self._parts.limits.release(admitted.account, tokens)
+
+    async def _send_stream(self, context, stream, number, receive):
+        """Send a stream's events after `number` until its end."""
+        await stream.wait_beyond(number)
+        if stream.failure is not None and stream.count <= number:
+            return stream.failure
+        headers = [
+            *context.headers,
+            ("content-type", "text/event-stream; charset=utf-8"),
+            ("cache-control", "no-store"),
+            ("camphorhook-response", stream.response),
+            (http.DISPOSITION_HEADER, "run"),
+        ]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_leave, receive, nursery)
+            await http.send_head(context.send, 200, headers)
+            while True:
+                await stream.wait_beyond(number)
+                events = stream.read_after(number)
+                number += len(events)
+                if events:
+                    piece = b"".join(_encode_event(one) for one in events)
+                    await http.send_piece(context.send, piece, True)
+                if stream.finished and number == stream.count:
+                    break
+            if stream.failure is not None:
+                piece = _encode_error_event(stream.failure)
+                await http.send_piece(context.send, piece, True)
+            await http.send_piece(context.send, b"", False)
+            nursery.cancel_scope.cancel()
+        return None
+
+    # --- taking a stream up again ----------------------------------------
+
+    async def _serve_resume(self, context, receive):
+        if context.request.method != "GET":
+            return _refuse_method("GET")
+        response = context.request.path[len(CHAT_PATH) + 1 :]
+        last = context.request.headers.get("last-event-id", "")
+        try:
+            point = streams.parse_point(last) if last else None
+        except ValueError:
+            text = "Last-Event-ID is not the id of an event of this answer"
+            return wire.RequestFailure(
+                400, "invalid_event_id", text, "not-run"
+            )
+        number = point.number if point else 0
+        self._parts.recorder.record(
+            "chat.resumed", request=context.request_id, operation=response
+        )
+        stream = self._parts.streams.get(response, context.account)
+        if stream is not None:
+            stream.attach()
+            try:
+                return await self._send_stream(
+                    context, stream, number, receive
+                )
+            finally:
+                stream.detach()
+        stream = streams.ResponseStream(response, context.account, number)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy_stream, stream, point)
+            failure = await self._send_stream(context, stream, number, receive)
+            nursery.cancel_scope.cancel()
+        return failure
+
+    async def _copy_stream(self, stream, point):
+        """Fill a stream from its owner, or else from the engine."""
+        try:
+            if await self._copy_from_owner(stream):
+                return
+        except errors.UnreachableError as error:
+            logs.log(
+                "info",
+                f"owner can't be reached: {error.message}",
+                operation=stream.response,
+                step="resume",
+                peer=error.peer,
+            )
+        stream.finish(
+            await self._parts.resumer.copy_from_engine(stream, point)
+        )
+
+    async def _copy_from_owner(self, stream):
+        """Copy events until the end; return False when it has none."""
+        owner = streams.find_owner(stream.response)
+        while True:
+            message = wire.ReadStream(
+                stream.response, stream.account, stream.count, RESUME_WAIT_MS
+            )
+            reply = await self._parts.transport.call(
+                owner, message, RESUME_WAIT_MS / 1000 + 1.0
+            )
+            if not reply.found:
+                return False
+            for event in reply.events:
+                stream.append(event)
+            if reply.finished and not reply.events:
+                stream.finish(reply.failure)
+                return True
+
+    # --- plain services --------------------------------------------------
+
+    async def _serve_service(self, context, receive):
+        rest = context.request.path[len(SERVICES_PREFIX) :]
+        service, _, path = rest.partition("/")
+        key = context.request.headers.get("idempotency-key", "")
+        if len(key) > LONGEST_KEY:
+            text = f"Idempotency-Key: give at most {LONGEST_KEY} characters"
+            return wire.RequestFailure(400, "invalid_request", text, "not-run")
+        body = await http.read_body(receive, self._parts.settings.limits)
+        failure = self._admit(context)
+        if failure is not None:
+            return failure
+        query = f"?{context.request.query}" if context.request.query else ""
+        wanted = services.ServiceRequest(
+            context.request_id,
+            context.account,
+            context.row,
+            service,
+            context.request.method,
+            f"/{path}{query}",
+            _pass_headers(context),
+            body,
+            key,
+        )
+        self._parts.retries.earn(service, self._find_ratio(service))
+        try:
+            served = await self._parts.service_runner.run(wanted)
+        finally:
+            self._parts.limits.release(context.account, 0)
+        if isinstance(served, wire.RequestFailure):
+            return served
+        await self._send_served(context, served)
+        return None
+
+    async def _send_served(self, context, served):
+        headers = [
+            *context.headers,
+            *(
+                pair
+                for pair in served.answer.headers
+                if pair[0] != "content-type"
+            ),
+            ("content-type", served.answer.content_type or "text/plain"),
+            (http.DISPOSITION_HEADER, served.disposition),
+        ]
+        if served.replayed:
+            headers.append((http.REPLAYED_HEADER, "true"))
+        if served.upstream:
+            headers.append((http.UPSTREAM_HEADER, served.upstream))
+        status = served.answer.status
+        await http.send_whole(
+            context.send, status, headers, served.answer.body
+        )
+
+    async def _serve_operation(self, request, account, send, headers):
+        """Tell what became of a request that runs at most once."""
+        key = request.path[len(OPERATIONS_PREFIX) :]
+        try:
+            outcome = await self._parts.submitter.read_claim(
+                account, key, STATUS_SECONDS
+            )
+        except errors.UnreachableError as error:
+            text = f"the outcome can't be read now: {error.message}"
+            return wire.RequestFailure(503, "no_quorum", text, "not-run", 2.0)
+        dispositions = {
+            "none": "not-run",
+            "abandoned": "not-run",
+            "replay": "run",
+        }
+        answer = {
+            "key": key,
+            "state": "finished" if outcome.code == "replay" else outcome.code,
+            "disposition": dispositions.get(outcome.code, "maybe-run"),
+        }
+        if outcome.code == "replay":
+            answer["status"] = outcome.status
+            answer["body"] = outcome.body.decode("utf-8", "replace")
+        status = 404 if outcome.code == "none" else 200
+        await http.send_json(send, status, answer, headers)
+        return None
+
+
+class _Context:
+    """One request on its way through the application."""
+
+    def __init__(self, request, request_id, account, row, send, headers):
+        self.request = request
+        self.request_id = request_id
+        self.account = account
+        self.row = row
+        self.send = send
+        self.headers = headers
+
+
+def _encode_event(event):
+    return f"id: {event.point}\ndata: {event.data}\n\n".encode()
+
+
+def _encode_error_event(failure):
+    body = msgspec.json.encode(http.encode_failure(failure))
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+async def _cancel_on_leave(receive, nursery):
+    """Cancel a nursery when the caller closes its connection."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            nursery.cancel_scope.cancel()
+            return
+
+
+def _refuse_method(allowed):
+    text = f"use the method {allowed} here"
+    return wire.RequestFailure(405, "method_not_allowed", text, "not-run")
+
+
+def _pass_headers(context):
+    """Return the headers that an upstream gets."""
+    passed = [
+        (name, context.request.headers[name])
+        for name in PASSED_HEADERS
+        if name in context.request.headers
+    ]
+    passed.append(("camphorhook-account", context.account))
+    return passed
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/http.py
@@ -0,0 +1,144 @@
+"""Small helpers for ASGI applications: requests in, JSON answers out."""
+
+import typing
+
+import msgspec
+import trio
+
+from camphorhook_common import wire
+
+DISPOSITION_HEADER = "camphorhook-disposition"
+REQUEST_HEADER = "x-request-id"
+INSTANCE_HEADER = "camphorhook-instance"
+UPSTREAM_HEADER = "camphorhook-upstream"
+REPLAYED_HEADER = "idempotent-replayed"
+
+
+class Request(typing.NamedTuple):
+    """The head of an HTTP request."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+
+
+class BodyError(Exception):
+    """The body could not be read.
+
+    Attributes:
+        failure: the wire.RequestFailure to answer with; None when the caller
+            has left.
+    """
+
+    def __init__(self, failure):
+        super().__init__()
+        self.failure = failure
+
+
+def read_request(scope):
+    """Return the Request of an ASGI scope."""
+    headers = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+    query = scope["query_string"].decode("latin-1")
+    return Request(scope["method"], scope["path"], query, headers)
+
+
+async def read_body(receive, limits):
+    """Return the whole body.
+
+    Args:
+        receive: the ASGI receive function.
+        limits: settings.Limits with body_bytes and body_seconds.
+
+    Raises:
+        BodyError: too large, too slow, or the caller has left.
+    """
+    pieces = []
+    size = 0
+    with trio.move_on_after(limits.body_seconds) as scope:
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise BodyError(None)
+            size += len(message.get("body", b""))
+            if size > limits.body_bytes:
+                raise BodyError(_describe_large_body(limits))
+            pieces.append(message.get("body", b""))
+            if not message.get("more_body"):
+                break
+    if scope.cancelled_caught:
+        text = f"the body did not arrive within {limits.body_seconds:g} s"
+        raise BodyError(
+            wire.RequestFailure(408, "timeout", text, "not-run", 1.0)
+        )
+    return b"".join(pieces)
+
+
+def _describe_large_body(limits):
+    text = f"the body is larger than {limits.body_bytes} bytes"
+    return wire.RequestFailure(413, "body_too_large", text, "not-run")
+
+
+async def send_head(send, status, headers):
+    """Send status and headers.
+
+    Args:
+        send: the ASGI send function.
+        status: HTTP status.
+        headers: pairs of name and value.
+    """
+    encoded = [
+        (name.encode("latin-1"), value.encode("latin-1", "replace"))
+        for name, value in headers
+    ]
+    start = {"type": "http.response.start", "status": status}
+    await send({**start, "headers": encoded})
+
+
+async def send_piece(send, body, more):
+    """Send a piece of the body."""
+    await send({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def send_whole(send, status, headers, body):
+    """Send a whole answer."""
+    headers = [*headers, ("content-length", str(len(body)))]
+    await send_head(send, status, headers)
+    await send_piece(send, body, False)
+
+
+async def send_json(send, status, value, headers=()):
+    """Send a value as JSON."""
+    body = msgspec.json.encode(value)
+    headers = [("content-type", "application/json"), *headers]
+    await send_whole(send, status, headers, body)
+
+
+def encode_failure(failure):
+    """Return a failure as the error object that chat clients know."""
+    kind = "invalid_request_error" if failure.status < 500 else "server_error"
+    return {
+        "error": {
+            "message": failure.message,
+            "type": kind,
+            "param": None,
+            "code": failure.code,
+            "disposition": failure.disposition,
+        }
+    }
+
+
+async def send_failure(send, failure, headers=()):
+    """Send a wire.RequestFailure with its disposition and time to retry."""
+    extra = [(DISPOSITION_HEADER, failure.disposition)]
+    if failure.retry_after:
+        seconds = max(1, int(failure.retry_after + 0.999))
+        extra.append(("retry-after", str(seconds)))
+    if failure.status == 401:
+        extra.append(("www-authenticate", "Bearer"))
+    await send_json(
+        send, failure.status, encode_failure(failure), [*headers, *extra]
+    )
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -0,0 +1,243 @@
+"""The operators' HTTP interface: tables, status, time line, metrics."""
+
+import time
+import urllib.parse
+
+import msgspec
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import secrets
+from camphorhook_common import tables
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import http
+from camphorhook_daemon.domain import state as states
+
+SUBMIT_SECONDS = 8.0
+STATUS_SECONDS = 1.5
+LONGEST_OPERATION = 128
+
+
+class OperatorKeys:
+    """Hashes of operators' keys from a file of `NAME HASH` lines."""
+
+    def __init__(self, path):
+        """Read the file."""
+        self._hashes = {}
+        with open(path) as lines:
+            for line in lines:
+                words = line.split()
+                if len(words) == 2 and not line.startswith("#"):
+                    self._hashes[words[1]] = words[0]
+
+    def find(self, request):
+        """Return the operator's name for a request; empty if unknown."""
+        header = request.headers.get("authorization", "")
+        scheme, _, key = header.partition(" ")
+        if scheme.lower() != "bearer":
+            return ""
+        return self._hashes.get(secrets.hash_key(key.strip()), "")
+
+
+class OperatorsApp:
+    """ASGI application for operators and for reading metrics."""
+
+    def __init__(self, parts, keys):
+        """Create the application.
+
+        Args:
+            parts: the composition's parts.
+            keys: an OperatorKeys.
+        """
+        self._parts = parts
+        self._keys = keys
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        request = http.read_request(scope)
+        if request.path == "/metrics":
+            headers = [("content-type", "text/plain; version=0.0.4")]
+            body = self._parts.meter.render()
+            await http.send_whole(send, 200, headers, body)
+            return
+        operator = self._keys.find(request)
+        if not operator:
+            text = "send an operator's key: Authorization: Bearer KEY"
+            failure = wire.RequestFailure(401, "invalid_key", text, "not-run")
+        else:
+            failure = await self._serve(request, receive, send)
+        if failure is not None:
+            await http.send_failure(send, failure)
+
+    async def _serve(self, request, receive, send):
+        first, *rest = request.path.strip("/").split("/")
+        rest = [urllib.parse.unquote(part) for part in rest]
+        if first == "tables" and len(rest) == 1 and request.method == "GET":
+            return await self._show_table(rest[0], send)
+        if first == "tables" and len(rest) == 2:
+            return await self._change_row(request, rest, receive, send)
+        if first == "status":
+            return await self._show_status(send)
+        if first == "upstreams":
+            return await self._show_upstreams(send)
+        if first == "timeline":
+            return await self._show_timeline(request, send)
+        text = "known: tables/TABLE, tables/TABLE/ROW, status, upstreams, "
+        text += "timeline, metrics"
+        return wire.RequestFailure(404, "not_found", text, "not-run")
+
+    async def _show_table(self, table, send):
+        if table not in tables.TABLES:
+            allowed = ", ".join(tables.TABLES)
+            text = f"no table {table!r}; known: {allowed}"
+            return wire.RequestFailure(404, "no_table", text, "not-run")
+        rows = self._parts.configuration.list_rows(table)
+        answer = {
+            "table": table,
+            "columns": list(tables.TABLES[table]),
+            "rows": {
+                name: {"version": version, "cells": cells}
+                for name, (version, cells) in sorted(rows.items())
+            },
+            "index": self._parts.configuration.index,
+        }
+        await http.send_json(send, 200, answer)
+        return None
+
+    async def _change_row(self, request, names, receive, send):
+        """Set cells of a row (PUT) or remove it (DELETE)."""
+        try:
+            body = await http.read_body(receive, self._parts.settings.limits)
+        except http.BodyError as error:
+            return error.failure
+        result = self._read_change(request, names, body)
+        if isinstance(result, wire.RequestFailure):
+            return result
+        try:
+            outcome = await self._parts.submitter.submit(
+                result, SUBMIT_SECONDS
+            )
+        except errors.UnreachableError as error:
+            text = (
+                f"{error.message}; the change may still be accepted: send "
+                "it again with the same operation id"
+            )
+            return wire.RequestFailure(
+                503, "no_quorum", text, "maybe-run", 1.0
+            )
+        self._parts.recorder.record(
+            "configuration.change",
+            operation=result.operation,
+            detail=f"{names[0]}/{names[1]} {outcome.code}",
+        )
+        answer = {
+            "outcome": outcome.code,
+            "index": outcome.index,
+            "version": outcome.version,
+            "detail": outcome.detail,
+            "operation": result.operation,
+        }
+        status = 200 if outcome.code == "done" else 409
+        await http.send_json(send, status, answer)
+        return None
+
+    def _read_change(self, request, names, body):
+        """Return a command, or a failure that names what is wrong."""
+        table, row = names
+        try:
+            fields = msgspec.json.decode(body, type=_Change)
+        except msgspec.MsgspecError as error:
+            text = f"the body is wrong: {error}"
+            return wire.RequestFailure(400, "invalid_body", text, "not-run")
+        if not 0 < len(fields.operation) <= LONGEST_OPERATION:
+            text = f"operation: give 1 to {LONGEST_OPERATION} characters"
+            return wire.RequestFailure(400, "invalid_body", text, "not-run")
+        expected = fields.expected
+        if expected < states.ANY_VERSION:
+            text = "expected: give a version, 0 for a new row, or -1 for any"
+            return wire.RequestFailure(400, "invalid_body", text, "not-run")
+        now = time.time()
+        if request.method == "DELETE":
+            checked = tables.check_row_name(table, row)
+            command = wire.RemoveRow(
+                fields.operation, table, row, expected, now
+            )
+        elif request.method == "PUT":
+            checked = self._check_cells(table, row, fields)
+            cells = checked.default_value({})
+            command = wire.SetCells(
+                fields.operation, table, row, expected, cells, now
+            )
+        else:
+            text = "use PUT to set cells and DELETE to remove the row"
+            return wire.RequestFailure(405, "bad_method", text, "not-run")
+        if checked.is_error():
+            text = checked.error.format()
+            return wire.RequestFailure(422, "invalid_cell", text, "not-run")
+        return command
+
+    def _check_cells(self, table, row, fields):
+        """Check cells; a new row's missing columns take defaults."""
+        whole = tables.check_row(table, row, fields.cells)
+        exists = self._parts.configuration.get_row(table, row) is not None
+        if whole.is_error() or fields.expected == 0 or not exists:
+            return whole
+        return whole.map(
+            lambda cells: {name: cells[name] for name in fields.cells}
+        )
+
+    async def _show_status(self, send):
+        names = [self._parts.settings.name]
+        names += [peer.name for peer in self._parts.settings.peers]
+        rows = {}
+
+        async def ask(name):
+            question = wire.ShowStatus(self._parts.settings.name)
+            try:
+                reply = await self._parts.transport.call(
+                    name, question, STATUS_SECONDS
+                )
+                rows[name] = reply._asdict()
+            except errors.UnreachableError as error:
+                rows[name] = {"name": name, "state": "unreachable"}
+                rows[name]["error"] = error.message
+
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                nursery.start_soon(ask, name)
+        instances = [rows[name] for name in sorted(rows)]
+        await http.send_json(send, 200, {"instances": instances})
+        return None
+
+    async def _show_upstreams(self, send):
+        directory = self._parts.directory
+        rows = []
+        for record in directory.list_known():
+            row = record._asdict()
+            row["heard"] = directory.is_heard(record.name)
+            row["cold"] = self._parts.office.is_cold(record)
+            row["flapping"] = directory.is_flapping(record.name)
+            rows.append(row)
+        rows.sort(key=lambda row: row["name"])
+        await http.send_json(send, 200, {"upstreams": rows})
+        return None
+
+    async def _show_timeline(self, request, send):
+        query = urllib.parse.parse_qs(request.query)
+        try:
+            after = int(query.get("after", ["0"])[0])
+            limit = int(query.get("limit", ["2000"])[0])
+        except ValueError:
+            text = "after and limit: give whole numbers"
+            return wire.RequestFailure(400, "invalid_query", text, "not-run")
+        events = self._parts.recorder.read(after, max(1, limit))
+        await http.send_json(send, 200, {"events": events})
+        return None
+
+
+class _Change(msgspec.Struct):
+    """The body of a change of a row."""
+
+    operation: str
+    expected: int
+    cells: dict[str, int | float | str] = {}
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -0,0 +1,256 @@
+"""Messages between instances over ZeroMQ with CURVE keys.
+
+Each instance binds one ROUTER socket and connects one DEALER socket to each
+peer. A message is one frame: kind (2 bytes), clock stamp, request number,
+body.
+"""
+
+import struct
+
+import trio
+import zmq
+import zmq.auth
+import zmq.auth.thread
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+
+_HEADER = struct.Struct(">2sQI")
+_FRAME_OVERHEAD_BYTES = 33 + 40  # CURVE message and TCP/IP headers
+_QUEUE_LENGTH = 1000
+_RECONNECT_MS = 100
+_RECONNECT_MAX_MS = 1000
+_PING_MS = 10000
+_PING_TIMEOUT_MS = 30000
+
+
+class TrioSocket:
+    """Waits for a ZeroMQ socket in trio; one task receives.
+
+    The socket's descriptor is edge-triggered and a send can consume the
+    edge, so a send that finds messages waiting wakes the receiver.
+    """
+
+    def __init__(self, socket):
+        self._socket = socket
+        self._descriptor = socket.getsockopt(zmq.FD)
+        self._waiting = None
+
+    def _is_readable(self):
+        return bool(self._socket.getsockopt(zmq.EVENTS) & zmq.POLLIN)
+
+    async def receive(self):
+        """Return the frames of the next message."""
+        await trio.lowlevel.checkpoint()
+        while True:
+            try:
+                return self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                pass
+            if self._is_readable():
+                continue
+            with trio.CancelScope() as self._waiting:
+                await trio.lowlevel.wait_readable(self._descriptor)
+            self._waiting = None
+
+    def send(self, frames):
+        """Queue a message; zmq.Again when the peer is not connected."""
+        self._socket.send_multipart(frames, zmq.NOBLOCK)
+        if self._waiting is not None and self._is_readable():
+            self._waiting.cancel()
+
+
+class _Link:
+    """A DEALER socket to one peer and the calls that wait on it."""
+
+    def __init__(self, socket):
+        self.socket = TrioSocket(socket)
+        self.waiting = {}
+        self.next_number = 1
+
+
+class PeerTransport:
+    """Sends messages to peers and answers theirs."""
+
+    def __init__(self, settings, clock, meter):
+        """Create the transport; nothing is connected until `open`.
+
+        Args:
+            settings: the instance's Settings.
+            clock: HybridClock, stamped on and fed by every message.
+            meter: object with count_control(kind, direction, size).
+        """
+        self._settings = settings
+        self._clock = clock
+        self._meter = meter
+        self._links = {}
+        self._answer = None
+        self._context = None
+        self._authenticator = None
+        self._router = None
+
+    def open(self, answer):
+        """Bind the own socket and connect to every peer.
+
+        Args:
+            answer: async function from a message to its reply.
+
+        Raises:
+            errors.SettingsError: a key can't be read or the port is taken.
+        """
+        self._answer = answer
+        self._context = zmq.Context()
+        self._authenticator = zmq.auth.thread.ThreadAuthenticator(
+            self._context
+        )
+        self._authenticator.start()
+        folder = self._settings.known_keys_folder
+        self._authenticator.configure_curve("*", str(folder))
+        try:
+            public, secret = zmq.auth.load_certificate(
+                str(self._settings.secret_key_file)
+            )
+            self._bind(public, secret)
+            for peer in self._settings.peers:
+                self._connect(peer, public, secret)
+        except (OSError, ValueError, zmq.ZMQError) as error:
+            self.close()
+            raise errors.SettingsError(
+                f"{error}; make keys with `camphorhook keys`",
+                step="open peers port",
+                peer=self._settings.peers_listener.format(),
+            ) from error
+
+    def _make_socket(self, kind, public, secret):
+        socket = self._context.socket(kind)
+        socket.linger = 0
+        socket.sndhwm = _QUEUE_LENGTH
+        socket.rcvhwm = _QUEUE_LENGTH
+        socket.curve_publickey = public
+        socket.curve_secretkey = secret
+        return socket
+
+    def _bind(self, public, secret):
+        socket = self._make_socket(zmq.ROUTER, public, secret)
+        socket.curve_server = True
+        socket.bind(f"tcp://{self._settings.peers_listener.format()}")
+        self._router = TrioSocket(socket)
+
+    def _connect(self, peer, public, secret):
+        key_file = self._settings.known_keys_folder / f"{peer.name}.key"
+        server_key, _ = zmq.auth.load_certificate(str(key_file))
+        socket = self._make_socket(zmq.DEALER, public, secret)
+        socket.curve_serverkey = server_key
+        socket.immediate = True
+        socket.reconnect_ivl = _RECONNECT_MS
+        socket.reconnect_ivl_max = _RECONNECT_MAX_MS
+        socket.heartbeat_ivl = _PING_MS
+        socket.heartbeat_timeout = _PING_TIMEOUT_MS
+        socket.connect(f"tcp://{peer.listener.format()}")
+        self._links[peer.name] = _Link(socket)
+
+    def close(self):
+        """Close all sockets at once."""
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    async def run(self):
+        """Answer peers' messages and receive replies until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for name, link in self._links.items():
+                nursery.start_soon(self._receive_replies, name, link)
+            while True:
+                frames = await self._router.receive()
+                nursery.start_soon(self._answer_frames, frames)
+
+    def _pack(self, message, number):
+        kind, body = wire.encode(message)
+        header = _HEADER.pack(kind.encode(), self._clock.stamp(), number)
+        self._count(kind, "sent", len(header) + len(body))
+        return header + body
+
+    def _unpack(self, frame):
+        kind, stamp, number = _HEADER.unpack_from(frame)
+        kind = kind.decode("ascii", "replace")
+        self._clock.observe(stamp)
+        self._count(kind, "received", len(frame))
+        return number, wire.decode(kind, frame[_HEADER.size :])
+
+    def _count(self, kind, direction, size):
+        self._meter.count_control(
+            kind, direction, size + _FRAME_OVERHEAD_BYTES
+        )
+
+    async def _answer_frames(self, frames):
+        address, frame = frames[0], frames[-1]
+        try:
+            number, message = self._unpack(frame)
+        except (errors.ProtocolError, struct.error) as error:
+            logs.log("warning", f"message dropped: {error}", step="receive")
+            return
+        try:
+            reply = await self._answer(message)
+        except errors.CamphorhookError as error:
+            reply = wire.Failure(error.step, error.message)
+        try:
+            self._router.send([address, self._pack(reply, number)])
+        except zmq.ZMQError:
+            logs.log("debug", "peer left before its reply", step="reply")
+
+    async def _receive_replies(self, name, link):
+        while True:
+            frames = await link.socket.receive()
+            try:
+                number, reply = self._unpack(frames[-1])
+            except (errors.ProtocolError, struct.error) as error:
+                logs.log("warning", str(error), step="receive", peer=name)
+                continue
+            waiter = link.waiting.pop(number, None)
+            if waiter is not None:
+                waiter.send_nowait(reply)
+
+    async def call(self, peer, message, timeout):
+        """Send a message to a peer and return its reply.
+
+        Args:
+            peer: name of an instance; the own name is answered locally.
+            message: a message of `wire`.
+            timeout: seconds to wait for the reply.
+
+        Raises:
+            errors.UnreachableError: not connected, or no reply in time.
+        """
+        step = type(message).__name__
+        reply = None
+        with trio.move_on_after(timeout):
+            if peer == self._settings.name:
+                reply = await self._answer(message)
+            else:
+                reply = await self._exchange(peer, message, step)
+        if reply is None:
+            raise errors.UnreachableError("no reply", step=step, peer=peer)
+        if isinstance(reply, wire.Failure):
+            raise errors.UnreachableError(reply.detail, step=step, peer=peer)
+        return reply
+
+    async def _exchange(self, peer, message, step):
+        link = self._links.get(peer)
+        if link is None:
+            raise errors.UnreachableError(
+                "unknown instance", step=step, peer=peer
+            )
+        number = link.next_number
+        link.next_number = number % 0xFFFFFFFF + 1
+        sender, receiver = trio.open_memory_channel(1)
+        link.waiting[number] = sender
+        try:
+            link.socket.send([self._pack(message, number)])
+            return await receiver.receive()
+        except zmq.ZMQError as error:
+            raise errors.UnreachableError(
+                "not connected", step=step, peer=peer
+            ) from error
+        finally:
+            link.waiting.pop(number, None)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/servers.py
@@ -0,0 +1,76 @@
+"""HTTP servers by hypercorn."""
+
+import hypercorn.config
+import hypercorn.trio
+
+from camphorhook_common import logs
+
+LARGEST_HEAD_BYTES = 65536
+IDLE_SECONDS = 15.0
+BACKLOG = 512
+
+
+def make_config(listener, graceful_seconds, certificate=None, key=None):
+    """Return a server's configuration.
+
+    Args:
+        listener: settings.Listener to bind.
+        graceful_seconds: longest wait for open requests when stopping.
+        certificate: PEM file; None for plain HTTP.
+        key: PEM file of the certificate's key.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [listener.format()]
+    config.graceful_timeout = graceful_seconds
+    config.shutdown_timeout = graceful_seconds
+    config.keep_alive_timeout = IDLE_SECONDS
+    config.h11_max_incomplete_size = LARGEST_HEAD_BYTES
+    config.include_server_header = False
+    config.backlog = BACKLOG
+    config.accesslog = None
+    config.errorlog = None
+    if certificate is not None:
+        config.certfile = str(certificate)
+        config.keyfile = str(key)
+    return config
+
+
+async def serve(app, config, stopped, task_status):
+    """Serve an ASGI application until the event `stopped` is set."""
+
+    async def serve_scope(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await _answer_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await _serve_request(app, scope, receive, send)
+
+    await hypercorn.trio.serve(
+        serve_scope,
+        config,
+        shutdown_trigger=stopped.wait,
+        task_status=task_status,
+        mode="asgi",
+    )
+
+
+async def _answer_lifespan(receive, send):
+    """Confirm the server's start and stop, as the ASGI protocol asks."""
+    while True:
+        message = await receive()
+        await send({"type": message["type"] + ".complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
+
+
+async def _serve_request(app, scope, receive, send):
+    """Serve one request; an unexpected error is logged with its trace."""
+    try:
+        await app(scope, receive, send)
+    except Exception:
+        logs.log(
+            "error",
+            f"{scope['method']} {scope['path']} failed unexpectedly",
+            with_trace=True,
+            step="serve",
+        )
+        raise
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -0,0 +1,201 @@
+"""Requests to upstreams by httpcore."""
+
+import contextlib
+import ssl
+
+import httpcore
+
+from camphorhook_daemon.ports import upstreams as ports
+
+CONNECT_SECONDS = 1.0
+KEPT_CONNECTIONS = 200
+KEEP_SECONDS = 20.0
+LARGEST_ANSWER_BYTES = 64 * 1024 * 1024
+HIDDEN_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+)
+_TIMEOUTS = (httpcore.ReadTimeout, httpcore.WriteTimeout)
+_FAILURES = (httpcore.NetworkError, httpcore.ProtocolError, OSError)
+
+
+class HttpUpstreams:
+    """Sends requests to upstreams over HTTP/1.1."""
+
+    def __init__(self, certificate_authority=None):
+        """Create the adapter.
+
+        Args:
+            certificate_authority: PEM file; set, upstreams are spoken to
+                by TLS and their certificates are checked against it.
+        """
+        self._scheme = "http"
+        context = None
+        if certificate_authority is not None:
+            self._scheme = "https"
+            context = ssl.create_default_context(
+                cafile=str(certificate_authority)
+            )
+        self._kept = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=None,
+            max_keepalive_connections=KEPT_CONNECTIONS,
+            keepalive_expiry=KEEP_SECONDS,
+        )
+        self._alone = httpcore.AsyncConnectionPool(
+            ssl_context=context,
+            max_connections=None,
+            max_keepalive_connections=0,
+        )
+
+    def _make_request(self, record, call):
+        url = f"{self._scheme}://{record.address}:{record.port}{call.path}"
+        host = f"{record.address}:{record.port}"
+        headers = [("host", host), *call.headers]
+        if call.body or call.method not in ("GET", "HEAD"):
+            headers.append(("content-length", str(len(call.body))))
+        timeout = {
+            "connect": CONNECT_SECONDS,
+            "pool": CONNECT_SECONDS,
+            "read": call.silence_seconds,
+            "write": call.silence_seconds,
+        }
+        return httpcore.Request(
+            call.method,
+            url,
+            headers=headers,
+            content=call.body,
+            extensions={"timeout": timeout},
+        )
+
+    @contextlib.asynccontextmanager
+    async def _open(self, record, call):
+        """Open the response; failures become AttemptError."""
+        pool = self._alone if call.alone else self._kept
+        request = self._make_request(record, call)
+        with _convert_errors(record):
+            response = await pool.handle_async_request(request)
+        try:
+            yield response
+        finally:
+            await response.aclose()
+
+    async def fetch(self, record, call):
+        """Return the upstream's whole answer.
+
+        Raises:
+            ports.AttemptError: says whether the request may have run.
+        """
+        async with self._open(record, call) as response:
+            with _convert_errors(record):
+                body = await _read_body(response, record)
+        headers = _read_headers(response)
+        content_type = dict(headers).get("content-type", "")
+        return ports.Answer(response.status, content_type, headers, body)
+
+    @contextlib.asynccontextmanager
+    async def stream(self, record, call):
+        """Open an answer of server-sent events; see the port."""
+        async with self._open(record, call) as response:
+            if response.status != 200:
+                with _convert_errors(record):
+                    body = await _read_body(response, record)
+                yield response.status, body, None
+            else:
+                yield 200, b"", _read_events(response, record)
+
+    async def close(self):
+        """Close all connections."""
+        await self._kept.aclose()
+        await self._alone.aclose()
+
+
+@contextlib.contextmanager
+def _convert_errors(record):
+    """Turn errors of the HTTP library into AttemptError."""
+    try:
+        yield
+    except _NOT_SENT as error:
+        raise ports.AttemptError(
+            f"not connected: {error!r}",
+            step="connect",
+            peer=record.name,
+            sent=False,
+        ) from error
+    except _TIMEOUTS as error:
+        raise ports.AttemptError(
+            "no answer in time", step="read", peer=record.name, sent=True
+        ) from error
+    except _FAILURES as error:
+        raise ports.AttemptError(
+            f"connection broke: {error!r}",
+            step="read",
+            peer=record.name,
+            sent=True,
+            broken=True,
+        ) from error
+
+
+def _read_headers(response):
+    headers = [
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, value in response.headers
+    ]
+    return [pair for pair in headers if pair[0] not in HIDDEN_HEADERS]
+
+
+async def _read_body(response, record):
+    pieces = []
+    size = 0
+    async for piece in response.aiter_stream():
+        size += len(piece)
+        if size > LARGEST_ANSWER_BYTES:
+            raise ports.AttemptError(
+                "the answer is too large",
+                step="read",
+                peer=record.name,
+                sent=True,
+            )
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+async def _read_events(response, record):
+    """Yield the ServerEvents of a response body."""
+    buffer = b""
+    with _convert_errors(record):
+        async for piece in response.aiter_stream():
+            buffer += piece
+            while b"\n\n" in buffer:
+                block, buffer = buffer.split(b"\n\n", 1)
+                event = parse_event(block.decode())
+                if event.data:
+                    yield event
+
+
+def parse_event(block):
+    """Return the ServerEvent of one block of lines."""
+    event_id = ""
+    data = []
+    for line in block.split("\n"):
+        field, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if field == "id":
+            event_id = value
+        elif field == "data":
+            data.append(value)
+    return ports.ServerEvent(event_id, "\n".join(data))
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/composition.py
@@ -0,0 +1,284 @@
+"""The composition root: wires the parts of an instance and runs them."""
+
+import random
+import signal
+
+import trio
+
+from camphorhook_common import clock as clocks
+from camphorhook_common import logs
+from camphorhook_common import timeline
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import announcements
+from camphorhook_daemon.adapters import answering
+from camphorhook_daemon.adapters import callers
+from camphorhook_daemon.adapters import journal
+from camphorhook_daemon.adapters import meters
+from camphorhook_daemon.adapters import operators
+from camphorhook_daemon.adapters import peers
+from camphorhook_daemon.adapters import servers
+from camphorhook_daemon.adapters import upstreams
+from camphorhook_daemon.domain import answers
+from camphorhook_daemon.domain import chats
+from camphorhook_daemon.domain import configuration
+from camphorhook_daemon.domain import dispatcher
+from camphorhook_daemon.domain import exchange
+from camphorhook_daemon.domain import limits
+from camphorhook_daemon.domain import membership
+from camphorhook_daemon.domain import permits
+from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain import retries
+from camphorhook_daemon.domain import services
+from camphorhook_daemon.domain import state
+from camphorhook_daemon.domain import streams
+from camphorhook_daemon.domain import suspects
+
+NOTICE_SECONDS = 1.5
+DRAIN_POLL_SECONDS = 0.05
+TIDY_SECONDS = 10.0
+
+
+class Parts:
+    """The parts of one instance, each built once.
+
+    Attributes:
+        settings: the instance's Settings.
+        active: HTTP requests of callers in flight.
+        is_stopping: a graceful shutdown has begun.
+        is_refusing: new requests are refused, as it is about to end.
+        nursery: runs what outlives a request.
+    """
+
+    def __init__(self, settings, *, found=False):
+        """Build the parts; nothing runs and no port is open yet.
+
+        Args:
+            settings: the instance's Settings.
+            found: a replica with a new data folder is a founding one.
+        """
+        self.settings = settings
+        self.active = 0
+        self.is_stopping = False
+        self.is_refusing = False
+        self.nursery = None
+        self.clock = clocks.HybridClock()
+        self.recorder = timeline.Recorder(
+            settings.name, self.clock, settings.timeline_file
+        )
+        self.meter = meters.Meter(settings)
+        self.transport = peers.PeerTransport(settings, self.clock, self.meter)
+        self.configuration = configuration.Configuration()
+        self._build_log(found)
+        self._build_routing()
+        self._build_runners()
+
+    def _build_log(self, found):
+        settings = self.settings
+        self.replica = None
+        self.watch_server = None
+        if settings.is_replica():
+            self.journal = journal.DiskJournal(
+                settings.data_folder, settings.name, found=found
+            )
+            self.replica = replica.Replica(
+                settings,
+                self.journal,
+                state.State(),
+                self.transport,
+                self.recorder,
+                random.Random(f"{settings.name}{self.journal.vote}"),
+            )
+            self.replica.found(
+                {
+                    name: journal.make_first_identity(name)
+                    for name in settings.list_replicas()
+                }
+            )
+            self.watch_server = configuration.WatchServer(
+                self.replica, self.transport
+            )
+        self.watcher = configuration.Watcher(
+            settings, self.configuration, self.transport, self.recorder
+        )
+        self.submitter = configuration.Submitter(
+            settings, self.configuration, self.transport
+        )
+
+    def _build_routing(self):
+        settings = self.settings
+        self.directory = membership.Directory(self.recorder)
+        self.suspects = suspects.SuspectBook(self.clock, self.recorder)
+        instances = 1 + len(settings.peers)
+        self.limits = limits.AccountLimits(
+            settings.name, instances, self.clock
+        )
+        self.retries = retries.RetryBudgets()
+        self.office = permits.PermitOffice(
+            settings,
+            self.transport,
+            self.directory,
+            self.configuration,
+            self.suspects,
+        )
+        self.dispatcher = dispatcher.Dispatcher(
+            settings,
+            self.configuration,
+            self.directory,
+            self.office,
+            self.suspects,
+            self.recorder,
+        )
+        self.exchanger = exchange.Exchanger(
+            settings,
+            self.transport,
+            self.directory,
+            self.suspects,
+            self.limits,
+        )
+
+    def _build_runners(self):
+        self.upstreams = upstreams.HttpUpstreams(self.settings.upstream_ca)
+        self.streams = streams.StreamBook()
+        self.resumer = answers.Resumer(self.directory, self.upstreams)
+        self.chat_runner = chats.ChatRunner(self)
+        self.service_runner = services.ServiceRunner(self)
+
+    def describe_state(self):
+        """Return starting, ready, cut_off, drained, out or stopping."""
+        settings = self.settings
+        if self.is_stopping:
+            return "stopping"
+        if self.configuration.index < 0:
+            return "starting"
+        own = self.configuration.get_or_default("instances", settings.name)
+        if own["state"] == "drain":
+            return "drained"
+        if self.configuration.is_domain_out(settings.failure_domain):
+            return "out"
+        return "ready" if self.configuration.is_fresh() else "cut_off"
+
+    def describe_status(self):
+        """Return the StatusReply of this instance."""
+        log = self.replica
+        return wire.StatusReply(
+            self.settings.name,
+            self.settings.failure_domain,
+            self.configuration.index,
+            self.describe_state(),
+            log.role if log else "none",
+            log.term if log else 0,
+            log.last_index if log else 0,
+            sorted(log.voters) if log else [],
+            len(self.directory.list_live()),
+            self.count_active(),
+        )
+
+    def count_active(self):
+        """Return requests in flight, streams without a caller included."""
+        return max(self.active, self.streams.count_running())
+
+
+async def run(settings, *, found=False):
+    """Run an instance until SIGTERM or SIGINT ends it gracefully.
+
+    Args:
+        settings: the instance's Settings.
+        found: a replica with a new data folder is a founding one.
+    """
+    parts = Parts(settings, found=found)
+    parts.transport.open(answering.Answerer(parts).answer)
+    stopped = trio.Event()
+    try:
+        async with trio.open_nursery() as nursery:
+            parts.nursery = nursery
+            _start_parts(parts, nursery)
+            await _start_servers(parts, nursery, stopped)
+            parts.recorder.record("instance.started")
+            logs.log("info", "instance started", step="start")
+            await _wait_for_signal()
+            await _shut_down(parts, stopped)
+            nursery.cancel_scope.cancel()
+    finally:
+        parts.transport.close()
+    logs.log("info", "instance stopped", step="stop")
+
+
+def _start_parts(parts, nursery):
+    nursery.start_soon(parts.transport.run)
+    if parts.replica is not None:
+        nursery.start_soon(parts.replica.run)
+    nursery.start_soon(parts.watcher.run)
+    nursery.start_soon(parts.exchanger.run)
+    nursery.start_soon(parts.directory.run)
+    nursery.start_soon(_tidy, parts)
+    parts.meter.watch("requests.active", parts.count_active)
+    parts.meter.watch("requests.queued", parts.dispatcher.count_waiting)
+    parts.meter.watch("configuration.index", lambda: parts.configuration.index)
+
+
+async def _start_servers(parts, nursery, stopped):
+    settings = parts.settings
+    seconds = settings.limits.stop_seconds
+    keys = operators.OperatorKeys(settings.operator_keys_file)
+    served = (
+        (
+            callers.CallersApp(parts),
+            servers.make_config(
+                settings.callers,
+                seconds,
+                settings.tls_certificate,
+                settings.tls_key,
+            ),
+        ),
+        (
+            announcements.AnnouncementsApp(parts),
+            servers.make_config(settings.upstreams, 1.0),
+        ),
+        (
+            operators.OperatorsApp(parts, keys),
+            servers.make_config(settings.operators, 1.0),
+        ),
+    )
+    for app, config in served:
+        await nursery.start(_serve, app, config, stopped)
+
+
+async def _serve(app, config, stopped, task_status):
+    await servers.serve(app, config, stopped, task_status)
+
+
+async def _tidy(parts):
+    """Drop what is remembered for a while only."""
+    while True:
+        await trio.sleep(TIDY_SECONDS)
+        parts.streams.forget_old()
+        parts.suspects.forget_old()
+        parts.office.forget_old()
+
+
+async def _wait_for_signal():
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logs.log("info", f"received signal {number}", step="stop")
+            return
+
+
+async def _shut_down(parts, stopped):
+    """End gracefully: not ready, drain, hand over, close.
+
+    New requests are served for a moment after readiness is withdrawn, so
+    that a balancer can take the instance out first.
+    """
+    parts.is_stopping = True
+    parts.exchanger.is_stopping = True
+    parts.recorder.record("instance.stopping")
+    if parts.replica is not None:
+        await parts.replica.hand_over()
+    with trio.move_on_after(parts.settings.limits.stop_seconds):
+        await trio.sleep(NOTICE_SECONDS)
+        while parts.count_active():
+            await trio.sleep(DRAIN_POLL_SECONDS)
+    parts.is_refusing = True
+    stopped.set()
+    await trio.sleep(DRAIN_POLL_SECONDS)
+    parts.recorder.record("instance.stopped")
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: placement, admission, claims, membership and the log."""
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -0,0 +1,218 @@
+"""Turns engines' event streams into one whole answer.
+
+Events of an engine are numbered. Repeated ones are dropped, a gap or an
+event of another request is an error, and an answer counts as whole only
+after a finish reason and the end mark.
+"""
+
+import msgspec
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+from camphorhook_daemon.domain import streams
+from camphorhook_daemon.ports import upstreams as ports
+
+DONE = "[DONE]"
+RESUME_SILENCE_SECONDS = 10.0
+
+
+class Progress:
+    """What was received of one answer, over all attempts.
+
+    Attributes:
+        excluded: upstreams that failed.
+        attempts: attempts made.
+        sent: whether any attempt may have reached an upstream.
+        text: the answer's text so far.
+        tokens: pieces of text so far.
+        has_role: the message was opened.
+        has_finish: a finish reason was seen.
+        usage_tokens: tokens as the last engine counted them.
+        last: the last failure, for a person.
+    """
+
+    def __init__(self):
+        self.excluded = set()
+        self.attempts = 0
+        self.sent = False
+        self.text = ""
+        self.tokens = 0
+        self.has_role = False
+        self.has_finish = False
+        self.usage_tokens = 0
+        self.last = "no upstream answered"
+
+
+class EngineStream:
+    """Turns one engine's events into the caller's events.
+
+    Attributes:
+        progress: the request's Progress.
+        sequence: number of the engine's last event taken.
+        is_done: the engine sent its end mark after a finish reason.
+    """
+
+    def __init__(
+        self, stream, progress, upstream, name, *, wants_usage, sequence=0
+    ):
+        """Create a reader of one engine's stream.
+
+        Args:
+            stream: the ResponseStream to write to.
+            progress: the request's Progress.
+            upstream: name of the engine.
+            name: the engine's id of its stream.
+            wants_usage: pass the event with the usage on.
+            sequence: number of the engine's last event known already.
+        """
+        self.progress = progress
+        self.sequence = sequence
+        self.is_done = False
+        self._stream = stream
+        self._upstream = upstream
+        self._name = name
+        self._wants_usage = wants_usage
+
+    def _fail(self, message):
+        return ports.AttemptError(
+            message, step="read", peer=self._upstream, sent=True
+        )
+
+    def take(self, event):
+        """Take an event; repeated ones are dropped, gaps are errors."""
+        number = self._read_number(event)
+        if number <= self.sequence:
+            return
+        if number != self.sequence + 1:
+            raise self._fail(f"event {self.sequence + 1} is missing")
+        self.sequence = number
+        if event.data == DONE:
+            self._take_end()
+            return
+        try:
+            chunk = msgspec.json.decode(event.data)
+        except msgspec.DecodeError as error:
+            raise self._fail(f"an event is not JSON: {error}") from error
+        self._take_chunk(chunk)
+
+    def _read_number(self, event):
+        if not event.id:
+            return self.sequence + 1
+        try:
+            return int(event.id)
+        except ValueError as error:
+            raise self._fail(f"event id {event.id!r}") from error
+
+    def _take_end(self):
+        if not self.progress.has_finish:
+            raise self._fail("the stream ended without a finish reason")
+        self.is_done = True
+        self._append(DONE)
+
+    def _take_chunk(self, chunk):
+        if "error" in chunk:
+            raise self._fail(f"the engine reported {chunk['error']}")
+        if chunk.get("id") not in (None, self._name):
+            raise self._fail("an event belongs to another request")
+        usage = chunk.get("usage")
+        choices = chunk.get("choices") or []
+        if usage:
+            self._take_usage(usage)
+            if not choices and not self._wants_usage:
+                return
+        if choices and self._is_repeated_role(choices[0]):
+            return
+        chunk["id"] = self._stream.response
+        self._append(msgspec.json.encode(chunk).decode())
+
+    def _take_usage(self, usage):
+        """Add tokens of earlier attempts, which the last engine read."""
+        progress = self.progress
+        earlier = progress.tokens - self._count_here(usage)
+        if earlier > 0:
+            usage["completion_tokens"] += earlier
+            usage["prompt_tokens"] = usage.get("prompt_tokens", 0) - earlier
+        progress.usage_tokens = usage.get("total_tokens", 0)
+
+    def _count_here(self, usage):
+        return usage.get("completion_tokens", 0)
+
+    def _is_repeated_role(self, choice):
+        """Take in a choice; tell whether it only opens the message again."""
+        progress = self.progress
+        delta = choice.get("delta") or {}
+        if choice.get("finish_reason"):
+            progress.has_finish = True
+        content = delta.get("content")
+        if content:
+            progress.text += content
+            progress.tokens += 1
+        if "role" in delta:
+            repeated = progress.has_role
+            progress.has_role = True
+            if repeated and not content:
+                return True
+            if repeated:
+                del delta["role"]
+        return False
+
+    def _append(self, data):
+        stream = self._stream
+        point = streams.Point(
+            stream.count + 1,
+            self._upstream,
+            self._name,
+            self.sequence,
+        )
+        stream.append(wire.StreamEvent(streams.format_point(point), data))
+
+
+class Resumer:
+    """Takes a stream up on the engine itself, when its owner is gone."""
+
+    def __init__(self, directory, upstreams):
+        self._directory = directory
+        self._upstreams = upstreams
+
+    async def copy_from_engine(self, stream, point):
+        """Fill a stream with what follows a point.
+
+        Args:
+            stream: the ResponseStream to fill.
+            point: the streams.Point after which to go on; None if unknown.
+
+        Returns:
+            None when the answer is whole, or the wire.RequestFailure.
+        """
+        record = point and self._directory.get(point.upstream)
+        if record is None:
+            return _describe_lost("neither its owner nor its engine is here")
+        progress = Progress()
+        progress.has_role = progress.has_finish = True
+        reader = EngineStream(
+            stream,
+            progress,
+            record.name,
+            point.stream,
+            wants_usage=True,
+            sequence=point.sequence,
+        )
+        path = f"/v1/streams/{point.stream}?after={point.sequence}"
+        call = ports.Call("GET", path, [], b"", RESUME_SILENCE_SECONDS)
+        try:
+            async with self._upstreams.stream(record, call) as opened:
+                status, _, events = opened
+                if status != 200:
+                    return _describe_lost(f"{record.name} said {status}")
+                async for event in events:
+                    reader.take(event)
+                    if reader.is_done:
+                        return None
+        except errors.CamphorhookError as error:
+            return _describe_lost(error.format())
+        return _describe_lost("the engine ended it early")
+
+
+def _describe_lost(reason):
+    message = f"the answer can't be taken up again: {reason}; ask anew"
+    return wire.RequestFailure(410, "stream_lost", message, "run")
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -0,0 +1,404 @@
+"""Runs a chat request to a whole answer, over several engines if need be."""
+
+import time
+import typing
+import uuid
+
+import msgspec
+import trio
+
+from camphorhook_common import logs
+from camphorhook_common import wire
+from camphorhook_daemon.domain import answers
+from camphorhook_daemon.domain import dispatcher as dispatchers
+from camphorhook_daemon.ports import upstreams as ports
+
+PATH = "/v1/chat/completions"
+MOST_ATTEMPTS = 4
+AVOID_SECONDS = 2.0
+CANCEL_SECONDS = 1.0
+CRASH_CHECK_SECONDS = (1.5, 4.0)
+RETRIABLE = (429, 502, 503, 504)
+ABANDON_CHECK_SECONDS = 1.0
+
+
+class Admitted(typing.NamedTuple):
+    """A chat request that passed the account's limits.
+
+    Attributes:
+        request: id of the request.
+        response: id of its answer.
+        account: client account.
+        row: the account's row.
+        service: service that serves the model.
+        chat: the requests.ChatRequest.
+    """
+
+    request: str
+    response: str
+    account: str
+    row: dict
+    service: str
+    chat: typing.Any
+
+
+class ChatRunner:
+    """Runs chats on engines."""
+
+    def __init__(self, parts):
+        """Create a runner.
+
+        Args:
+            parts: the composition's parts: configuration, dispatcher,
+                directory, suspects, retries, upstreams, recorder, meter
+                and settings are used.
+        """
+        self._parts = parts
+
+    # --- streamed answers ------------------------------------------------
+
+    async def run_stream(self, admitted, stream):
+        """Write the answer into a ResponseStream; return tokens used.
+
+        The stream always ends: whole, or with the reason why not.
+        """
+        progress = answers.Progress()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_abandoned, stream, nursery)
+                await self._stream_attempts(admitted, stream, progress)
+                nursery.cancel_scope.cancel()
+        finally:
+            stream.finish(_give_up(progress, "stopped", "request cancelled"))
+        return progress.usage_tokens or progress.tokens
+
+    async def _watch_abandoned(self, stream, nursery):
+        """Cancel the run when no caller reads it for too long."""
+        limit = self._parts.settings.limits.detached_seconds
+        while stream.measure_absence() <= limit:
+            await trio.sleep(min(ABANDON_CHECK_SECONDS, limit / 2))
+        self._parts.recorder.record("chat.abandoned", request=stream.response)
+        nursery.cancel_scope.cancel()
+
+    async def _stream_attempts(self, admitted, stream, progress):
+        while not stream.finished:
+            place, failure = await self._place(admitted, progress)
+            if failure is not None:
+                stream.finish(failure)
+                return
+            completed = False
+            try:
+                completed = await self._stream_on(
+                    admitted, stream, progress, place
+                )
+            except ports.AttemptError as error:
+                await self._note_failure(admitted, place, progress, error)
+            finally:
+                await self._parts.dispatcher.release(place, completed)
+            if completed:
+                self._finish_run(admitted, place)
+                stream.finish()
+            elif not stream.finished:
+                failure = self._find_obstacle(admitted, progress, place)
+                if failure is not None:
+                    stream.finish(failure)
+
+    def _finish_run(self, admitted, place):
+        self._parts.suspects.clear(admitted.chat.digest)
+        self._parts.recorder.record(
+            "chat.finished", request=admitted.request, peer=place.record.name
+        )
+
+    def _find_obstacle(self, admitted, progress, place):
+        """Return a Failure when no further attempt may be made."""
+        service = admitted.service
+        if progress.attempts >= MOST_ATTEMPTS:
+            return _give_up(progress, "upstream_failed", progress.last)
+        if progress.tokens and not self._may_continue(admitted):
+            return _give_up(progress, "stream_broken", progress.last)
+        if progress.attempts > 1 and not self._parts.retries.spend(service):
+            return _give_up(progress, "retry_budget", progress.last)
+        return None
+
+    def _may_continue(self, admitted):
+        """Tell whether some engine can go on from a partial answer."""
+        if not admitted.chat.can_continue():
+            return False
+        return any(
+            admitted.chat.model in record.models
+            and "continue" in record.features
+            for record in self._parts.directory.list_live()
+        )
+
+    async def _place(self, admitted, progress):
+        """Return (place, None) or (None, failure)."""
+        demand = dispatchers.Demand(
+            admitted.request,
+            admitted.account,
+            admitted.row["weight"],
+            admitted.row["priority"],
+            admitted.service,
+            admitted.chat.model,
+            admitted.chat.chat,
+            admitted.chat.digest,
+            frozenset(progress.excluded),
+        )
+        result = await self._parts.dispatcher.place(demand)
+        if result.is_error() and progress.excluded:
+            # Every other engine is gone or busy: one that failed before
+            # may have come back.
+            demand = demand._replace(excluded=frozenset())
+            result = await self._parts.dispatcher.place(demand)
+        if result.is_error():
+            return None, _describe_busy(result.error, progress)
+        place = result.ok
+        progress.attempts += 1
+        self._parts.recorder.record(
+            "chat.placed",
+            request=admitted.request,
+            peer=place.record.name,
+            detail=f"attempt {progress.attempts}",
+        )
+        return place, None
+
+    async def _stream_on(self, admitted, stream, progress, place):
+        """Stream from one engine; return whether the answer is whole.
+
+        A connection that breaks while the engine lives is taken up again
+        on the same engine, once.
+        """
+        name = f"{admitted.request}-{progress.attempts}"
+        reader = answers.EngineStream(
+            stream,
+            progress,
+            place.record.name,
+            name,
+            wants_usage=admitted.chat.wants_usage,
+        )
+        call = self._make_call(admitted, progress, name)
+        resumed = False
+        try:
+            while True:
+                try:
+                    await self._read_stream(place.record, call, reader)
+                    return reader.is_done
+                except ports.AttemptError as error:
+                    can_resume = "resume" in place.record.features
+                    if not (error.broken and can_resume) or resumed:
+                        raise
+                    resumed = True
+                    call = self._make_resume_call(admitted, reader, name)
+        except BaseException:
+            if progress.sent:
+                await self._cancel_on_engine(place.record, name)
+            raise
+
+    async def _read_stream(self, record, call, reader):
+        progress = reader.progress
+        try:
+            async with self._parts.upstreams.stream(record, call) as opened:
+                status, body, events = opened
+                progress.sent = True
+                if status != 200:
+                    raise _describe_status(record, status, body)
+                async for event in events:
+                    reader.take(event)
+                    if reader.is_done:
+                        return
+        except ports.AttemptError as error:
+            progress.sent = progress.sent or error.sent
+            raise
+        raise ports.AttemptError(
+            "the stream ended before its end",
+            step="read",
+            peer=record.name,
+            sent=True,
+            broken=True,
+        )
+
+    def _make_call(self, admitted, progress, name):
+        fields = dict(admitted.chat.fields)
+        fields["stream"] = True
+        fields["stream_options"] = {"include_usage": True}
+        if progress.text:
+            _add_partial_answer(fields, progress)
+        row = self._parts.configuration.get_or_default(
+            "services", admitted.service
+        )
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", name),
+            ("x-priority", str(admitted.row["priority"])),
+        ]
+        silence = row["first_token_seconds"]
+        body = msgspec.json.encode(fields)
+        return ports.Call("POST", PATH, headers, body, silence)
+
+    def _make_resume_call(self, admitted, reader, name):
+        row = self._parts.configuration.get_or_default(
+            "services", admitted.service
+        )
+        path = f"/v1/streams/{name}?after={reader.sequence}"
+        silence = row["first_token_seconds"]
+        return ports.Call("GET", path, [], b"", silence)
+
+    async def _cancel_on_engine(self, record, name):
+        """Tell an engine to stop a stream that nobody waits for."""
+        call = ports.Call(
+            "DELETE", f"/v1/streams/{name}", [], b"", CANCEL_SECONDS
+        )
+        with trio.CancelScope(shield=True), trio.move_on_after(CANCEL_SECONDS):
+            try:
+                await self._parts.upstreams.fetch(record, call)
+            except ports.AttemptError:
+                return
+
+    # --- failures --------------------------------------------------------
+
+    async def _note_failure(self, admitted, place, progress, error):
+        record = place.record
+        progress.last = error.format()
+        progress.excluded.add(record.name)
+        logs.log(
+            "warning",
+            error.message,
+            request=admitted.request,
+            step=error.step,
+            peer=record.name,
+        )
+        self._parts.recorder.record(
+            "chat.attempt_failed",
+            request=admitted.request,
+            peer=record.name,
+            detail=error.message,
+        )
+        if not error.sent or error.broken:
+            self._parts.dispatcher.avoid(record.name, AVOID_SECONDS)
+        if error.broken:
+            subject = f"{record.name}/{record.incarnation}"
+            self._parts.suspects.charge(admitted.chat.digest, subject)
+            self._parts.nursery.start_soon(self._check_crash, record, subject)
+
+    async def _check_crash(self, record, subject):
+        """Refute a crash when the same incarnation goes on announcing."""
+        first, second = CRASH_CHECK_SECONDS
+        await trio.sleep(first)
+        before = self._parts.directory.get(record.name)
+        await trio.sleep(second - first)
+        after = self._parts.directory.get(record.name)
+        if before is None or after is None:
+            return
+        same = after.incarnation == record.incarnation
+        if same and after.sequence > before.sequence:
+            self._parts.suspects.refute(subject)
+
+    # --- whole answers ---------------------------------------------------
+
+    async def run_whole(self, admitted):
+        """Return (answer, failure, tokens); one of the first two is None."""
+        progress = answers.Progress()
+        while True:
+            place, failure = await self._place(admitted, progress)
+            if failure is not None:
+                return None, failure, 0
+            answer = None
+            try:
+                answer = await self._fetch_whole(admitted, progress, place)
+            except ports.AttemptError as error:
+                await self._note_failure(admitted, place, progress, error)
+            finally:
+                done = answer is not None
+                await self._parts.dispatcher.release(place, done)
+            if answer is not None:
+                self._finish_run(admitted, place)
+                return _rename_answer(answer, admitted.response, place)
+            failure = self._find_obstacle(admitted, progress, place)
+            if failure is not None:
+                return None, failure, 0
+
+    async def _fetch_whole(self, admitted, progress, place):
+        name = f"{admitted.request}-{progress.attempts}"
+        row = self._parts.configuration.get_or_default(
+            "services", admitted.service
+        )
+        headers = [
+            ("content-type", "application/json"),
+            ("x-request-id", name),
+            ("x-priority", str(admitted.row["priority"])),
+        ]
+        call = ports.Call(
+            "POST",
+            PATH,
+            headers,
+            msgspec.json.encode(admitted.chat.fields),
+            row["attempt_seconds"],
+        )
+        finished = False
+        try:
+            answer = await self._parts.upstreams.fetch(place.record, call)
+            finished = True
+        except ports.AttemptError as error:
+            progress.sent = progress.sent or error.sent
+            raise
+        finally:
+            if not finished:
+                await self._cancel_on_engine(place.record, name)
+        progress.sent = True
+        if answer.status in RETRIABLE or answer.status >= 500:
+            raise _describe_status(place.record, answer.status, answer.body)
+        return answer
+
+
+def _add_partial_answer(fields, progress):
+    """Ask the engine to go on from the text the caller already has."""
+    partial = {"role": "assistant", "content": progress.text}
+    fields["messages"] = [*fields["messages"], partial]
+    fields["continue_final_message"] = True
+    fields["add_generation_prompt"] = False
+    for name in ("max_tokens", "max_completion_tokens"):
+        if fields.get(name):
+            fields[name] = max(1, fields[name] - progress.tokens)
+
+
+def _describe_status(record, status, body):
+    text = body[:200].decode("utf-8", "replace")
+    return ports.AttemptError(
+        f"status {status}: {text}", step="answer", peer=record.name, sent=True
+    )
+
+
+def _give_up(progress, code, message):
+    disposition = "maybe-run" if progress.sent else "not-run"
+    return wire.RequestFailure(502, code, message, disposition, 1.0)
+
+
+def _describe_busy(busy, progress):
+    disposition = "maybe-run" if progress.sent else "not-run"
+    if busy.reason == "suspect":
+        message = "upstreams crashed under this request; change it"
+        return wire.RequestFailure(
+            422, "request_refused", message, disposition, busy.retry_after
+        )
+    message = f"no upstream has room ({busy.reason}); try again later"
+    return wire.RequestFailure(
+        503, busy.reason, message, disposition, busy.retry_after
+    )
+
+
+def _rename_answer(answer, response, place):
+    """Give a whole answer the response id that callers know."""
+    tokens = 0
+    body = answer.body
+    try:
+        fields = msgspec.json.decode(body)
+        fields["id"] = response
+        tokens = (fields.get("usage") or {}).get("total_tokens", 0)
+        body = msgspec.json.encode(fields)
+    except (msgspec.DecodeError, TypeError, AttributeError):
+        pass
+    return answer._replace(body=body), None, tokens
+
+
+def make_request_id():
+    """Return a fresh request id."""
+    return f"req-{int(time.time()):x}-{uuid.uuid4().hex[:16]}"
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -0,0 +1,261 @@
+"""The configuration in force on this instance, kept fresh by a watch.
+
+An instance moves only to higher indexes. After a start it takes its first
+state only once the leader has confirmed that it is current, so that a
+restart can't take it back to an older one.
+"""
+
+import random
+import types
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import tables
+from camphorhook_common import wire
+
+MS = 0.001
+FRESH_SECONDS = 5.0
+CALL_SLACK_SECONDS = 1.5
+RETRY_SECONDS = 0.3
+_DEFAULTS = {
+    table: types.MappingProxyType(tables.default_row(table))
+    for table in tables.TABLES
+}
+
+
+class Configuration:
+    """The tables in force and how fresh they are.
+
+    Attributes:
+        index: index in force; -1 before the first state.
+        leader: name of the log's leader as far as known.
+    """
+
+    def __init__(self):
+        self.index = -1
+        self.leader = ""
+        self.changed = trio.Event()
+        self._tables = {table: {} for table in tables.TABLES}
+        self._fresh_at = float("-inf")
+
+    def adopt(self, reply):
+        """Take in a WatchReply; return whether anything changed.
+
+        Replies older than what is in force are ignored.
+        """
+        if reply.leader:
+            self.leader = reply.leader
+        if reply.index < self.index:
+            return False
+        if reply.age_ms >= 0:
+            fresh_at = trio.current_time() - reply.age_ms * MS
+            self._fresh_at = max(self._fresh_at, fresh_at)
+        moved = reply.index > self.index
+        if reply.whole:
+            self._tables = {table: {} for table in tables.TABLES}
+        for change in reply.changes:
+            self._put(change)
+        self.index = reply.index
+        if reply.changes or reply.whole:
+            self.changed.set()
+            self.changed = trio.Event()
+        return moved
+
+    def _put(self, change):
+        rows = self._tables.setdefault(change.table, {})
+        if change.cells is None:
+            rows.pop(change.row, None)
+        else:
+            rows[change.row] = (change.version, change.cells)
+
+    def is_fresh(self):
+        """Tell whether a leader confirmed this state a moment ago."""
+        return trio.current_time() - self._fresh_at < FRESH_SECONDS
+
+    def get_row(self, table, row):
+        """Return a row's cells, or None."""
+        stored = self._tables.get(table, {}).get(row)
+        return stored[1] if stored else None
+
+    def get_or_default(self, table, row):
+        """Return a row's cells, or the defaults when there is no row."""
+        return self.get_row(table, row) or _DEFAULTS[table]
+
+    def list_rows(self, table):
+        """Return {row: (version, cells)} of a table."""
+        return dict(self._tables.get(table, {}))
+
+    def is_domain_out(self, failure_domain):
+        """Tell whether operators took the failure domain out."""
+        row = self.get_or_default("failure_domains", failure_domain)
+        return row["state"] == "out"
+
+
+class WatchServer:
+    """Answers watches on a replica."""
+
+    def __init__(self, replica, transport):
+        self._replica = replica
+        self._transport = transport
+
+    async def answer(self, request):
+        """Answer a Watch, waiting for a change up to its wait_ms."""
+        state = self._replica.state
+        if request.confirm and not await self._wait_until_current():
+            raise errors.UnreachableError(
+                "no leader confirms the state", step="watch"
+            )
+        with trio.move_on_after(request.wait_ms * MS):
+            while not self._has_news(request.index):
+                await self._replica.applied.wait()
+        whole, changes = state.list_changes(request.index)
+        if state.index < request.index:
+            whole, changes = False, []
+        age = self._replica.measure_age()
+        age_ms = -1 if age is None else int(age / MS)
+        leader = self._replica.leader
+        return wire.WatchReply(state.index, whole, changes, age_ms, leader)
+
+    def _has_news(self, index):
+        whole, changes = self._replica.state.list_changes(index)
+        return bool(whole or changes)
+
+    async def _wait_until_current(self):
+        """Wait until the state holds all that was ever acknowledged."""
+        index = await self._replica.confirm_index()
+        if index < 0:
+            leader = self._replica.leader
+            if not leader:
+                return False
+            question = wire.ConfirmIndex("")
+            reply = await self._transport.call(leader, question, 1.0)
+            index = reply.index
+        if index < 0:
+            return False
+        with trio.move_on_after(1.0):
+            while self._replica.state.index < index:
+                await self._replica.applied.wait()
+        return self._replica.state.index >= index
+
+
+class Watcher:
+    """Keeps the Configuration up to date from a replica."""
+
+    def __init__(self, settings, configuration, transport, recorder):
+        self._settings = settings
+        self._configuration = configuration
+        self._transport = transport
+        self._recorder = recorder
+        self._replicas = self._order_replicas()
+
+    def _order_replicas(self):
+        """Return replicas: this instance, its failure domain, others."""
+        domains = {peer.name: peer for peer in self._settings.peers}
+
+        def rank(name):
+            if name == self._settings.name:
+                return 0
+            domain = domains[name].failure_domain
+            return 1 if domain == self._settings.failure_domain else 2
+
+        names = self._settings.list_replicas()
+        random.Random(self._settings.name).shuffle(names)
+        return sorted(names, key=rank)
+
+    async def run(self):
+        """Watch until cancelled, changing replicas on failures."""
+        position = 0
+        while True:
+            replica = self._replicas[position % len(self._replicas)]
+            try:
+                stale = not await self._watch_once(replica)
+            except errors.UnreachableError:
+                stale = True
+                await trio.sleep(RETRY_SECONDS)
+            if stale:
+                position += 1
+
+    async def _watch_once(self, replica):
+        """Watch once; return whether the replica is in touch."""
+        configuration = self._configuration
+        wait = self._settings.timing.watch_ms
+        first = configuration.index < 0
+        request = wire.Watch(configuration.index, 0 if first else wait, first)
+        timeout = wait * MS + CALL_SLACK_SECONDS
+        reply = await self._transport.call(replica, request, timeout)
+        if configuration.adopt(reply) and reply.changes:
+            detail = f"index {configuration.index}"
+            self._recorder.record("configuration.in_force", detail=detail)
+        age = reply.age_ms * MS
+        return reply.age_ms >= 0 and age < FRESH_SECONDS
+
+
+class Submitter:
+    """Hands commands to the log's leader, wherever it is."""
+
+    def __init__(self, settings, configuration, transport):
+        self._replicas = settings.list_replicas()
+        self._configuration = configuration
+        self._transport = transport
+
+    async def submit(self, command, timeout):
+        """Commit a command and return its Outcome.
+
+        The command must be idempotent: it is sent again after a lost
+        reply, within the timeout.
+
+        Raises:
+            errors.UnreachableError: no quorum answered in time; the
+                command may still be committed.
+        """
+        kind, data = wire.encode_command(command)
+        message = wire.Submit(kind, data)
+        candidates = [self._configuration.leader or self._replicas[0]]
+        with trio.move_on_after(timeout):
+            while True:
+                for replica in candidates:
+                    outcome = await self._try(replica, message, timeout / 2)
+                    if outcome is not None:
+                        return outcome
+                known = self._configuration.leader
+                others = [name for name in self._replicas if name != known]
+                candidates = ([known] if known else []) + others
+                await trio.sleep(RETRY_SECONDS / 3)
+        raise errors.UnreachableError(
+            "no quorum of replicas answered", step="submit"
+        )
+
+    async def _try(self, replica, message, timeout):
+        try:
+            reply = await self._transport.call(replica, message, timeout)
+        except errors.UnreachableError:
+            if self._configuration.leader == replica:
+                self._configuration.leader = ""
+            return None
+        if reply.leader:
+            self._configuration.leader = reply.leader
+        return reply.outcome
+
+    async def read_claim(self, account, key, timeout):
+        """Return the Outcome that the leader knows for a key.
+
+        Raises:
+            errors.UnreachableError: no leader answered in time.
+        """
+        message = wire.ReadClaim(account, key)
+        with trio.move_on_after(timeout):
+            while True:
+                for replica in self._replicas:
+                    try:
+                        outcome = await self._transport.call(
+                            replica, message, timeout / 2
+                        )
+                    except errors.UnreachableError:
+                        continue
+                    if outcome.code != "not_leader":
+                        return outcome
+                await trio.sleep(RETRY_SECONDS)
+        raise errors.UnreachableError(
+            "no quorum of replicas answered", step="read claim"
+        )
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/dispatcher.py
@@ -0,0 +1,277 @@
+"""Finds an upstream for a request, waiting in a fair queue if none is free.
+
+A request that can't start within its service's queue_seconds, or finds the
+queue full, is given up at once with a time to come back.
+"""
+
+import typing
+
+import expression
+import trio
+
+from camphorhook_common import wire
+from camphorhook_daemon.domain import loads
+from camphorhook_daemon.domain import permits
+from camphorhook_daemon.domain import placement
+from camphorhook_daemon.domain import queues
+
+RECHECK_SECONDS = 0.1
+LOWEST_RETRY_SECONDS = 1.0
+
+
+class Demand(typing.NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        request: its id.
+        account: its client account.
+        weight: the account's weight.
+        priority: the account's priority.
+        service: service to run on.
+        model: model to run on; empty for a plain service.
+        key: what placement hashes: the chat.
+        digest: of the account and the request.
+        excluded: upstreams that are not to be tried again.
+    """
+
+    request: str
+    account: str
+    weight: int
+    priority: int
+    service: str
+    model: str
+    key: str
+    digest: str
+    excluded: frozenset[str]
+
+
+class Place(typing.NamedTuple):
+    """An upstream reserved for a request.
+
+    Attributes:
+        record: the upstream.
+        held: permits to give back.
+    """
+
+    record: wire.Upstream
+    held: tuple[permits.Permit, ...]
+
+
+class Busy(typing.NamedTuple):
+    """No upstream could be had.
+
+    Attributes:
+        reason: no_upstream, queue_full, queue_timeout or suspect.
+        retry_after: seconds after which a retry may succeed.
+    """
+
+    reason: str
+    retry_after: float
+
+
+class Dispatcher:
+    """Reserves upstreams for requests."""
+
+    def __init__(
+        self, settings, configuration, directory, office, suspects, recorder
+    ):
+        self._settings = settings
+        self._configuration = configuration
+        self._directory = directory
+        self._office = office
+        self._suspects = suspects
+        self._recorder = recorder
+        self._loads = loads.LoadBook()
+        self._queues = {}
+        self._freed = trio.Event()
+        self._bad_until = {}
+
+    def count_active(self):
+        """Return this instance's requests in flight on upstreams."""
+        return self._loads.total_own()
+
+    def count_waiting(self):
+        """Return requests that wait in queues."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def avoid(self, name, seconds):
+        """Give an upstream no new work from here for some seconds.
+
+        Used after a failure that this instance saw; others judge alone.
+        """
+        self._bad_until[name] = trio.current_time() + seconds
+
+    # --- candidates ------------------------------------------------------
+
+    def _may_take(self, record, demand):
+        if record.service != demand.service:
+            return False
+        if demand.model and demand.model not in record.models:
+            return False
+        if record.name in demand.excluded:
+            return False
+        if self._configuration.is_domain_out(record.failure_domain):
+            return False
+        own_domain = self._settings.failure_domain
+        if record.failure_domain != own_domain:
+            # Cut off, this instance can't know what operators took out.
+            if not self._configuration.is_fresh():
+                return False
+        row = self._configuration.get_or_default("upstreams", record.name)
+        return row["state"] == "in"
+
+    def _is_reachable(self, record):
+        until = self._bad_until.get(record.name, 0)
+        return until < trio.current_time()
+
+    def list_candidates(self, demand):
+        """Return (records by name, candidates) for a request."""
+        records = {
+            record.name: record
+            for record in self._directory.list_live()
+            if self._may_take(record, demand)
+        }
+        reachable = {
+            name: record
+            for name, record in records.items()
+            if self._is_reachable(record)
+        }
+        records = reachable or records
+        candidates = [
+            placement.Candidate(
+                record.name,
+                self._find_weight(record),
+                self._loads.estimate(record),
+                record.capacity,
+            )
+            for record in records.values()
+        ]
+        return records, candidates
+
+    def _find_weight(self, record):
+        own = self._configuration.get_or_default("upstreams", record.name)
+        domain = self._configuration.get_or_default(
+            "failure_domains", record.failure_domain
+        )
+        return own["weight"] * domain["weight"] / 100
+
+    # --- reserving -------------------------------------------------------
+
+    async def place(self, demand) -> expression.Result[Place, Busy]:
+        """Reserve an upstream; on success the caller must call `release`.
+
+        Args:
+            demand: a Demand.
+        """
+        if self._suspects.is_refused(demand.digest):
+            return self._refuse_suspect(demand)
+        row = self._configuration.get_or_default("services", demand.service)
+        records, _ = self.list_candidates(demand)
+        if not records:
+            return expression.Error(Busy("no_upstream", LOWEST_RETRY_SECONDS))
+        queue = self._queues.setdefault(demand.service, queues.FairQueue())
+        if not len(queue):
+            place = await self._try_place(demand, row)
+            if place is not None:
+                return expression.Ok(place)
+        if len(queue) >= row["queue_length"]:
+            wait = max(LOWEST_RETRY_SECONDS, row["queue_seconds"])
+            return expression.Error(Busy("queue_full", wait))
+        return await self._wait_in_queue(queue, demand, row)
+
+    def _refuse_suspect(self, demand):
+        wait = self._suspects.measure_refusal(demand.digest)
+        return expression.Error(Busy("suspect", wait))
+
+    async def _wait_in_queue(self, queue, demand, row):
+        """Wait for a turn; only the first few in order try to reserve."""
+        queue.put(demand, demand.account, demand.weight, demand.priority)
+        waiting = True
+        try:
+            with trio.move_on_after(row["queue_seconds"]):
+                while True:
+                    if queue.list_waiting()[0] is demand:
+                        place = await self._try_place(demand, row)
+                        if place is not None:
+                            queue.take(demand)
+                            waiting = False
+                            self._wake()
+                            return expression.Ok(place)
+                    await self._wait_for_change()
+        finally:
+            if waiting:
+                queue.remove(demand)
+                self._wake()
+        wait = max(LOWEST_RETRY_SECONDS, row["queue_seconds"])
+        return expression.Error(Busy("queue_timeout", wait))
+
+    async def _wait_for_change(self):
+        with trio.move_on_after(RECHECK_SECONDS):
+            await self._freed.wait()
+
+    def _wake(self):
+        self._freed.set()
+        self._freed = trio.Event()
+
+    async def _try_place(self, demand, row):
+        """Return a Place, or None when no upstream has room."""
+        records, candidates = self.list_candidates(demand)
+        names = placement.order_candidates(
+            demand.key, candidates, row["load_bound"]
+        )
+        for name in names:
+            record = records[name]
+            self._loads.start(name)
+            held = None
+            try:
+                held = await self._take_permits(record, demand, row)
+            finally:
+                if held is None:
+                    self._loads.finish(name)
+            if held is not None:
+                return Place(record, held)
+        return None
+
+    async def _take_permits(self, record, demand, row):
+        """Return the permits needed for an upstream; None if refused."""
+        hold = row["attempt_seconds"]
+        held = []
+        if self._suspects.count_crashes(demand.digest):
+            if not self._suspects.is_refused(demand.digest):
+                held = await self._ask_suspect(record, demand, hold)
+            if not held:
+                return None
+        if self._office.is_cold(record):
+            permit = await self._office.ask_cold(record, demand.request, hold)
+            if permit is None:
+                for other in held:
+                    await self._office.give_back(other, False)
+                return None
+            held.append(permit)
+        return tuple(held)
+
+    async def _ask_suspect(self, record, demand, hold):
+        digest = await self._office.ask_digest(
+            demand.digest, demand.request, hold
+        )
+        if digest is None:
+            return []
+        alone = await self._office.ask_alone(record, demand.request, hold)
+        if alone is None:
+            await self._office.give_back(digest, False)
+            return []
+        return [digest, alone]
+
+    async def release(self, place, completed):
+        """Free a reserved upstream.
+
+        Args:
+            place: a Place.
+            completed: whether the request ran to its end there.
+        """
+        self._loads.finish(place.record.name)
+        self._wake()
+        with trio.CancelScope(shield=True):
+            for permit in place.held:
+                await self._office.give_back(permit, completed)
+        self._wake()
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/limits.py
@@ -0,0 +1,174 @@
+"""Limits of client accounts over the whole fleet.
+
+Each instance admits its share of an account's limits. Shares follow use:
+the demand that arrives here over the demand that arrives anywhere, as the
+instances tell each other for accounts that are in use.
+"""
+
+import math
+import typing
+
+import trio
+
+from camphorhook_common import wire
+
+DEMAND_SECONDS = 5.0
+USAGE_SECONDS = 15.0
+FLOOR_SHARE = 0.25
+BURST_SECONDS = 2.0
+QUIET_DEMAND = 0.05
+
+
+class Refusal(typing.NamedTuple):
+    """Why a request was not admitted.
+
+    Attributes:
+        limit: requests_per_second, tokens_per_minute or concurrency.
+        retry_after: seconds after which a retry can succeed.
+    """
+
+    limit: str
+    retry_after: float
+
+
+class _Bucket:
+    """A token bucket; may go below zero, since tokens are known late."""
+
+    def __init__(self, rate):
+        self.level = rate * BURST_SECONDS
+        self.filled_at = trio.current_time()
+
+    def fill(self, rate):
+        now = trio.current_time()
+        most = max(1.0, rate * BURST_SECONDS)
+        self.level += (now - self.filled_at) * rate
+        self.level = min(self.level, most)
+        self.filled_at = now
+
+
+class _Account:
+    """What this instance knows of an account's use here."""
+
+    def __init__(self, row, share):
+        self.active = 0
+        self.demand = 0.0
+        self.tokens = 0.0
+        self.decayed_at = trio.current_time()
+        self.requests_bucket = _Bucket(row["requests_per_second"] * share)
+        self.tokens_bucket = _Bucket(row["tokens_per_minute"] / 60 * share)
+
+    def decay(self):
+        now = trio.current_time()
+        factor = math.exp((self.decayed_at - now) / DEMAND_SECONDS)
+        self.demand *= factor
+        self.tokens *= factor
+        self.decayed_at = now
+
+
+class AccountLimits:
+    """Admits requests within this instance's share of limits."""
+
+    def __init__(self, name, instances, clock):
+        """Create limits.
+
+        Args:
+            name: this instance.
+            instances: number of entry instances in the fleet.
+            clock: HybridClock for the stamps of usages.
+        """
+        self._name = name
+        self._instances = max(1, instances)
+        self._clock = clock
+        self._accounts = {}
+        self._others = {}
+
+    def _find_others(self, account):
+        """Return fresh usages of an account on other instances."""
+        limit = trio.current_time() - USAGE_SECONDS
+        usages = self._others.get(account, {})
+        return [usage for usage, at in usages.values() if at > limit]
+
+    def find_share(self, account):
+        """Return the share of an account's limits that is used here.
+
+        A floor keeps a little everywhere, so that an account that moves
+        to another instance is not refused before usages were exchanged.
+        """
+        others = sum(usage.requests for usage in self._find_others(account))
+        known = self._accounts.get(account)
+        own = known.demand / DEMAND_SECONDS if known else 0.0
+        floor = FLOOR_SHARE / self._instances
+        total = own + others
+        if total < QUIET_DEMAND:
+            return max(floor, 1.0 if not others else 0.5)
+        return max(floor, own / total)
+
+    def admit(self, account, row) -> Refusal | None:
+        """Admit a request, or say why not.
+
+        Args:
+            account: name of the client account.
+            row: its row of client_accounts.
+        """
+        share = self.find_share(account)
+        known = self._accounts.get(account)
+        if known is None:
+            known = self._accounts[account] = _Account(row, share)
+        known.decay()
+        known.demand += 1.0
+        share = self.find_share(account)
+        concurrency = max(1, round(row["concurrency"] * share))
+        if known.active >= concurrency:
+            return Refusal("concurrency", 1.0)
+        rate = row["requests_per_second"] * share
+        known.requests_bucket.fill(rate)
+        if known.requests_bucket.level < 1.0:
+            missing = 1.0 - known.requests_bucket.level
+            return Refusal("requests_per_second", missing / rate)
+        rate = row["tokens_per_minute"] / 60 * share
+        known.tokens_bucket.fill(rate)
+        if known.tokens_bucket.level <= 0:
+            wait = (1.0 - known.tokens_bucket.level) / rate
+            return Refusal("tokens_per_minute", wait)
+        known.requests_bucket.level -= 1.0
+        known.active += 1
+        return None
+
+    def release(self, account, tokens):
+        """Count the end of an admitted request and the tokens it used."""
+        known = self._accounts[account]
+        known.active -= 1
+        known.decay()
+        known.tokens += tokens
+        known.tokens_bucket.level -= tokens
+
+    def collect_usages(self):
+        """Return the usage here of accounts that are in use."""
+        usages = []
+        for account, known in list(self._accounts.items()):
+            known.decay()
+            demand = known.demand / DEMAND_SECONDS
+            if not known.active and demand < QUIET_DEMAND:
+                if demand < QUIET_DEMAND / 100:
+                    del self._accounts[account]
+                continue
+            usages.append(
+                wire.Usage(
+                    account,
+                    self._name,
+                    round(demand, 2),
+                    round(known.tokens * 60 / DEMAND_SECONDS),
+                    known.active,
+                    self._clock.stamp(),
+                )
+            )
+        return usages
+
+    def merge(self, usage):
+        """Take in a usage of another instance."""
+        if usage.instance == self._name:
+            return
+        usages = self._others.setdefault(usage.account, {})
+        known = usages.get(usage.instance)
+        if known is None or known[0].stamp < usage.stamp:
+            usages[usage.instance] = (usage, trio.current_time())
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -0,0 +1,322 @@
+"""Which upstreams exist, as told by their announcements.
+
+An upstream announces itself to entry instances of its failure domain; the
+instances pass on what they heard. The record with the higher (incarnation,
+sequence) wins. An upstream counts as gone on an instance once that instance
+has heard of no newer announcement, directly or through others, for its TTL:
+one instance's bad link takes an upstream out for nobody else.
+"""
+
+import struct
+import typing
+
+import msgspec
+import trio
+import xxhash
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+
+MS = 0.001
+LOWEST_TTL_MS = 500
+HIGHEST_TTL_MS = 120000
+FORGET_SECONDS = 600.0
+FLAP_WINDOW_SECONDS = 60.0
+FLAP_LIMIT = 3
+_LOAD = struct.Struct(">IHH")
+_SEQUENCE_MASK = 0xFFFF
+
+
+class Announcement(typing.NamedTuple):
+    """What an upstream posts; see `wire.Upstream` for the fields."""
+
+    name: str
+    failure_domain: str
+    service: str
+    address: str
+    port: int
+    incarnation: int
+    sequence: int
+    ttl_ms: int
+    models: tuple[str, ...] = ()
+    state: typing.Literal["live", "leaving"] = "live"
+    active: int = 0
+    capacity: int = 1
+    features: tuple[str, ...] = ()
+
+
+class _Entry:
+    """An upstream's record and what this instance knows besides."""
+
+    def __init__(self, record, now):
+        self.record = record
+        self.heard_at = now
+        self.changed = 0
+        self.load_changed = 0
+        self.starts = []
+        self.source = ""
+
+
+def _fingerprint(record):
+    """Return the short id of an upstream's incarnation in packed loads."""
+    return xxhash.xxh32_intdigest(
+        f"{record.name}/{record.incarnation}".encode()
+    )
+
+
+def parse_announcement(body, failure_domain):
+    """Return the Announcement in a posted JSON body.
+
+    Args:
+        body: JSON text as bytes.
+        failure_domain: the failure domain of this instance.
+
+    Raises:
+        errors.ProtocolError: says what is wrong with it.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=dict)
+        announcement = msgspec.convert(
+            _order_fields(fields), Announcement, strict=True
+        )
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise errors.ProtocolError(
+            f"the announcement is wrong: {error}", step="announce"
+        ) from error
+    if announcement.failure_domain != failure_domain:
+        raise errors.ProtocolError(
+            f"announce to instances of {announcement.failure_domain}; this "
+            f"one is in {failure_domain}",
+            step="announce",
+            peer=announcement.name,
+        )
+    if not LOWEST_TTL_MS <= announcement.ttl_ms <= HIGHEST_TTL_MS:
+        raise errors.ProtocolError(
+            f"give a ttl_ms from {LOWEST_TTL_MS} to {HIGHEST_TTL_MS}",
+            step="announce",
+            peer=announcement.name,
+        )
+    return announcement
+
+
+def _order_fields(fields):
+    """Return a JSON object's fields in the order of Announcement."""
+    defaults = Announcement._field_defaults
+    ordered = []
+    for name in Announcement._fields:
+        if name not in fields and name not in defaults:
+            raise KeyError(f"missing field {name}")
+        ordered.append(fields.get(name, defaults.get(name)))
+    return ordered
+
+
+class Directory:
+    """All upstreams this instance knows of.
+
+    Attributes:
+        urgent: set and replaced when something other than a load changed.
+        moved: set and replaced when any upstream's load or state changed.
+    """
+
+    def __init__(self, recorder):
+        self._recorder = recorder
+        self._entries = {}
+        self._by_fingerprint = {}
+        self._counter = 0
+        self._listeners = []
+        self.urgent = trio.Event()
+        self.moved = trio.Event()
+
+    def add_listener(self, listener):
+        """Call listener(name, event) on joined, restarted and expired."""
+        self._listeners.append(listener)
+
+    def _notify(self, record, event):
+        peer = f"{record.name}/{record.incarnation}"
+        self._recorder.record(f"upstream.{event}", peer=peer)
+        for listener in self._listeners:
+            listener(record, event)
+
+    def announce(self, announcement):
+        """Take in an announcement heard directly."""
+        record = wire.Upstream(
+            warm=(),
+            **{
+                field: getattr(announcement, field)
+                for field in Announcement._fields
+            },
+        )
+        self.merge(record, "")
+
+    def merge(self, record, source):
+        """Take in a record; older ones change nothing but `warm`.
+
+        Args:
+            record: a wire.Upstream.
+            source: name of the instance it came from; empty if direct.
+        """
+        now = trio.current_time()
+        entry = self._entries.get(record.name)
+        if entry is None:
+            entry = self._entries[record.name] = _Entry(record, now)
+            self._replace(entry, record, source, "joined")
+            return
+        known = entry.record
+        ours = (known.incarnation, known.sequence)
+        theirs = (record.incarnation, record.sequence)
+        if known.incarnation == record.incarnation:
+            warm = tuple(sorted({*known.warm, *record.warm}))
+            if warm != known.warm:
+                entry.record = known = known._replace(warm=warm)
+                self._mark_changed(entry, source)
+            record = record._replace(warm=warm)
+        if theirs <= ours:
+            return
+        returned = now - entry.heard_at > known.ttl_ms * MS
+        entry.heard_at = now
+        if record.incarnation != known.incarnation:
+            self._replace(entry, record, source, "restarted")
+        elif record.state != known.state or returned:
+            event = "returned" if returned else record.state
+            self._replace(entry, record, source, event)
+        elif record._replace(sequence=0, active=0) != known._replace(
+            sequence=0, active=0
+        ):
+            self._replace(entry, record, source, "changed")
+        else:
+            self._update_load(entry, record, source)
+
+    def _replace(self, entry, record, source, event):
+        self._by_fingerprint.pop(_fingerprint(entry.record), None)
+        entry.record = record
+        self._by_fingerprint[_fingerprint(record)] = entry
+        if event in ("joined", "restarted", "returned"):
+            entry.starts.append(trio.current_time())
+        self._mark_changed(entry, source)
+        self._notify(record, event)
+
+    def _mark_changed(self, entry, source):
+        self._counter += 1
+        entry.changed = self._counter
+        entry.source = source
+        self.urgent.set()
+        self.urgent = trio.Event()
+        self._mark_moved()
+
+    def _update_load(self, entry, record, source):
+        self._counter += 1
+        entry.record = record
+        entry.load_changed = self._counter
+        entry.source = source
+        self._mark_moved()
+
+    def _mark_moved(self):
+        self.moved.set()
+        self.moved = trio.Event()
+
+    def merge_loads(self, packed, source):
+        """Take in packed loads; unknown incarnations are passed over."""
+        for fingerprint, low, active in _LOAD.iter_unpack(packed):
+            entry = self._by_fingerprint.get(fingerprint)
+            if entry is None:
+                continue
+            known = entry.record
+            ahead = (low - known.sequence) & _SEQUENCE_MASK
+            if not 0 < ahead < _SEQUENCE_MASK // 2:
+                continue
+            sequence = known.sequence + ahead
+            record = known._replace(sequence=sequence, active=active)
+            self.merge(record, source)
+
+    def collect_changes(self, peer, since):
+        """Return (records, packed loads, cursor) changed after a cursor.
+
+        Args:
+            peer: who gets them; what came from there is left out.
+            since: cursor of the last call for the peer; 0 at first.
+        """
+        records = []
+        loads = []
+        for entry in self._entries.values():
+            if entry.source == peer:
+                continue
+            if entry.changed > since:
+                records.append(entry.record)
+            elif entry.load_changed > since:
+                record = entry.record
+                loads.append(
+                    _LOAD.pack(
+                        _fingerprint(record),
+                        record.sequence & _SEQUENCE_MASK,
+                        min(record.active, 0xFFFF),
+                    )
+                )
+        return records, b"".join(loads), self._counter
+
+    def has_urgent(self, peer, since):
+        """Tell whether more than loads changed after a cursor."""
+        return any(
+            entry.changed > since and entry.source != peer
+            for entry in self._entries.values()
+        )
+
+    def note_warm(self, name, incarnation, holder):
+        """Note that a permit holder found an incarnation warm."""
+        entry = self._entries.get(name)
+        if entry is None or entry.record.incarnation != incarnation:
+            return
+        if holder not in entry.record.warm:
+            warm = tuple(sorted({*entry.record.warm, holder}))
+            entry.record = entry.record._replace(warm=warm)
+            self._mark_changed(entry, "")
+
+    def is_heard(self, name):
+        """Tell whether the upstream's last announcement still holds."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return False
+        silent = trio.current_time() - entry.heard_at
+        return silent <= entry.record.ttl_ms * MS
+
+    def is_flapping(self, name):
+        """Tell whether the upstream joined too often a short while ago."""
+        entry = self._entries[name]
+        since = trio.current_time() - FLAP_WINDOW_SECONDS
+        entry.starts = [start for start in entry.starts if start > since]
+        return len(entry.starts) > FLAP_LIMIT
+
+    def get(self, name):
+        """Return the record of an upstream, or None."""
+        entry = self._entries.get(name)
+        return entry.record if entry else None
+
+    def list_live(self):
+        """Return the records of upstreams that may get new work."""
+        return [
+            entry.record
+            for name, entry in self._entries.items()
+            if entry.record.state == "live" and self.is_heard(name)
+        ]
+
+    def list_known(self):
+        """Return the records of all upstreams, gone ones included."""
+        return [entry.record for entry in self._entries.values()]
+
+    async def run(self, interval=0.5):
+        """Note expiries until cancelled; interval in seconds."""
+        heard = set()
+        while True:
+            await trio.sleep(interval)
+            now = {name for name in self._entries if self.is_heard(name)}
+            for name in heard - now:
+                self._notify(self._entries[name].record, "expired")
+                self._mark_moved()
+            heard = now
+            self._forget_old()
+
+    def _forget_old(self):
+        limit = trio.current_time() - FORGET_SECONDS
+        for name, entry in list(self._entries.items()):
+            if entry.heard_at < limit:
+                self._by_fingerprint.pop(_fingerprint(entry.record), None)
+                del self._entries[name]
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/permits.py
@@ -0,0 +1,258 @@
+"""Fleet-wide permits: for cold upstreams and for suspected requests.
+
+The permits of an upstream are split among a few entry instances of its
+failure domain, chosen by hash from the settings, not from what looks alive:
+instances that disagree about who is alive still ask the same holders, so
+the fleet together never exceeds the allowance.
+"""
+
+import typing
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+from camphorhook_daemon.domain import hashing
+
+MS = 0.001
+HOLDERS = 2
+PERMIT_TIMEOUT_SECONDS = 1.0
+COLD = "cold"
+SUSPECT = "suspect"
+DIGEST = "digest"
+FORGET_SECONDS = 3600.0
+
+
+class _Ledger:
+    """A holder's permits for one subject."""
+
+    def __init__(self):
+        self.held = {}
+        self.completed = 0
+        self.used_at = trio.current_time()
+
+    def drop_expired(self):
+        now = trio.current_time()
+        self.used_at = now
+        for request, until in list(self.held.items()):
+            if until < now:
+                del self.held[request]
+
+
+class Permit(typing.NamedTuple):
+    """A granted permit.
+
+    Attributes:
+        holder: the instance that granted it.
+        reason: COLD, SUSPECT or DIGEST.
+        subject: the upstream's name and incarnation, or a digest.
+        request: id of the request that holds it.
+    """
+
+    holder: str
+    reason: str
+    subject: str
+    request: str
+
+
+def name_subject(record):
+    """Return the subject of an upstream's incarnation."""
+    return f"{record.name}/{record.incarnation}"
+
+
+class PermitOffice:
+    """Asks holders for permits and grants those this instance holds."""
+
+    def __init__(
+        self, settings, transport, directory, configuration, suspects
+    ):
+        self._name = settings.name
+        self._transport = transport
+        self._directory = directory
+        self._configuration = configuration
+        self._suspects = suspects
+        self._ledgers = {}
+        self._entry_instances = _group_entry_instances(settings)
+
+    # --- who holds -------------------------------------------------------
+
+    def find_holders(self, record):
+        """Return the holders of an upstream's permits."""
+        names = self._entry_instances.get(record.failure_domain, [])
+        ranked = hashing.rank(record.name, dict.fromkeys(names, 1.0))
+        return ranked[:HOLDERS]
+
+    def find_judge(self, digest):
+        """Return the instance that lets one run of a digest go at a time."""
+        names = [
+            name for group in self._entry_instances.values() for name in group
+        ]
+        return hashing.rank(digest, dict.fromkeys(names, 1.0))[0]
+
+    def is_cold(self, record):
+        """Tell whether permits are needed for an upstream."""
+        needed = set(self.find_holders(record))
+        return not needed <= set(record.warm)
+
+    def _find_share(self, record, holder, allowance):
+        """Return how many of the cold permits a holder starts with."""
+        holders = self.find_holders(record)
+        if holder not in holders:
+            return 0
+        position = holders.index(holder)
+        extra = 1 if position < allowance % len(holders) else 0
+        return allowance // len(holders) + extra
+
+    # --- asking ----------------------------------------------------------
+
+    async def ask_cold(self, record, request, hold_seconds):
+        """Return a Permit for a cold upstream, or None."""
+        subject = name_subject(record)
+        ranked = hashing.rank(
+            request, dict.fromkeys(self.find_holders(record), 1.0)
+        )
+        for holder in ranked:
+            if holder in record.warm:
+                return Permit("", COLD, subject, request)
+            permit = await self._ask(
+                holder, COLD, subject, request, hold_seconds
+            )
+            if permit is not None:
+                return permit
+        return None
+
+    async def ask_alone(self, record, request, hold_seconds):
+        """Return a Permit to run a suspected request on an upstream."""
+        holders = self.find_holders(record)
+        if not holders:
+            return None
+        subject = name_subject(record)
+        return await self._ask(
+            holders[0], SUSPECT, subject, request, hold_seconds
+        )
+
+    async def ask_digest(self, digest, request, hold_seconds):
+        """Return a Permit to run a suspected digest, or None."""
+        judge = self.find_judge(digest)
+        return await self._ask(judge, DIGEST, digest, request, hold_seconds)
+
+    async def _ask(self, holder, reason, subject, request, hold_seconds):
+        hold_ms = int(hold_seconds / MS)
+        message = wire.AskPermit(reason, subject, request, hold_ms)
+        try:
+            reply = await self._transport.call(
+                holder, message, PERMIT_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError:
+            return None
+        if reply.warm and reason == COLD:
+            self._note_warm(subject, holder)
+        if not reply.granted:
+            return None
+        return Permit(holder, reason, subject, request)
+
+    async def give_back(self, permit, completed):
+        """Return a permit; a lost message is made good by its expiry."""
+        if not permit.holder:
+            return
+        message = wire.ReturnPermit(
+            permit.reason, permit.subject, permit.request, completed
+        )
+        try:
+            reply = await self._transport.call(
+                permit.holder, message, PERMIT_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError:
+            return
+        if reply.warm and permit.reason == COLD:
+            self._note_warm(permit.subject, permit.holder)
+
+    def _note_warm(self, subject, holder):
+        name, _, incarnation = subject.rpartition("/")
+        self._directory.note_warm(name, int(incarnation), holder)
+
+    # --- granting --------------------------------------------------------
+
+    def grant(self, message):
+        """Answer AskPermit from the permits held here."""
+        key = (message.reason, message.subject)
+        ledger = self._ledgers.setdefault(key, _Ledger())
+        ledger.drop_expired()
+        if message.reason == COLD:
+            return self._grant_cold(message, ledger)
+        free = not set(ledger.held) - {message.request}
+        if message.reason == DIGEST:
+            free = free and not self._suspects.is_refused(message.subject)
+        if free:
+            self._hold(ledger, message)
+        return wire.PermitReply(free, False)
+
+    def _hold(self, ledger, message):
+        until = trio.current_time() + message.hold_ms * MS
+        ledger.held[message.request] = until
+
+    def _grant_cold(self, message, ledger):
+        name, _, incarnation = message.subject.rpartition("/")
+        record = self._directory.get(name)
+        if record is None or record.incarnation != int(incarnation):
+            return wire.PermitReply(False, False)
+        if self._name in record.warm:
+            return wire.PermitReply(True, True)
+        allowance = self._ramp(record, ledger)
+        granted = len(ledger.held) < allowance
+        if granted:
+            self._hold(ledger, message)
+        return wire.PermitReply(granted, False)
+
+    def _ramp(self, record, ledger):
+        """Return how many permits may be out now.
+
+        Every completed request adds one to the starting share, so the
+        allowance doubles with each round of completed work.
+        """
+        row = self._configuration.get_or_default("services", record.service)
+        share = self._find_share(record, self._name, row["cold_allowance"])
+        return share + ledger.completed if share else 0
+
+    def take_back(self, message):
+        """Answer ReturnPermit."""
+        ledger = self._ledgers.get((message.reason, message.subject))
+        if ledger is None:
+            return wire.ReturnReply(False)
+        held = ledger.held.pop(message.request, None)
+        if message.reason == DIGEST:
+            return wire.ReturnReply(False)
+        if message.completed and held is not None:
+            ledger.completed += 1
+        warm = message.reason == COLD and self._find_warm(message, ledger)
+        return wire.ReturnReply(warm)
+
+    def _find_warm(self, message, ledger):
+        name, _, incarnation = message.subject.rpartition("/")
+        record = self._directory.get(name)
+        if record is None or record.incarnation != int(incarnation):
+            return False
+        row = self._configuration.get_or_default("services", record.service)
+        holders = len(self.find_holders(record)) or 1
+        if ledger.completed * holders < row["warm_after"]:
+            return False
+        self._directory.note_warm(name, int(incarnation), self._name)
+        return True
+
+    def forget_old(self):
+        """Drop ledgers that were not used for a long time."""
+        limit = trio.current_time() - FORGET_SECONDS
+        for key, ledger in list(self._ledgers.items()):
+            if ledger.used_at < limit:
+                del self._ledgers[key]
+
+
+def _group_entry_instances(settings):
+    """Return names of entry instances by failure domain, from settings."""
+    groups = {}
+    if "entry" in settings.roles:
+        groups.setdefault(settings.failure_domain, []).append(settings.name)
+    for peer in settings.peers:
+        if "entry" in peer.roles:
+            groups.setdefault(peer.failure_domain, []).append(peer.name)
+    return {domain: sorted(names) for domain, names in groups.items()}
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/queues.py
@@ -0,0 +1,64 @@
+"""Weighted fair queueing of requests that wait for an upstream.
+
+Start-time fair queueing (Goyal and others, 1996): a request's start tag is
+the later of the queue's virtual time and its account's last finish tag, and
+each request moves its account's finish tag on by 1 / weight. Higher
+priorities go first.
+"""
+
+import heapq
+import itertools
+
+
+class FairQueue:
+    """Orders waiting items by priority and fair share of accounts."""
+
+    def __init__(self):
+        self._heap = []
+        self._virtual = 0.0
+        self._finish = {}
+        self._numbers = itertools.count()
+        self._removed = set()
+
+    def __len__(self):
+        return len(self._heap) - len(self._removed)
+
+    def put(self, item, account, weight, priority):
+        """Add an item.
+
+        Args:
+            item: any hashable object.
+            account: client account it belongs to.
+            weight: the account's share.
+            priority: 0 to 9; 9 is the most urgent.
+        """
+        start = max(self._virtual, self._finish.get(account, 0.0))
+        self._finish[account] = start + 1.0 / weight
+        entry = (-priority, start, next(self._numbers), item)
+        heapq.heappush(self._heap, entry)
+
+    def remove(self, item):
+        """Remove an item that waits no more."""
+        self._removed.add(item)
+        self._drop_removed()
+
+    def _drop_removed(self):
+        while self._heap and self._heap[0][3] in self._removed:
+            entry = heapq.heappop(self._heap)
+            self._removed.discard(entry[3])
+        if not self._heap:
+            self._finish.clear()
+            self._virtual = 0.0
+
+    def list_waiting(self):
+        """Return items in the order in which they should run."""
+        ordered = sorted(self._heap, key=lambda entry: entry[:3])
+        return [entry[3] for entry in ordered if entry[3] not in self._removed]
+
+    def take(self, item):
+        """Remove an item that starts to run, moving virtual time on."""
+        for entry in self._heap:
+            if entry[3] is item:
+                self._virtual = max(self._virtual, entry[1])
+                break
+        self.remove(item)
