--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -0,0 +1,828 @@
+"""One replica of the replicated log.
+
+Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum, a leader
+lease, snapshots and membership changes of one voter at a time. Entries are
+synced to disk before they are acknowledged. A voter is a name together with
+the identity of its data folder: a replica that lost its disk has another
+identity, takes entries as a learner, and counts for nothing until the
+leader has replaced its old identity by two changes of membership.
+"""
+
+import time
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+from camphorhook_daemon.domain import state as states
+from camphorhook_daemon.ports import journal as journals
+
+SNAPSHOT_ENTRIES = 4000
+BATCH_ENTRIES = 512
+SNAPSHOT_PIECE_BYTES = 256 * 1024
+ADMISSION_SECONDS = 1.0
+MS = 0.001
+
+
+class _Waiting:
+    """A submitted command that waits for its outcome."""
+
+    def __init__(self, command):
+        self.command = command
+        self.outcome = None
+        self.ended = trio.Event()
+
+    def finish(self, outcome):
+        """Hand over the outcome; None when it is unknown."""
+        self.outcome = outcome
+        self.ended.set()
+
+
+class _Progress:
+    """What the leader knows of one other replica."""
+
+    def __init__(self, identity, acked_at):
+        self.identity = identity
+        self.match = 0
+        self.acked_at = acked_at
+
+
+def _majority_of(values):
+    """Return the highest value that a majority of the values reaches."""
+    ordered = sorted(values, reverse=True)
+    return ordered[len(ordered) // 2]
+
+
+class Replica:
+    """Takes part in the log: votes, stores entries and applies them.
+
+    Attributes:
+        role: follower, candidate, leader or learner.
+        term: current term.
+        leader: name of the leader as far as known; empty if unknown.
+        commit: highest index known to be on a quorum of disks.
+        state: the State that entries are applied to.
+    """
+
+    def __init__(self, settings, journal, state, transport, recorder, chance):
+        """Create a replica from what its journal holds.
+
+        Args:
+            settings: the instance's Settings.
+            journal: a Journal.
+            state: a fresh State.
+            transport: a Transport.
+            recorder: the Recorder of the time line.
+            chance: random.Random for election timeouts.
+        """
+        self._settings = settings
+        self._timing = settings.timing
+        self._name = settings.name
+        self._journal = journal
+        self._transport = transport
+        self._recorder = recorder
+        self._chance = chance
+        self.state = state
+        self.role = "follower"
+        self.leader = ""
+        self.term = journal.vote.term
+        self._voted_for = journal.vote.voted_for
+        self._base_index = 0
+        self._base_term = 0
+        self._base_voters = {}
+        self._entries = []
+        self._stored_index = 0
+        self.commit = 0
+        self._lock = trio.Lock()
+        self._pending = []
+        self._waiting = {}
+        self._progress = {}
+        self._leading = None
+        self._heard_at = float("-inf")
+        self._confirmed_at = float("-inf")
+        self._snapshot_data = b""
+        self._incoming = b""
+        self._grown = trio.Event()
+        self._committed = trio.Event()
+        self._submitted = trio.Event()
+        self.applied = trio.Event()
+        self._load_journal()
+
+    # --- reading the log -------------------------------------------------
+
+    def _load_journal(self):
+        checkpoint = self._journal.checkpoint
+        if checkpoint is not None:
+            self.state.load(checkpoint.data)
+            self._base_index = checkpoint.index
+            self._base_term = checkpoint.term
+            self._base_voters = checkpoint.voters
+            self._snapshot_data = checkpoint.data
+            self.commit = checkpoint.index
+        self._entries = list(self._journal.entries)
+        self._journal.entries = []
+        self._stored_index = self.last_index
+        self._find_voters()
+
+    def found(self, voters):
+        """Set the founding voters of a log that holds nothing yet.
+
+        Args:
+            voters: identity by name.
+        """
+        if self.last_index == 0:
+            self._base_voters = dict(voters)
+            self._find_voters()
+
+    def _find_voters(self):
+        self.voters = dict(self._base_voters)
+        self._voters_index = self._base_index
+        for entry in self._entries:
+            self._note_voters(entry)
+
+    def _note_voters(self, entry):
+        if entry.kind == "voters":
+            command = wire.decode_command(entry.kind, entry.data)
+            self.voters = command.members
+            self._voters_index = entry.index
+
+    @property
+    def last_index(self):
+        """Index of the last entry; of the snapshot if there is none."""
+        return self._base_index + len(self._entries)
+
+    def _term_at(self, index):
+        if index == self._base_index:
+            return self._base_term
+        return self._entries[index - self._base_index - 1].term
+
+    def _slice_from(self, index):
+        start = index - self._base_index - 1
+        return self._entries[start : start + BATCH_ENTRIES]
+
+    @property
+    def is_voter(self):
+        """Whether this data folder's identity is a voter."""
+        return self.voters.get(self._name) == self._journal.identity
+
+    def measure_age(self):
+        """Return seconds since a leader was surely in contact, or None."""
+        heard = self._heard_at
+        if self.role == "leader":
+            heard = self._find_contact()
+        if heard == float("-inf") or not self._confirmed_at > float("-inf"):
+            return None
+        return trio.current_time() - heard
+
+    # --- running ---------------------------------------------------------
+
+    async def run(self):
+        """Take part in the log until cancelled.
+
+        Raises:
+            errors.StorageError: the journal can't be written; the process
+                must end, since what it would acknowledge may be lost.
+        """
+        self._heard_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_leader)
+            nursery.start_soon(self._apply_committed)
+            nursery.start_soon(self._lead_when_elected, nursery)
+
+    async def _watch_leader(self):
+        """Start an election whenever no leader was heard for a while."""
+        while True:
+            low = self._timing.election_ms * MS
+            wait = low * (1 + self._chance.random())
+            await trio.sleep(wait / 4)
+            silent = trio.current_time() - self._heard_at
+            if self.role == "leader":
+                await self._check_quorum()
+            elif silent > wait and self.is_voter:
+                await self._stand_for_election()
+            elif not self.is_voter:
+                self.role = "learner"
+
+    async def _check_quorum(self):
+        contact = trio.current_time() - self._find_contact()
+        if contact > self._timing.election_ms * MS:
+            async with self._lock:
+                self._step_down("lost the quorum")
+
+    async def _stand_for_election(self, transfer=False):
+        self.role = "candidate"
+        self.leader = ""
+        if not transfer:
+            if not await self._collect_votes(self.term + 1, trial=True):
+                return
+        async with self._lock:
+            if self._heard_recently() and not transfer:
+                return
+            await self._save_vote(self.term + 1, self._name)
+        term = self.term
+        self._recorder.record("log.candidate", detail=f"term {term}")
+        if not await self._collect_votes(term, False, transfer):
+            return
+        if self.term == term and self.role == "candidate":
+            self._become_leader()
+
+    async def _collect_votes(self, term, trial, transfer=False):
+        """Ask all voters; return whether a majority granted."""
+        request = wire.VoteRequest(
+            term,
+            self._name,
+            self._journal.identity,
+            self.last_index,
+            self._term_at(self.last_index),
+            trial,
+            transfer,
+        )
+        voters = dict(self.voters)
+        granted = {self._name}
+        won = trio.Event()
+
+        async def ask(peer):
+            try:
+                reply = await self._transport.call(
+                    peer, request, self._timing.election_ms * MS / 2
+                )
+            except errors.UnreachableError:
+                return
+            if reply.term > self.term and not trial:
+                async with self._lock:
+                    await self._adopt_term(reply.term)
+            if reply.granted and reply.identity == voters[peer]:
+                granted.add(peer)
+            if len(granted) > len(voters) // 2:
+                won.set()
+
+        if len(granted) > len(voters) // 2:
+            return True
+        with trio.move_on_after(self._timing.election_ms * MS / 2):
+            async with trio.open_nursery() as nursery:
+                for peer in voters:
+                    if peer != self._name:
+                        nursery.start_soon(ask, peer)
+                await won.wait()
+                nursery.cancel_scope.cancel()
+        return won.is_set()
+
+    def _become_leader(self):
+        self.role = "leader"
+        self.leader = self._name
+        now = trio.current_time()
+        self._progress = {}
+        for peer in self._settings.list_replicas():
+            if peer != self._name:
+                identity = self.voters.get(peer, "")
+                self._progress[peer] = _Progress(identity, now)
+        self._pending = []
+        self._recorder.record("log.leader", detail=f"term {self.term}")
+        logs.log("info", f"leads the log in term {self.term}", step="elect")
+        self._submitted.set()
+
+    def _step_down(self, reason):
+        if self.role == "leader":
+            self._recorder.record("log.stepped_down", detail=reason)
+            logs.log("info", f"leads no more: {reason}", step="lead")
+            self.leader = ""
+        if self.role != "learner":
+            self.role = "follower"
+        if self._leading is not None:
+            self._leading.cancel()
+        self._fail_waiting()
+
+    def _fail_waiting(self):
+        """Tell submitters that their commands' fate is unknown."""
+        for waiting in [*self._waiting.values(), *self._pending]:
+            waiting.finish(None)
+        self._waiting = {}
+        self._pending = []
+
+    async def _save_vote(self, term, voted_for):
+        self.term = term
+        self._voted_for = voted_for
+        vote = journals.Vote(term, voted_for)
+        await trio.to_thread.run_sync(self._journal.save_vote, vote)
+
+    async def _adopt_term(self, term):
+        """Move to a higher term as a follower; the lock is held."""
+        if term > self.term:
+            self._step_down(f"term {term}")
+            await self._save_vote(term, "")
+
+    # --- leading ---------------------------------------------------------
+
+    async def _lead_when_elected(self, nursery):
+        while True:
+            await self._submitted.wait()
+            self._submitted = trio.Event()
+            if self.role != "leader":
+                continue
+            with trio.CancelScope() as self._leading:
+                await self._lead(self.term)
+            self._leading = None
+
+    async def _lead(self, term):
+        async with trio.open_nursery() as nursery:
+            for peer in self._progress:
+                nursery.start_soon(self._replicate, peer, term)
+            nursery.start_soon(self._admit_learners, term)
+            begin = wire.Begin(self._name, time.time())
+            await self._write([_Waiting(begin)], term)
+            while self.role == "leader" and self.term == term:
+                await self._submitted.wait()
+                self._submitted = trio.Event()
+                batch, self._pending = self._pending, []
+                if batch:
+                    await self._write(batch, term)
+
+    async def _write(self, batch, term):
+        """Append a batch of commands to the log and sync it."""
+        now = time.time()
+        with trio.CancelScope(shield=True):
+            async with self._lock:
+                if self.term != term or self.role != "leader":
+                    for waiting in batch:
+                        waiting.finish(None)
+                    return
+                entries = []
+                for waiting in batch:
+                    index = self.last_index + 1
+                    command = waiting.command._replace(at=now)
+                    kind, data = wire.encode_command(command)
+                    entry = wire.Entry(index, term, kind, data)
+                    entries.append(entry)
+                    self._entries.append(entry)
+                    self._note_voters(entry)
+                    self._waiting[index] = waiting
+                self._announce_growth()
+                await trio.to_thread.run_sync(self._journal.append, entries)
+                self._stored_index = entries[-1].index
+                self._advance_commit()
+
+    def _announce_growth(self):
+        self._grown.set()
+        self._grown = trio.Event()
+
+    async def _replicate(self, peer, term):
+        """Keep one replica's log equal to the leader's."""
+        following = self.last_index + 1
+        while self.role == "leader" and self.term == term:
+            if following <= self._base_index:
+                following = await self._send_snapshot(peer, term, following)
+                continue
+            grown = self._grown
+            try:
+                following = await self._send_entries(peer, term, following)
+            except errors.UnreachableError:
+                await trio.sleep(self._timing.heartbeat_ms * MS)
+                continue
+            if following > self.last_index:
+                with trio.move_on_after(self._timing.heartbeat_ms * MS):
+                    await grown.wait()
+
+    async def _send_entries(self, peer, term, following):
+        """Send entries from `following`; return the next to send."""
+        previous = following - 1
+        entries = self._slice_from(following)
+        message = wire.Append(
+            term,
+            self._name,
+            previous,
+            self._term_at(previous),
+            entries,
+            self.commit,
+        )
+        sent_at = trio.current_time()
+        wait = self._timing.election_ms * MS
+        reply = await self._transport.call(peer, message, wait)
+        if not await self._check_reply(peer, reply, sent_at):
+            return following
+        if reply.accepted:
+            self._progress[peer].match = reply.last_index
+            self._advance_commit()
+            return reply.last_index + 1
+        return max(1, min(previous, reply.last_index + 1))
+
+    async def _check_reply(self, peer, reply, sent_at):
+        """Take in a reply's term and identity; False when stale."""
+        if reply.term > self.term:
+            async with self._lock:
+                await self._adopt_term(reply.term)
+            return False
+        progress = self._progress[peer]
+        if progress.identity != reply.identity:
+            progress.identity = reply.identity
+            progress.match = 0
+        progress.acked_at = max(progress.acked_at, sent_at)
+        return True
+
+    async def _send_snapshot(self, peer, term, following):
+        """Send the snapshot in pieces; return the next index to send."""
+        index, last_term = self._base_index, self._base_term
+        data = journals.encode_checkpoint(
+            journals.Checkpoint(
+                index, last_term, self._base_voters, self._snapshot_data
+            )
+        )
+        offset = 0
+        while offset < len(data) and self.term == term:
+            piece = data[offset : offset + SNAPSHOT_PIECE_BYTES]
+            message = wire.Snapshot(
+                term,
+                self._name,
+                index,
+                last_term,
+                offset,
+                len(data),
+                piece,
+            )
+            sent_at = trio.current_time()
+            try:
+                reply = await self._transport.call(
+                    peer, message, self._timing.election_ms * MS
+                )
+            except errors.UnreachableError:
+                await trio.sleep(self._timing.heartbeat_ms * MS)
+                continue
+            if not await self._check_reply(peer, reply, sent_at):
+                return following
+            offset = reply.offset
+        return index + 1
+
+    def _is_current(self, peer):
+        """Whether a peer's acknowledgements are those of its voter."""
+        progress = self._progress.get(peer)
+        return progress is not None and progress.identity == self.voters[peer]
+
+    def _advance_commit(self):
+        """Commit what a majority of voters has on disk."""
+        if not self.voters:
+            return
+        matches = []
+        for voter in self.voters:
+            if voter == self._name:
+                own = self._stored_index if self.is_voter else 0
+                matches.append(own)
+            elif self._is_current(voter):
+                matches.append(self._progress[voter].match)
+            else:
+                matches.append(0)
+        index = min(_majority_of(matches), self._stored_index)
+        if index > self.commit and self._term_at(index) == self.term:
+            self._set_commit(index)
+            self._confirmed_at = trio.current_time()
+
+    def _set_commit(self, index):
+        if index > self.commit:
+            self.commit = index
+            self._committed.set()
+            self._committed = trio.Event()
+
+    def _find_contact(self):
+        """Return when a majority of voters was last surely in contact."""
+        times = []
+        for voter in self.voters:
+            if voter == self._name:
+                times.append(trio.current_time())
+            elif self._is_current(voter):
+                times.append(self._progress[voter].acked_at)
+            else:
+                times.append(float("-inf"))
+        return _majority_of(times)
+
+    def holds_lease(self):
+        """Tell whether no other leader can exist at this moment.
+
+        Voters that heard this leader refuse to vote for election_ms on
+        their clocks; the lease is shorter by the stated drift.
+        """
+        if self.role != "leader":
+            return False
+        if self.commit == 0 or self._term_at_commit() != self.term:
+            return False
+        rate = 1 - self._timing.drift_percent / 100
+        length = self._timing.election_ms * MS * rate
+        return trio.current_time() < self._find_contact() + length
+
+    def _term_at_commit(self):
+        if self.commit < self._base_index:
+            return 0
+        return self._term_at(self.commit)
+
+    async def _admit_learners(self, term):
+        """Replace the identity of a replica that came with a new disk."""
+        while self.role == "leader" and self.term == term:
+            await trio.sleep(ADMISSION_SECONDS)
+            if self._voters_index > self.commit or not self.holds_lease():
+                continue
+            members = self._plan_admission()
+            if members is not None:
+                names = ", ".join(sorted(members))
+                self._recorder.record("log.voters", detail=names)
+                command = wire.Voters(members, time.time())
+                await self._write([_Waiting(command)], term)
+
+    def _plan_admission(self):
+        """Return the next set of voters, or None when nothing is due.
+
+        A new identity first loses the old one's vote and then gets its
+        own, so that any two successive majorities share a voter.
+        """
+        for peer, progress in self._progress.items():
+            if not progress.identity:
+                continue
+            if self.voters.get(peer) == progress.identity:
+                continue
+            if progress.match < self.commit:
+                continue
+            if peer in self.voters:
+                rest = dict(self.voters)
+                del rest[peer]
+                return rest
+            return {**self.voters, peer: progress.identity}
+        return None
+
+    # --- following -------------------------------------------------------
+
+    def _heard_recently(self):
+        if self.role == "leader":
+            return self.holds_lease()
+        silent = trio.current_time() - self._heard_at
+        return silent < self._timing.election_ms * MS
+
+    async def handle_vote(self, request):
+        """Answer a VoteRequest."""
+        async with self._lock:
+            granted = await self._decide_vote(request)
+        return wire.VoteReply(self.term, granted, self._journal.identity)
+
+    async def _decide_vote(self, request):
+        if self._heard_recently() and not request.transfer:
+            return False
+        last_term = self._term_at(self.last_index)
+        theirs = (request.last_term, request.last_index)
+        if theirs < (last_term, self.last_index):
+            return False
+        if request.trial:
+            return request.term > self.term
+        if request.term < self.term:
+            return False
+        await self._adopt_term(request.term)
+        if self._voted_for not in ("", request.candidate):
+            return False
+        if not self._voted_for:
+            await self._save_vote(request.term, request.candidate)
+        return True
+
+    async def handle_append(self, message):
+        """Answer an Append; entries are on disk before it is accepted."""
+        with trio.CancelScope(shield=True):
+            async with self._lock:
+                if message.term < self.term:
+                    return self._reply_append(False, 0)
+                await self._follow(message.term, message.leader)
+                if not self._matches(message):
+                    return self._reply_append(False, self._hint(message))
+                await self._store(message.entries)
+                matched = message.previous_index + len(message.entries)
+                matched = max(matched, self._base_index)
+                self._set_commit(min(message.commit, matched))
+                self._confirmed_at = trio.current_time()
+                return self._reply_append(True, matched)
+
+    def _reply_append(self, accepted, last_index):
+        identity = self._journal.identity
+        return wire.AppendReply(self.term, accepted, last_index, identity)
+
+    async def _follow(self, term, leader):
+        await self._adopt_term(term)
+        self._heard_at = trio.current_time()
+        self.role = "follower" if self.is_voter else "learner"
+        if self.leader != leader:
+            self.leader = leader
+            self._recorder.record("log.follows", peer=leader)
+
+    def _matches(self, message):
+        previous = message.previous_index
+        if previous < self._base_index:
+            return True
+        if previous > self.last_index:
+            return False
+        return self._term_at(previous) == message.previous_term
+
+    def _hint(self, message):
+        """Return the highest index worth trying next."""
+        if message.previous_index > self.last_index:
+            return self.last_index
+        return max(self.commit, message.previous_index - BATCH_ENTRIES)
+
+    async def _store(self, entries):
+        """Write the entries that are new, replacing conflicting ones."""
+        fresh = []
+        for position, entry in enumerate(entries):
+            if entry.index <= self._base_index:
+                continue
+            known = entry.index <= self.last_index
+            if known and self._term_at(entry.index) == entry.term:
+                continue
+            fresh = entries[position:]
+            break
+        if not fresh:
+            return
+        first = fresh[0].index
+        if first <= self.commit:
+            raise errors.StorageError(
+                f"entry {first} conflicts with a committed one; replace "
+                "the data folder",
+                step="store entries",
+                peer=self._name,
+            )
+        await trio.to_thread.run_sync(self._journal.append, fresh)
+        replaced = first <= self.last_index
+        del self._entries[first - self._base_index - 1 :]
+        self._entries.extend(fresh)
+        self._stored_index = self.last_index
+        if replaced:
+            self._find_voters()
+        for entry in fresh:
+            self._note_voters(entry)
+
+    async def handle_snapshot(self, message):
+        """Answer a piece of a Snapshot; install it when it is whole."""
+        with trio.CancelScope(shield=True):
+            async with self._lock:
+                if message.term >= self.term:
+                    await self._follow(message.term, message.leader)
+                    await self._take_piece(message)
+                offset = len(self._incoming)
+                if self._base_index >= message.last_index:
+                    offset = message.total
+                identity = self._journal.identity
+                return wire.SnapshotReply(self.term, offset, identity)
+
+    async def _take_piece(self, message):
+        if message.offset == 0:
+            self._incoming = b""
+        if message.offset == len(self._incoming):
+            self._incoming += message.data
+        if len(self._incoming) < message.total:
+            return
+        checkpoint = journals.decode_checkpoint(self._incoming)
+        self._incoming = b""
+        if checkpoint.index <= self.commit:
+            return
+        await trio.to_thread.run_sync(
+            self._journal.save_checkpoint, checkpoint, []
+        )
+        self._base_index = checkpoint.index
+        self._base_term = checkpoint.term
+        self._base_voters = checkpoint.voters
+        self._snapshot_data = checkpoint.data
+        self._entries = []
+        self._stored_index = checkpoint.index
+        self.state.load(checkpoint.data)
+        self._find_voters()
+        self._set_commit(checkpoint.index)
+        self._announce_applied()
+        detail = f"index {checkpoint.index}"
+        self._recorder.record("log.snapshot_installed", detail=detail)
+
+    # --- applying --------------------------------------------------------
+
+    def _announce_applied(self):
+        self.applied.set()
+        self.applied = trio.Event()
+
+    async def _apply_committed(self):
+        while True:
+            committed = self._committed
+            if self.state.index >= self.commit:
+                await committed.wait()
+                continue
+            while self.state.index < self.commit:
+                self._apply_next()
+            self._announce_applied()
+            if len(self._entries) > 2 * SNAPSHOT_ENTRIES:
+                await self._compact()
+
+    def _apply_next(self):
+        index = self.state.index + 1
+        entry = self._entries[index - self._base_index - 1]
+        outcome = self.state.apply(entry)
+        waiting = self._waiting.pop(index, None)
+        if waiting is not None:
+            waiting.finish(outcome)
+
+    async def _compact(self):
+        """Snapshot the state and drop the entries that it covers."""
+        with trio.CancelScope(shield=True):
+            async with self._lock:
+                index = self.state.index
+                term = self._term_at(index)
+                voters = dict(self._base_voters)
+                covered = index - self._base_index
+                for entry in self._entries[:covered]:
+                    if entry.kind == "voters":
+                        command = wire.decode_command(entry.kind, entry.data)
+                        voters = command.members
+                rest = self._entries[covered:]
+                data = self.state.dump()
+                checkpoint = journals.Checkpoint(index, term, voters, data)
+                await trio.to_thread.run_sync(
+                    self._journal.save_checkpoint, checkpoint, rest
+                )
+                self._base_index, self._base_term = index, term
+                self._base_voters = voters
+                self._snapshot_data = data
+                self._entries = rest
+        self._recorder.record("log.compacted", detail=f"index {index}")
+
+    # --- serving ---------------------------------------------------------
+
+    async def submit(self, command):
+        """Commit a command; return a SubmitReply.
+
+        The reply's code is unknown when leadership was lost meanwhile.
+        """
+        if self.role != "leader":
+            return wire.SubmitReply("not_leader", self.leader, None)
+        known = self._find_known_outcome(command)
+        if known is not None:
+            return wire.SubmitReply("applied", self._name, known)
+        waiting = _Waiting(command)
+        self._pending.append(waiting)
+        self._submitted.set()
+        await waiting.ended.wait()
+        if waiting.outcome is None:
+            return wire.SubmitReply("unknown", self.leader, None)
+        return wire.SubmitReply("applied", self._name, waiting.outcome)
+
+    def _find_known_outcome(self, command):
+        """Return the outcome of a claim that stands already, or None.
+
+        Outcomes of claims only move forward, so the holder of the lease
+        may answer from its state without a new entry.
+        """
+        if not isinstance(command, wire.Claim) or not self.holds_lease():
+            return None
+        record = self.state.claims.get((command.account, command.key))
+        if record is None or record.state == "abandoned":
+            return None
+        if record.attempt == command.attempt:
+            return None
+        return states.describe_claim(
+            record, command.digest, time.time(), self.state.index
+        )
+
+    def read_claim(self, message):
+        """Answer ReadClaim; code not_leader without the lease."""
+        if not self.holds_lease():
+            return wire.Outcome("not_leader", detail=self.leader)
+        record = self.state.claims.get((message.account, message.key))
+        index = self.state.index
+        if record is None:
+            return wire.Outcome("none", index)
+        if record.state == "abandoned":
+            return wire.Outcome("abandoned", index)
+        return states.describe_claim(record, "", time.time(), index)
+
+    async def hand_over(self):
+        """Stop leading and ask the most advanced voter to stand.
+
+        The lease ends here before the other may be elected.
+        """
+        if self.role != "leader":
+            return
+        best = max(
+            (name for name in self.voters if self._is_current(name)),
+            key=lambda name: self._progress[name].match,
+            default="",
+        )
+        async with self._lock:
+            self._step_down("handed over")
+            self._heard_at = trio.current_time()
+        if best:
+            message = wire.StandNow(self.term)
+            wait = self._timing.election_ms * MS
+            try:
+                await self._transport.call(best, message, wait)
+            except errors.UnreachableError as error:
+                logs.log("warning", error.format(), step="hand over")
+
+    async def handle_stand(self, message):
+        """Answer StandNow by an election without waiting."""
+        if message.term == self.term and self.is_voter:
+            await self._stand_for_election(transfer=True)
+        return wire.StandReply(self.term)
+
+    async def confirm_index(self):
+        """Return an index at or above all that was acknowledged; -1 if not.
+
+        Only the holder of the lease knows it without asking others.
+        """
+        if not self.holds_lease():
+            return -1
+        return self.commit
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/requests.py
@@ -0,0 +1,133 @@
+"""Chat requests: parsing, checks, and naming the chat."""
+
+import typing
+
+import expression
+import msgspec
+
+from camphorhook_common import secrets
+from camphorhook_common import wire
+
+_ROLES = ("system", "developer", "user", "assistant", "tool", "function")
+_TYPES_BY_FIELD: dict[str, tuple[type, ...]] = {
+    "stream": (bool, type(None)),
+    "n": (int, type(None)),
+    "max_tokens": (int, type(None)),
+    "max_completion_tokens": (int, type(None)),
+    "temperature": (int, float, type(None)),
+    "top_p": (int, float, type(None)),
+    "user": (str, type(None)),
+    "metadata": (dict, type(None)),
+    "stream_options": (dict, type(None)),
+    "tools": (list, type(None)),
+}
+
+
+class ChatRequest(typing.NamedTuple):
+    """A checked chat-completions request.
+
+    Attributes:
+        fields: the whole JSON object.
+        model: model name.
+        is_stream: whether the answer is to be streamed.
+        wants_usage: whether a streamed answer is to end with usage.
+        chat: what names the chat for placement.
+        digest: of the account and the fields that make the answer.
+    """
+
+    fields: dict
+    model: str
+    is_stream: bool
+    wants_usage: bool
+    chat: str
+    digest: str
+
+    def can_continue(self):
+        """Tell whether a partial answer can be continued elsewhere."""
+        single = self.fields.get("n") in (None, 1)
+        return single and not self.fields.get("tools")
+
+
+def _refuse(message):
+    failure = wire.RequestFailure(400, "invalid_request", message, "not-run")
+    return expression.Error(failure)
+
+
+def _find_fault(fields):
+    """Return what is wrong with a request's fields, or an empty string."""
+    if not isinstance(fields, dict):
+        return "the body must be a JSON object"
+    if not isinstance(fields.get("model"), str) or not fields["model"]:
+        return "field model: give the name of a model as a string"
+    for name, types in _TYPES_BY_FIELD.items():
+        if name in fields and type(fields[name]) not in types:
+            wanted = " or ".join(
+                "null" if one is type(None) else one.__name__ for one in types
+            )
+            return f"field {name}: give {wanted}"
+    for name in ("n", "max_tokens", "max_completion_tokens"):
+        value = fields.get(name)
+        if value is not None and value < 1:
+            return f"field {name}: give a number above 0"
+    return _find_message_fault(fields.get("messages"))
+
+
+def _find_message_fault(messages):
+    if not isinstance(messages, list) or not messages:
+        return "field messages: give a list with at least one message"
+    for position, message in enumerate(messages):
+        where = f"field messages[{position}]"
+        if not isinstance(message, dict):
+            return f"{where}: give an object"
+        if message.get("role") not in _ROLES:
+            return f"{where}.role: give one of " + ", ".join(_ROLES)
+        content = message.get("content")
+        if not isinstance(content, (str, list, type(None))):
+            return f"{where}.content: give a string or a list of parts"
+    return ""
+
+
+def parse_chat(
+    body, account, named_chat
+) -> expression.Result[ChatRequest, wire.RequestFailure]:
+    """Check a request body.
+
+    Args:
+        body: the request's body.
+        account: the client account.
+        named_chat: the chat as the caller named it; may be empty.
+    """
+    try:
+        fields = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return _refuse(f"the body is not JSON: {error}")
+    fault = _find_fault(fields)
+    if fault:
+        return _refuse(fault)
+    options = fields.get("stream_options") or {}
+    request = ChatRequest(
+        fields,
+        fields["model"],
+        bool(fields.get("stream")),
+        bool(options.get("include_usage")),
+        f"{account}/{named_chat or _name_chat(fields)}",
+        secrets.digest_body(account.encode() + b"\0" + body),
+    )
+    return expression.Ok(request)
+
+
+def _name_chat(fields):
+    """Name a chat that the caller did not name, by how it opens.
+
+    The messages up to the first of the user stay the same each time the
+    chat returns, and are what an engine's prefix cache holds.
+    """
+    metadata = fields.get("metadata") or {}
+    if isinstance(metadata.get("chat_id"), str):
+        return metadata["chat_id"]
+    opening = []
+    for message in fields["messages"]:
+        opening.append(message)
+        if message["role"] == "user":
+            break
+    return secrets.digest_body(msgspec.json.encode(opening))
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -0,0 +1,391 @@
+"""Requests to plain services: repeatable ones, and those run at most once.
+
+A request of a route whose `repeatable` cell is no is claimed by its
+idempotency key on a quorum of disks before its first byte leaves. Then
+there is one attempt. Its outcome is recorded and given to whoever asks
+again with the same key.
+"""
+
+import time
+import typing
+import uuid
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import secrets
+from camphorhook_common import wire
+from camphorhook_daemon.domain import dispatcher as dispatchers
+from camphorhook_daemon.ports import upstreams as ports
+
+CLAIM_SECONDS = 4.0
+SETTLE_SECONDS = 30.0
+SETTLE_IN_LINE_SECONDS = 3.0
+RESEND_WAIT_SECONDS = 5.0
+RESEND_POLL_SECONDS = 0.25
+MOST_ATTEMPTS = 3
+AVOID_SECONDS = 2.0
+RETRIABLE = (502, 503, 504)
+SAFE_METHODS = ("GET", "HEAD")
+LARGEST_RECORDED_BYTES = 1024 * 1024
+HOUR = 3600.0
+
+
+class ServiceRequest(typing.NamedTuple):
+    """A request for a plain service.
+
+    Attributes:
+        request: its id.
+        account: client account.
+        row: the account's row.
+        service: name of the service.
+        method: HTTP method.
+        path: path below the service, with its query.
+        headers: headers to pass on.
+        body: the whole body.
+        key: idempotency key; may be empty.
+    """
+
+    request: str
+    account: str
+    row: dict
+    service: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    key: str
+
+
+class Served(typing.NamedTuple):
+    """An upstream's answer and how it came about.
+
+    Attributes:
+        answer: the ports.Answer.
+        disposition: run.
+        replayed: it is the recorded answer of an earlier request.
+        upstream: who answered; empty when replayed.
+    """
+
+    answer: ports.Answer
+    disposition: str
+    replayed: bool
+    upstream: str
+
+
+def find_route(configuration, service, method, path):
+    """Return the row of the route with the longest matching prefix."""
+    best = None
+    for _, cells in configuration.list_rows("routes").values():
+        if cells["service"] != service:
+            continue
+        if cells["method"] not in ("ANY", method):
+            continue
+        if not path.startswith(cells["path_prefix"]):
+            continue
+        longer = best is None or len(cells["path_prefix"]) > len(
+            best["path_prefix"]
+        )
+        if longer:
+            best = cells
+    return best
+
+
+class ServiceRunner:
+    """Runs requests on plain services."""
+
+    def __init__(self, parts):
+        """Create a runner from the composition's parts."""
+        self._parts = parts
+
+    async def run(self, request):
+        """Return a Served or a wire.RequestFailure."""
+        route = find_route(
+            self._parts.configuration,
+            request.service,
+            request.method,
+            request.path,
+        )
+        if route is None:
+            return wire.RequestFailure(
+                404,
+                "no_route",
+                f"no route for {request.method} {request.path} of service "
+                f"{request.service}; an operator can add one",
+                "not-run",
+            )
+        if route["repeatable"] == "yes":
+            return await self._run_repeatable(request)
+        if not request.key:
+            return wire.RequestFailure(
+                400,
+                "idempotency_key_missing",
+                "this request runs at most once: send an Idempotency-Key "
+                "header, the same one each time you send it again",
+                "not-run",
+            )
+        return await self._run_once(request, route)
+
+    def _make_demand(self, request, excluded):
+        return dispatchers.Demand(
+            request.request,
+            request.account,
+            request.row["weight"],
+            request.row["priority"],
+            request.service,
+            "",
+            request.request,
+            _digest(request),
+            frozenset(excluded),
+        )
+
+    def _make_call(self, request, alone):
+        row = self._parts.configuration.get_or_default(
+            "services", request.service
+        )
+        headers = [*request.headers, ("x-request-id", request.request)]
+        if request.key:
+            headers.append(("idempotency-key", request.key))
+        return ports.Call(
+            request.method,
+            request.path,
+            headers,
+            request.body,
+            row["attempt_seconds"],
+            alone,
+        )
+
+    # --- repeatable requests ---------------------------------------------
+
+    async def _run_repeatable(self, request):
+        excluded = set()
+        sent = False
+        message = "no upstream answered"
+        for attempt in range(1, MOST_ATTEMPTS + 1):
+            demand = self._make_demand(request, excluded)
+            result = await self._parts.dispatcher.place(demand)
+            if result.is_error():
+                return _describe_busy(result.error, sent)
+            place = result.ok
+            self._record("service.placed", request, place)
+            answer = None
+            try:
+                call = self._make_call(request, alone=False)
+                answer = await self._parts.upstreams.fetch(place.record, call)
+                sent = True
+            except ports.AttemptError as error:
+                sent = sent or error.sent
+                message = error.format()
+                self._note_failure(request, place, error)
+            finally:
+                done = answer is not None
+                await self._parts.dispatcher.release(place, done)
+            excluded.add(place.record.name)
+            if answer is not None and answer.status not in RETRIABLE:
+                return Served(answer, "run", False, place.record.name)
+            if attempt > 1 and not self._parts.retries.spend(request.service):
+                break
+            if answer is not None:
+                message = f"status {answer.status} from {place.record.name}"
+        disposition = "maybe-run" if sent else "not-run"
+        return wire.RequestFailure(
+            502, "upstream_failed", message, disposition, 1
+        )
+
+    def _record(self, event, request, place):
+        self._parts.recorder.record(
+            event,
+            request=request.request,
+            operation=request.key,
+            peer=place.record.name,
+        )
+
+    def _note_failure(self, request, place, error):
+        logs.log(
+            "warning",
+            error.message,
+            request=request.request,
+            operation=request.key,
+            step=error.step,
+            peer=error.peer,
+        )
+        if not error.sent or error.broken:
+            self._parts.dispatcher.avoid(place.record.name, AVOID_SECONDS)
+
+    # --- requests that run at most once ----------------------------------
+
+    async def _run_once(self, request, route):
+        row = self._parts.configuration.get_or_default(
+            "services", request.service
+        )
+        claim = wire.Claim(
+            request.account,
+            request.key,
+            _digest(request),
+            f"{request.request}-{uuid.uuid4().hex[:8]}",
+            self._parts.settings.name,
+            route["retention_hours"] * HOUR,
+            row["queue_seconds"] + row["attempt_seconds"] + CLAIM_SECONDS,
+            time.time(),
+        )
+        waited_until = trio.current_time() + RESEND_WAIT_SECONDS
+        while True:
+            try:
+                outcome = await self._parts.submitter.submit(
+                    claim, CLAIM_SECONDS
+                )
+            except errors.UnreachableError as error:
+                self._abandon(claim)
+                return wire.RequestFailure(
+                    503,
+                    "no_quorum",
+                    f"the request could not be claimed ({error.message}); "
+                    "send it again with the same key",
+                    "not-run",
+                    2.0,
+                )
+            if outcome.code != "running":
+                break
+            if trio.current_time() > waited_until:
+                break
+            await trio.sleep(RESEND_POLL_SECONDS)
+        return await self._act_on_claim(request, claim, outcome)
+
+    async def _act_on_claim(self, request, claim, outcome):
+        if outcome.code == "done":
+            self._parts.recorder.record(
+                "booking.claimed",
+                request=request.request,
+                operation=request.key,
+                detail=f"index {outcome.index}",
+            )
+            return await self._attempt_once(request, claim)
+        if outcome.code == "replay":
+            answer = ports.Answer(
+                outcome.status, outcome.content_type, [], outcome.body
+            )
+            return Served(answer, "run", True, "")
+        if outcome.code == "mismatch":
+            return wire.RequestFailure(
+                422,
+                "idempotency_key_reused",
+                "this key was used with another request; use a new key",
+                "not-run",
+            )
+        return describe_open_claim(request.key, outcome.code)
+
+    async def _attempt_once(self, request, claim):
+        """Make the only attempt; upstreams that refuse the connection got
+        no byte of it, so that the next one may be tried."""
+        excluded = set()
+        while True:
+            demand = self._make_demand(request, excluded)
+            result = await self._parts.dispatcher.place(demand)
+            if result.is_error():
+                await self._settle(claim, "abandoned")
+                return _describe_busy(result.error, sent=False)
+            place = result.ok
+            self._record("booking.attempt", request, place)
+            answer = None
+            error = None
+            sent = True
+            try:
+                call = self._make_call(request, alone=True)
+                answer = await self._parts.upstreams.fetch(place.record, call)
+            except ports.AttemptError as caught:
+                error = caught
+                sent = caught.sent
+                self._note_failure(request, place, caught)
+            finally:
+                with trio.CancelScope(shield=True):
+                    if answer is not None:
+                        await self._settle(claim, "finished", answer)
+                    elif sent:
+                        await self._settle(claim, "unknown")
+                    done = answer is not None
+                    await self._parts.dispatcher.release(place, done)
+            if answer is not None:
+                self._record("booking.finished", request, place)
+                return Served(answer, "run", False, place.record.name)
+            if sent:
+                self._record("booking.unknown", request, place)
+                return describe_open_claim(request.key, "unknown", error)
+            excluded.add(place.record.name)
+
+    async def _settle(self, claim, state, answer=None):
+        """Record an outcome; goes on in the background if it takes long."""
+        message = wire.Settle(
+            claim.account,
+            claim.key,
+            claim.attempt,
+            state,
+            answer.status if answer else 0,
+            answer.content_type if answer else "",
+            answer.body[:LARGEST_RECORDED_BYTES] if answer else b"",
+            time.time(),
+        )
+        try:
+            await self._parts.submitter.submit(message, SETTLE_IN_LINE_SECONDS)
+        except errors.UnreachableError:
+            self._parts.nursery.start_soon(self._settle_later, message)
+
+    async def _settle_later(self, message):
+        for _ in range(int(10 * HOUR / SETTLE_SECONDS)):
+            try:
+                await self._parts.submitter.submit(message, SETTLE_SECONDS)
+                return
+            except errors.UnreachableError as error:
+                logs.log(
+                    "warning",
+                    error.message,
+                    operation=message.key,
+                    step="settle",
+                )
+                await trio.sleep(RESEND_POLL_SECONDS)
+
+    def _abandon(self, claim):
+        """Release a claim that may have been committed unheard."""
+        message = wire.Settle(
+            claim.account,
+            claim.key,
+            claim.attempt,
+            "abandoned",
+            0,
+            "",
+            b"",
+            time.time(),
+        )
+        self._parts.nursery.start_soon(self._settle_later, message)
+
+
+def describe_open_claim(key, code, error=None):
+    """Return the Failure for a claim without a known outcome."""
+    if code == "running":
+        message = "the first request with this key is still running"
+    else:
+        reason = f" ({error.format()})" if error else ""
+        message = (
+            "the only attempt of this request ended without a known "
+            f"outcome{reason}; ask /v1/operations/{key} or the service"
+        )
+    status = 409 if code == "running" else 504
+    return wire.RequestFailure(
+        status, f"claim_{code}", message, "maybe-run", 2.0
+    )
+
+
+def _digest(request):
+    head = f"{request.account}\0{request.method}\0{request.path}\0"
+    return secrets.digest_body(head.encode() + request.body)
+
+
+def _describe_busy(busy, sent):
+    disposition = "maybe-run" if sent else "not-run"
+    return wire.RequestFailure(
+        503,
+        busy.reason,
+        f"no upstream has room ({busy.reason}); try again later",
+        disposition,
+        busy.retry_after,
+    )
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -0,0 +1,315 @@
+"""The replicated state: operators' tables, claims and remembered outcomes.
+
+`apply` is deterministic: it reads no clock; time is that of the commands.
+"""
+
+import collections
+import functools
+import heapq
+import typing
+
+import msgspec
+
+from camphorhook_common import tables
+from camphorhook_common import wire
+
+KEPT_CHANGES = 4096
+KEPT_OPERATIONS = 100000
+OPERATION_RETENTION_SECONDS = 24 * 3600
+ABANDONED_SECONDS = 3600.0
+ANY_VERSION = -1
+
+
+class StoredRow(typing.NamedTuple):
+    """A row with its version, which is the index of its last change."""
+
+    version: int
+    cells: tables.Row
+
+
+class ClaimRecord(typing.NamedTuple):
+    """A claimed request and, once settled, its outcome.
+
+    Attributes:
+        state: running, finished, unknown or abandoned.
+        overdue_at: seconds since the epoch from which a running attempt
+            counts as one with an unknown outcome.
+        expires: seconds since the epoch at which it is forgotten.
+    """
+
+    digest: str
+    attempt: str
+    instance: str
+    state: str
+    overdue_at: float
+    expires: float
+    status: int
+    content_type: str
+    body: bytes
+
+
+class StoredOperation(typing.NamedTuple):
+    """The remembered outcome of an operator's call."""
+
+    outcome: wire.Outcome
+    at: float
+
+
+class _Dump(typing.NamedTuple):
+    """Everything that a snapshot holds."""
+
+    index: int
+    time: float
+    tables: dict[str, dict[str, StoredRow]]
+    operations: dict[str, StoredOperation]
+    claims: list[tuple[str, str, ClaimRecord]]
+
+
+class State:
+    """The state machine of the replicated log.
+
+    Attributes:
+        index: index of the last applied entry.
+        time: highest time of an applied command.
+        tables: rows by table and name.
+        claims: ClaimRecord by (account, key).
+    """
+
+    def __init__(self):
+        self.index = 0
+        self.time = 0.0
+        self.tables = collections.defaultdict(dict)
+        self.operations = collections.OrderedDict()
+        self.claims = {}
+        self._expiries = []
+        self._changes = collections.deque(maxlen=KEPT_CHANGES)
+        self._changes_from = 0
+
+    def apply(self, entry):
+        """Apply an entry of the log and return its Outcome."""
+        command = wire.decode_command(entry.kind, entry.data)
+        self.index = entry.index
+        self.time = max(self.time, command.at)
+        self._expire_claims()
+        return _apply_command(command, self)
+
+    def _expire_claims(self):
+        while self._expiries and self._expiries[0][0] <= self.time:
+            _, account, key = heapq.heappop(self._expiries)
+            record = self.claims.get((account, key))
+            if record is not None and record.expires <= self.time:
+                del self.claims[account, key]
+
+    def put_claim(self, account, key, record):
+        """Store a claim and remember when it expires."""
+        self.claims[account, key] = record
+        heapq.heappush(self._expiries, (record.expires, account, key))
+
+    def put_row(self, table, row, cells):
+        """Store a row's cells (None removes it); return the new version."""
+        if cells is None:
+            self.tables[table].pop(row, None)
+        else:
+            self.tables[table][row] = StoredRow(self.index, cells)
+        change = wire.Change(table, row, self.index, cells)
+        if len(self._changes) == KEPT_CHANGES:
+            self._changes_from = self._changes[0].version
+        self._changes.append(change)
+        return self.index
+
+    def remember(self, operation, outcome):
+        """Remember an operation's outcome and forget the oldest ones."""
+        self.operations[operation] = StoredOperation(outcome, self.time)
+        while self.operations:
+            oldest = next(iter(self.operations.values()))
+            age = self.time - oldest.at
+            if (
+                len(self.operations) <= KEPT_OPERATIONS
+                and age < OPERATION_RETENTION_SECONDS
+            ):
+                break
+            self.operations.popitem(last=False)
+
+    def list_changes(self, after):
+        """Return (whole, changes) that lead from index `after` to now.
+
+        Args:
+            after: an index; -1 or one too old gives the whole tables.
+        """
+        if after < self._changes_from:
+            return True, [
+                wire.Change(table, name, row.version, row.cells)
+                for table, rows in self.tables.items()
+                for name, row in rows.items()
+            ]
+        newer = []
+        for change in reversed(self._changes):
+            if change.version <= after:
+                break
+            newer.append(change)
+        newer.reverse()
+        return False, newer
+
+    def dump(self):
+        """Return the whole state as bytes."""
+        claims = [
+            (account, key, record)
+            for (account, key), record in self.claims.items()
+        ]
+        whole = _Dump(
+            self.index,
+            self.time,
+            dict(self.tables),
+            dict(self.operations),
+            claims,
+        )
+        return msgspec.msgpack.encode(whole)
+
+    def load(self, data):
+        """Replace the whole state by dumped bytes."""
+        whole = msgspec.msgpack.decode(data, type=_Dump)
+        self.index = whole.index
+        self.time = whole.time
+        self.tables = collections.defaultdict(dict, whole.tables)
+        self.operations = collections.OrderedDict(whole.operations)
+        self.claims = {}
+        self._expiries = []
+        self._changes.clear()
+        self._changes_from = whole.index
+        for account, key, record in whole.claims:
+            self.put_claim(account, key, record)
+
+
+@functools.singledispatch
+def _apply_command(command, state):
+    raise TypeError(type(command))
+
+
+def _change_row(command, state, cells):
+    """Apply a row change under compare-and-set and remember its outcome."""
+    known = state.operations.get(command.operation)
+    if known is not None:
+        return known.outcome
+    stored = state.tables[command.table].get(command.row)
+    exists = stored is not None
+    version = stored.version if exists else 0
+    if command.expected not in (ANY_VERSION, version):
+        detail = f"row {command.row} is at version {version}"
+        outcome = wire.Outcome("conflict", state.index, version, detail)
+    elif cells is None and not exists:
+        detail = f"row {command.row} does not exist"
+        outcome = wire.Outcome("refused", state.index, 0, detail)
+    else:
+        if cells is not None and exists:
+            cells = {**stored.cells, **cells}
+        version = state.put_row(command.table, command.row, cells)
+        outcome = wire.Outcome("done", state.index, version)
+    state.remember(command.operation, outcome)
+    return outcome
+
+
+@_apply_command.register
+def _(command: wire.SetCells, state):
+    return _change_row(command, state, command.cells)
+
+
+@_apply_command.register
+def _(command: wire.RemoveRow, state):
+    return _change_row(command, state, None)
+
+
+@_apply_command.register
+def _(command: wire.Claim, state):
+    record = state.claims.get((command.account, command.key))
+    if record is not None and record.state == "abandoned":
+        if record.attempt == command.attempt:
+            return wire.Outcome("abandoned", state.index)
+        record = None
+    if record is None:
+        record = ClaimRecord(
+            command.digest,
+            command.attempt,
+            command.instance,
+            "running",
+            command.at + command.patience,
+            command.at + command.retention,
+            0,
+            "",
+            b"",
+        )
+        state.put_claim(command.account, command.key, record)
+        return wire.Outcome("done", state.index)
+    if record.attempt == command.attempt and record.state == "running":
+        return wire.Outcome("done", state.index)
+    return describe_claim(record, command.digest, state.time, state.index)
+
+
+def describe_claim(record, digest, now, index):
+    """Return the Outcome that tells a resend what became of the first.
+
+    Args:
+        record: the ClaimRecord; not an abandoned one.
+        digest: of the request that asks; empty when only the key is known.
+        now: seconds since the epoch.
+        index: index of the state.
+    """
+    if digest and record.digest != digest:
+        return wire.Outcome("mismatch", index)
+    if record.state == "finished":
+        return wire.Outcome(
+            "replay",
+            index,
+            status=record.status,
+            content_type=record.content_type,
+            body=record.body,
+        )
+    code = record.state
+    if code == "running" and now > record.overdue_at:
+        code = "unknown"
+    return wire.Outcome(code, index, detail=record.instance)
+
+
+@_apply_command.register
+def _(command: wire.Settle, state):
+    record = state.claims.get((command.account, command.key))
+    if record is None and command.state == "abandoned":
+        # The claim itself may still be on its way; this bars it.
+        record = ClaimRecord(
+            "",
+            command.attempt,
+            "",
+            "running",
+            command.at,
+            command.at + ABANDONED_SECONDS,
+            0,
+            "",
+            b"",
+        )
+        state.put_claim(command.account, command.key, record)
+    if record is None or record.attempt != command.attempt:
+        return wire.Outcome("refused", state.index, detail="no such attempt")
+    if record.state in ("finished", "abandoned"):
+        return wire.Outcome("done", state.index)
+    settled = record._replace(
+        state=command.state,
+        status=command.status,
+        content_type=command.content_type,
+        body=command.body,
+    )
+    state.claims[command.account, command.key] = settled
+    return wire.Outcome("done", state.index)
+
+
+@_apply_command.register
+def _(command: wire.TakeFence, state):
+    return wire.Outcome("done", state.index)
+
+
+@_apply_command.register
+def _(command: wire.Voters, state):
+    return wire.Outcome("done", state.index)
+
+
+@_apply_command.register
+def _(command: wire.Begin, state):
+    return wire.Outcome("done", state.index)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between decisions and the outside."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, stand-ins for outside systems, and the test harness."""
--- /dev/null
+++ b/tests/features/environment.py
@@ -0,0 +1,95 @@
+"""Starts one fleet for each feature and mends it after each scenario."""
+
+import os
+import pathlib
+
+from tests.harness import fleet as fleets
+from tests.harness import plans
+
+BASE_PORT = 20000
+SLOT_PORTS = 700
+TIMING = {"heartbeat_ms": 200, "election_ms": 1000, "exchange_ms": 300}
+
+
+def make_plan(slot):
+    """Return the plan of the test fleet: 6 instances, 9 upstreams."""
+    base = BASE_PORT + slot * SLOT_PORTS
+    instances = []
+    upstreams = []
+    for number, letter in enumerate("abc"):
+        domain = f"zone-{letter}"
+        for place in (1, 2):
+            roles = "entry, replica" if place == 1 else "entry"
+            port = base + 4 * len(instances)
+            instances.append(
+                plans.InstancePlan(f"{letter}{place}", domain, roles, port)
+            )
+        for place in (1, 2):
+            upstreams.append(
+                plans.UpstreamPlan(
+                    f"engine-{letter}{place}",
+                    domain,
+                    "stringmind",
+                    "stringmind",
+                    base + 100 + 10 * number + place,
+                )
+            )
+        upstreams.append(
+            plans.UpstreamPlan(
+                f"desk-{letter}", domain, "desk", "", base + 150 + number
+            )
+        )
+    return plans.FleetPlan(
+        f"test-{slot}",
+        tuple(instances),
+        tuple(upstreams),
+        "chk-test-account",
+        "chk-test-operator",
+        base + 300,
+    )
+
+
+def before_all(context):
+    """Choose ports by the slot that the runner gave."""
+    context.slot = int(os.environ.get("CAMPHORHOOK_TEST_SLOT", "0"))
+
+
+def before_feature(context, feature):
+    """Start the fleet, unless the feature needs none."""
+    context.fleet = None
+    context.folder = pathlib.Path("run", f"test-{context.slot}").resolve()
+    context.folder.mkdir(parents=True, exist_ok=True)
+    if "no_fleet" in feature.tags:
+        return
+    plan = make_plan(context.slot)
+    extra = {"timing": TIMING, "limits": {"detached_seconds": 6}}
+    context.fleet = fleets.Fleet(
+        plan, context.folder, proxied=True, extra=extra
+    )
+    context.engine_options = []
+    try:
+        context.fleet.start_instances()
+        context.fleet.wait_ready()
+        context.fleet.load_tables("tests/features/tables")
+        context.fleet.start_upstreams()
+        context.fleet.wait_upstreams()
+    except BaseException:
+        context.fleet.close()
+        raise
+
+
+def before_scenario(context, scenario):
+    """Forget answers of earlier scenarios."""
+    context.replies = []
+
+
+def after_scenario(context, scenario):
+    """Heal all faults and start again what was ended."""
+    if context.fleet is not None:
+        context.fleet.restore()
+
+
+def after_feature(context, feature):
+    """End all processes."""
+    if context.fleet is not None:
+        context.fleet.close()
--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts fleets of real processes for tests and demonstrations."""
--- /dev/null
+++ b/tests/harness/fleet.py
@@ -0,0 +1,271 @@
+"""A fleet of real processes: instances, stand-ins and the fault proxy."""
+
+import json
+import pathlib
+import shutil
+import signal
+import socket
+
+import httpcore
+
+from camphorhook import core
+from camphorhook import csvfiles
+from camphorhook import keys
+from camphorhook_common import secrets
+from tests.harness import callers
+from tests.harness import plans
+from tests.harness import processes
+
+READY_SECONDS = 30.0
+TABLES = ("client_accounts", "services", "routes", "failure_domains")
+
+
+class Fleet:
+    """Starts and ends the processes of a FleetPlan.
+
+    Attributes:
+        plan: the FleetPlan.
+        folder: folder of settings, keys, data, logs and time lines.
+        processes: Process by name.
+    """
+
+    def __init__(
+        self, plan, folder, *, settings_folder=None, proxied=False, extra=None
+    ):
+        """Create a fleet; nothing runs yet.
+
+        Args:
+            plan: the FleetPlan.
+            folder: an own folder; emptied first.
+            settings_folder: folder of written settings files; None writes
+                them into `folder`.
+            proxied: put the fault proxy between instances, and before
+                upstreams.
+            extra: further options for the settings of all instances.
+        """
+        self.plan = plan
+        self.folder = pathlib.Path(folder).resolve()
+        self.processes = {}
+        self._arguments = {}
+        self._links = plans.plan_links(plan) if proxied else None
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        self.settings_folder = pathlib.Path(settings_folder or self.folder)
+        if settings_folder is None:
+            plans.write_settings(plan, self.folder, ".", self._links, extra)
+        names = [one.name for one in plan.instances]
+        keys.make_instance_keys(self.folder / "keys", names)
+        hashed = secrets.hash_key(plan.operator_key)
+        (self.folder / "operators").write_text(f"operator {hashed}\n")
+        servers = [one.operators for one in plan.instances]
+        self.client = core.Client(servers, plan.operator_key)
+
+    # --- processes -------------------------------------------------------
+
+    def _start(self, name, arguments):
+        path = self.folder / f"{name}.log"
+        process = processes.Process(name, arguments, path)
+        self.processes[name] = process
+        self._arguments[name] = [one for one in arguments if one != "--found"]
+        return process
+
+    def start_instance(self, name, *, found=False):
+        """Start an instance."""
+        path = self.settings_folder / f"{name}.ini"
+        options = ["--config", path] + (["--found"] if found else [])
+        arguments = processes.run_program("camphorhookd", *options)
+        return self._start(name, arguments)
+
+    def start_instances(self):
+        """Found the fleet: start every instance for the first time."""
+        if self._links:
+            self._start_proxy()
+        for instance in self.plan.instances:
+            self.start_instance(instance.name, found=True)
+
+    def _start_proxy(self):
+        path = self.folder / "links.json"
+        path.write_text(json.dumps(self._links))
+        options = ("--control", self.plan.proxy_port, "--links", path)
+        self._start(
+            "proxy", processes.run_module("tests.standins.proxy", *options)
+        )
+        processes.wait_until(self._is_proxy_up, what="proxy")
+
+    def _is_proxy_up(self):
+        try:
+            self._connect_proxy().close()
+        except OSError:
+            return False
+        return True
+
+    def _connect_proxy(self):
+        address = ("127.0.0.1", self.plan.proxy_port)
+        return socket.create_connection(address, 5.0)
+
+    def start_upstream(self, name, *options):
+        """Start a stand-in upstream with further options."""
+        plan = next(one for one in self.plan.upstreams if one.name == name)
+        announce = ",".join(
+            instance.upstreams
+            for instance in self.plan.list_in_domain(plan.failure_domain)
+        )
+        common = ["--name", name, "--domain", plan.failure_domain]
+        common += ["--service", plan.service, "--port", plan.port]
+        common += ["--announce", announce]
+        if plan.models:
+            module = "tests.standins.engine"
+            common += ["--models", plan.models]
+            common += ["--log", self.folder / f"{name}.requests"]
+        else:
+            module = "tests.standins.service"
+            common += ["--effects", self.folder / "effects"]
+        arguments = processes.run_module(module, *common, *options)
+        return self._start(name, arguments)
+
+    def start_upstreams(self, *options):
+        """Start every stand-in upstream; options go to engines."""
+        for upstream in self.plan.upstreams:
+            given = options if upstream.models else ()
+            self.start_upstream(upstream.name, *given)
+
+    def kill(self, name):
+        """End a process at once."""
+        self.processes[name].kill()
+
+    def freeze(self, name):
+        """Stop a process where it is."""
+        self.processes[name].send(signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a stopped process go on."""
+        self.processes[name].send(signal.SIGCONT)
+
+    def start_again(self, name):
+        """Start an ended process with the arguments that it had."""
+        return self._start(name, self._arguments[name])
+
+    def restore(self):
+        """Heal all faults and start again what was ended."""
+        if self._links:
+            self.set_fault(self._links, "none")
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+        for name, process in list(self.processes.items()):
+            if not process.is_running():
+                self.start_again(name)
+        self.wait_ready()
+        self.wait_upstreams()
+
+    def close(self):
+        """End every process that this fleet started."""
+        for process in self.processes.values():
+            process.send(signal.SIGCONT)
+            process.kill()
+
+    # --- waiting ---------------------------------------------------------
+
+    def read_state(self, name):
+        """Return what an instance's readiness probe says; empty if none."""
+        address = self.plan.find_instance(name).callers
+        try:
+            return callers.send("GET", address, "/readyz").json()["status"]
+        except (OSError, httpcore.NetworkError, httpcore.TimeoutException):
+            return ""
+        except httpcore.ProtocolError:
+            return ""
+
+    def wait_ready(self, *names):
+        """Wait until instances are ready; all of them if none is named."""
+        names = names or [one.name for one in self.plan.instances]
+        for name in names:
+            processes.wait_until(
+                lambda name=name: self.read_state(name) == "ready",
+                READY_SECONDS,
+                f"{name} ready",
+            )
+
+    def wait_upstreams(self, count=None, names=None):
+        """Wait until instances hear so many upstreams."""
+        count = len(self.plan.upstreams) if count is None else count
+        names = names or [one.name for one in self.plan.instances]
+        for name in names:
+            processes.wait_until(
+                lambda name=name: len(self.list_heard(name)) == count,
+                READY_SECONDS,
+                f"{name} hears {count} upstreams",
+            )
+
+    def make_client(self, name):
+        """Return a client of one instance's operators' interface."""
+        address = self.plan.find_instance(name).operators
+        return core.Client([address], self.plan.operator_key)
+
+    def list_heard(self, name):
+        """Return names of upstreams that an instance hears as live."""
+        rows = self.make_client(name).read("/upstreams")["upstreams"]
+        return [
+            row["name"]
+            for row in rows
+            if row["heard"] and row["state"] == "live"
+        ]
+
+    def read_status(self):
+        """Return {instance: status row} as operators see it."""
+        rows = self.client.read("/status")["instances"]
+        return {row["name"]: row for row in rows}
+
+    def find_leader(self):
+        """Return the name of the log's leader; empty if there is none."""
+        leaders = [
+            (row.get("term", 0), name)
+            for name, row in self.read_status().items()
+            if row.get("log_role") == "leader"
+        ]
+        return max(leaders, default=(0, ""))[1]
+
+    # --- set-up and faults -----------------------------------------------
+
+    def load_tables(self, folder):
+        """Import the CSV files of a folder."""
+        for table in TABLES:
+            path = pathlib.Path(folder) / f"{table}.csv"
+            for row, cells in csvfiles.load(table, path).items():
+                self.client.change_row(table, row, cells)
+        index = self.client.read_table(TABLES[-1])["index"]
+        processes.wait_until(
+            lambda: self._all_in_force(index), what="tables in force"
+        )
+
+    def _all_in_force(self, index):
+        rows = self.read_status().values()
+        return all(row.get("index", -1) >= index for row in rows)
+
+    def set_fault(self, links, fault, **options):
+        """Put a fault in force on links of the proxy.
+
+        Args:
+            links: names of links, such as "a1>b1" or "up:NAME".
+            fault: see tests.standins.proxy.
+            **options: delay_ms, drop.
+        """
+        order = {"links": list(links), "fault": fault, **options}
+        with self._connect_proxy() as connection:
+            connection.sendall(json.dumps(order).encode() + b"\n")
+            connection.recv(16)
+
+    def list_links_between(self, first, second):
+        """Return links between two sets of instances, both directions."""
+        links = []
+        for one in first:
+            for other in second:
+                if one != other:
+                    links += [f"{one}>{other}", f"{other}>{one}"]
+        return links
+
+    def read_effects(self):
+        """Return the effects that the plain services had."""
+        path = self.folder / "effects"
+        if not path.exists():
+            return []
+        return [json.loads(line) for line in path.read_text().splitlines()]
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that camphorhook meets."""
--- /dev/null
+++ b/tests/standins/announcing.py
@@ -0,0 +1,79 @@
+"""Announces a stand-in upstream to entry instances."""
+
+import collections
+
+import httpcore
+import msgspec
+import trio
+
+ANNOUNCE_SECONDS = 1.0
+TTL_MS = 6000
+CALL_SECONDS = 1.0
+
+
+class Announcer:
+    """Posts announcements with a load that lags behind the truth."""
+
+    def __init__(self, fields, instances, measure, lag_seconds):
+        """Create an announcer.
+
+        Args:
+            fields: the constant fields of the announcement.
+            instances: `ADDRESS:PORT` of upstreams ports.
+            measure: function that returns requests in flight.
+            lag_seconds: age of the load that is reported.
+        """
+        self._fields = fields
+        self._instances = instances
+        self._measure = measure
+        self._lag = lag_seconds
+        self._history = collections.deque([(0.0, 0)])
+        self._sequence = 0
+        self._pool = httpcore.AsyncConnectionPool()
+        self.state = "live"
+
+    def _read_lagged(self):
+        now = trio.current_time()
+        self._history.append((now, self._measure()))
+        while len(self._history) > 1 and self._history[1][0] <= (
+            now - self._lag
+        ):
+            self._history.popleft()
+        return self._history[0][1]
+
+    async def run(self):
+        """Announce until cancelled."""
+        while True:
+            await self.announce()
+            await trio.sleep(ANNOUNCE_SECONDS)
+
+    async def announce(self):
+        """Announce once to every instance."""
+        self._sequence += 1
+        body = msgspec.json.encode(
+            {
+                **self._fields,
+                "sequence": self._sequence,
+                "ttl_ms": TTL_MS,
+                "state": self.state,
+                "active": self._read_lagged(),
+            }
+        )
+        async with trio.open_nursery() as nursery:
+            for instance in self._instances:
+                nursery.start_soon(self._post, instance, body)
+
+    async def _post(self, instance, body):
+        timeout = {"connect": CALL_SECONDS, "read": CALL_SECONDS}
+        try:
+            await self._pool.request(
+                "POST",
+                f"http://{instance}/announcements",
+                headers={"content-type": "application/json"},
+                content=body,
+                extensions={"timeout": timeout},
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            return
+        except httpcore.ProtocolError:
+            return
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,89 @@
+"""Helpers for stand-ins that serve HTTP."""
+
+import signal
+
+import hypercorn.config
+import hypercorn.trio
+import msgspec
+import trio
+
+
+async def read_body(receive):
+    """Return a request's body, or None when the caller left."""
+    body = b""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        body += message.get("body", b"")
+        if not message.get("more_body"):
+            return body
+
+
+async def send_head(send, status, content_type):
+    """Send status and content type."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [(b"content-type", content_type.encode())],
+        }
+    )
+
+
+async def send_json(send, status, value):
+    """Send a value as JSON."""
+    await send_head(send, status, "application/json")
+    body = msgspec.json.encode(value)
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_piece(send, body, more):
+    """Send a piece of a body."""
+    await send({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def serve(app, port, tasks, leave):
+    """Serve an application and run tasks until SIGTERM.
+
+    Args:
+        app: ASGI application.
+        port: TCP port on the loopback address.
+        tasks: async functions to run beside it.
+        leave: async function to run on SIGTERM before the end.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [f"127.0.0.1:{port}"]
+    config.backlog = 512
+    config.errorlog = None
+    config.graceful_timeout = 30.0
+    stopped = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(_serve_until, app, config, stopped)
+        for task in tasks:
+            nursery.start_soon(task)
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                break
+        await leave()
+        stopped.set()
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+
+
+async def _serve_until(app, config, stopped, task_status):
+    async def serve_scope(scope, receive, send):
+        if scope["type"] != "lifespan":
+            await app(scope, receive, send)
+            return
+        for _ in range(2):
+            message = await receive()
+            await send({"type": message["type"] + ".complete"})
+
+    await hypercorn.trio.serve(
+        serve_scope,
+        config,
+        shutdown_trigger=stopped.wait,
+        task_status=task_status,
+        mode="asgi",
+    )
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: demonstration, measurements, test runner."""
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,185 @@
+"""Starts an example fleet, sends real requests, and shows what happens.
+
+Usage:
+    demo FOLDER [--check]
+
+Options:
+    --check  End after the requests; exit 0 if all answers were right.
+"""
+
+import pathlib
+import signal
+import sys
+import time
+
+import docopt
+
+from camphorhook import main as client_main
+from camphorhook_common import timeline
+from tests.harness import callers
+from tests.harness import fleet as fleets
+from tests.harness import plans
+from tests.standins import engine
+
+PAUSE_SECONDS = 1.0
+SHOWN_EVENTS = 40
+
+
+class Demonstration:
+    """Runs the steps and counts answers that were not as expected."""
+
+    def __init__(self, fleet, folder):
+        self._fleet = fleet
+        self._folder = folder
+        self._plan = fleet.plan
+        self.faults = []
+
+    def _say(self, text):
+        print(text, flush=True)
+
+    def _expect(self, condition, text):
+        self._say(f"  {'ok ' if condition else 'BAD'} {text}")
+        if not condition:
+            self.faults.append(text)
+
+    def start(self):
+        """Start all processes and load the tables."""
+        self._say(f"starting {self._plan.name}: instances")
+        self._fleet.start_instances()
+        self._fleet.wait_ready()
+        self._fleet.load_tables(self._folder)
+        self._say("starting stand-in upstreams")
+        self._fleet.start_upstreams()
+        self._fleet.wait_upstreams()
+        self._say("callers' ports:")
+        for instance in self._plan.instances:
+            self._say(f"  {instance.name} http://{instance.callers}/v1")
+        self._say(f"account key:  {self._plan.account_key}")
+        self._say(f"operator key: {self._plan.operator_key}")
+
+    def _stream(self, instance, body):
+        reply = callers.stream_chat(
+            instance.callers, self._plan.account_key, body
+        )
+        last = reply.ids[-1].split("~")[1] if reply.ids else "none"
+        self._say(f"  served by {instance.name} on {last}: {reply.text}")
+        return reply, last
+
+    def show_chat(self):
+        """A streamed chat, and its return on another instance."""
+        model = next(one.models for one in self._plan.upstreams if one.models)
+        body = callers.make_chat("My strings: 24/23 kg.", model=model)
+        first, *_, other = self._plan.instances
+        self._say("a streamed chat:")
+        reply, warm = self._stream(first, body)
+        wanted = engine.make_answer(body["messages"])
+        self._expect(reply.is_whole and reply.text == wanted, "whole answer")
+        time.sleep(PAUSE_SECONDS)
+        body["messages"] += [
+            {"role": "assistant", "content": reply.text},
+            {"role": "user", "content": "And for clay?"},
+        ]
+        self._say("its return after a pause, to another instance:")
+        reply, again = self._stream(other, body)
+        wanted = engine.make_answer(body["messages"])
+        self._expect(reply.is_whole and reply.text == wanted, "whole answer")
+        self._expect(again == warm, "the same engine, still warm")
+
+    def show_booking(self):
+        """A booking and its resend to another instance."""
+        service = next(
+            one.service for one in self._plan.upstreams if not one.models
+        )
+        path = f"/services/{service}/bookings"
+        key = f"demo-{time.time_ns()}"
+        answers = []
+        for instance in self._plan.instances[:2]:
+            reply = callers.send(
+                "POST",
+                instance.callers,
+                path,
+                key=self._plan.account_key,
+                body={"what": "restring, Thursday"},
+                headers={"idempotency-key": key},
+            )
+            replayed = reply.headers.get("idempotent-replayed", "no")
+            server = reply.headers.get("camphorhook-upstream", "the record")
+            self._say(
+                f"a booking by {instance.name}: {reply.status} from "
+                f"{server}, replayed: {replayed}: {reply.body.decode()}"
+            )
+            answers.append(reply)
+        effects = [one for one in self._fleet.read_effects()]
+        count = sum(one["key"] == key for one in effects)
+        self._expect(count == 1, f"booked once (effects: {count})")
+        same = answers[0].body == answers[1].body
+        self._expect(same and answers[0].status == 201, "same answer twice")
+
+    def show_table(self):
+        """An edit of a table's cell, in force on every instance."""
+        self._say("an operator sets a cell:")
+        answer = self._fleet.client.change_row(
+            "client_accounts", "account-2", {"weight": 8}
+        )
+        self._expect(answer["outcome"] == "done", "accepted")
+        index = answer["index"]
+        end = time.monotonic() + 5.0
+        while time.monotonic() < end:
+            rows = self._fleet.read_status().values()
+            if all(row.get("index", -1) >= index for row in rows):
+                break
+        rows = self._fleet.read_status().values()
+        in_force = all(row.get("index", -1) >= index for row in rows)
+        self._expect(in_force, "in force on every instance within 5 s")
+        self._run_client("table", "client_accounts")
+        self._run_client("status")
+
+    def _run_client(self, *words):
+        servers = ",".join(one.operators for one in self._plan.instances)
+        key = self._plan.operator_key
+        client_main.main(["--server", servers, "--key", key, *words])
+
+    def show_timeline(self):
+        """The merged time line of all processes."""
+        self._say("the time line's newest events:")
+        lists = [
+            timeline.load(path)
+            for path in sorted(self._fleet.folder.glob("*.timeline.jsonl"))
+        ]
+        for event in timeline.merge(lists)[-SHOWN_EVENTS:]:
+            self._say("  " + timeline.format_event(event))
+
+    def run(self):
+        """Run every step."""
+        self.start()
+        self.show_chat()
+        self.show_booking()
+        self.show_table()
+        self.show_timeline()
+
+
+def main():
+    """Run the demonstration."""
+    arguments = docopt.docopt(__doc__)
+    folder = pathlib.Path(arguments["FOLDER"])
+    plan = plans.load_plan(folder / "fleet.ini")
+    fleet = fleets.Fleet(
+        plan, pathlib.Path("run", plan.name), settings_folder=folder
+    )
+    demonstration = Demonstration(fleet, folder)
+    try:
+        demonstration.run()
+        if arguments["--check"]:
+            faults = demonstration.faults
+            print(f"{len(faults)} faults: {faults}")
+            sys.exit(1 if faults else 0)
+        print("running until interrupted (Ctrl-C)", flush=True)
+        signal.sigwait((signal.SIGINT, signal.SIGTERM))
+    except KeyboardInterrupt:
+        print("interrupted")
+    finally:
+        fleet.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/known_red.py
@@ -0,0 +1,125 @@
+"""Runs all tests; passes over failures that KNOWN-RED.txt lists.
+
+Usage:
+    known_red [--workers=N] [FEATURE...]
+
+Options:
+    --workers=N  Feature files to run at the same time [default: 3].
+
+Each feature file runs in a process of its own, with its own ports. The exit
+code is 0 when every failed scenario is listed, and those are printed.
+"""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import queue
+import subprocess
+import sys
+
+import docopt
+
+FEATURES = pathlib.Path("tests/features")
+LIST_FILE = pathlib.Path("KNOWN-RED.txt")
+LONGEST_SECONDS = 800
+
+
+def read_known():
+    """Return the names after `test:` in KNOWN-RED.txt."""
+    if not LIST_FILE.exists():
+        return []
+    lines = LIST_FILE.read_text().splitlines()
+    prefix = "test:"
+    return [
+        line[len(prefix) :].strip()
+        for line in lines
+        if line.startswith(prefix)
+    ]
+
+
+def run_feature(path, slot):
+    """Run a feature file; return [(scenario, status, output)].
+
+    Args:
+        path: the feature file.
+        slot: number that keeps the ports of running features apart.
+    """
+    report = pathlib.Path("run") / f"{path.stem}.report.json"
+    report.parent.mkdir(exist_ok=True)
+    report.unlink(missing_ok=True)
+    command = [sys.executable, "-m", "behave", "--no-summary"]
+    command += ["--format", "json", "--outfile", str(report)]
+    command += ["--format", "plain", "--no-capture", str(path)]
+    environment = {**os.environ, "CAMPHORHOOK_TEST_SLOT": str(slot)}
+    done = subprocess.run(
+        command,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=LONGEST_SECONDS,
+    )
+    output = done.stdout + done.stderr
+    results = list(read_report(report, path))
+    if not results:
+        results = [(f"{path.name}: (did not run)", "failed")]
+    return results, output
+
+
+def read_report(report, path):
+    """Yield (name, status) of each scenario of a report."""
+    if not report.exists() or not report.read_text().strip():
+        return
+    for feature in json.loads(report.read_text()):
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            name = f"{path.name}: {element['name']}"
+            yield name, element.get("status", "failed")
+
+
+def run_all(paths, workers):
+    """Run feature files side by side; return {name: status}."""
+    slots = queue.Queue()
+    for slot in range(workers):
+        slots.put(slot)
+    statuses = {}
+
+    def run_one(path):
+        slot = slots.get()
+        try:
+            return run_feature(path, slot)
+        finally:
+            slots.put(slot)
+
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        for results, output in pool.map(run_one, paths):
+            failed = [name for name, status in results if status == "failed"]
+            for name, status in results:
+                print(f"{status:8} {name}", flush=True)
+                statuses[name] = status
+            if failed:
+                print(output, flush=True)
+    return statuses
+
+
+def main():
+    """Run the tests and exit with 0 or 1."""
+    arguments = docopt.docopt(__doc__)
+    paths = [pathlib.Path(name) for name in arguments["FEATURE"]]
+    paths = paths or sorted(FEATURES.glob("*.feature"))
+    statuses = run_all(paths, int(arguments["--workers"]))
+    known = read_known()
+    failed = [name for name, one in statuses.items() if one != "passed"]
+    unknown = [name for name in failed if name not in known]
+    for name in known:
+        state = statuses.get(name, "not run")
+        print(f"known red: {name}: {state}")
+    passed = len(statuses) - len(failed)
+    print(f"known red {len(failed) - len(unknown)}")
+    print(f"{passed} passed, {len(unknown)} failed")
+    sys.exit(1 if unknown or not statuses else 0)
+
+
+if __name__ == "__main__":
+    main()
