--- a/packages/common/src/camphorhook_common/settings.py
+++ b/packages/common/src/camphorhook_common/settings.py
@@ -149,8 +149,8 @@
         "known_keys": Option(str, REQUIRED, "Folder of public keys."),
     },
     "timing": {
-        "heartbeat_ms": Option(int, 500, "Between heartbeats of the leader."),
-        "election_ms": Option(int, 2000, "Least wait before an election."),
+        "heartbeat_ms": Option(int, 750, "Between heartbeats of the leader."),
+        "election_ms": Option(int, 2500, "Least wait before an election."),
         "drift_percent": Option(int, 5, "Most that two clocks' rates differ."),
         "exchange_ms": Option(int, 1000, "Between exchanges with a peer."),
         "watch_ms": Option(int, 2000, "Longest wait of a watch."),
--- a/packages/daemon/src/camphorhook_daemon/adapters/announcements.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/announcements.py
@@ -7,6 +7,7 @@
 
 ANNOUNCEMENTS_PATH = "/announcements"
 HTTP_OVERHEAD_BYTES = 300
+ANNOUNCEMENTS_PER_TTL = 3
 
 
 class AnnouncementsApp:
@@ -45,4 +46,8 @@
             await http.send_failure(send, failure)
             return
         self._parts.directory.announce(announcement)
-        await http.send_json(send, 200, {"accepted": True})
+        answer = {
+            "accepted": True,
+            "announce_after_ms": announcement.ttl_ms // ANNOUNCEMENTS_PER_TTL,
+        }
+        await http.send_json(send, 200, answer)
--- a/packages/daemon/src/camphorhook_daemon/adapters/servers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/servers.py
@@ -6,7 +6,7 @@
 from camphorhook_common import logs
 
 LARGEST_HEAD_BYTES = 65536
-IDLE_SECONDS = 15.0
+IDLE_SECONDS = 5.0
 BACKLOG = 512
 
 
--- a/tools/readings.py
+++ b/tools/readings.py
@@ -12,7 +12,7 @@
 TICKS = os.sysconf("SC_CLK_TCK")
 SAMPLE_SECONDS = 0.05
 _CONTROL = re.compile(
-    r"^control_bytes_bytes_total\{(?P<labels>[^}]*)\} (?P<value>\S+)$"
+    r"^control_bytes_total\{(?P<labels>[^}]*)\} (?P<value>\S+)$"
 )
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -34,8 +34,9 @@
 SIZES = (250, 500, 1000, 2000)
 QUICK_SIZES = (50, 100, 200)
 IDLE_SECONDS = 12.0
-TOKENS = 400
+TOKENS = 150
 TTL_MS = 120000
+SETTLE_SECONDS = 6.0
 
 
 class Slope(typing.NamedTuple):
@@ -109,6 +110,8 @@
         self.slopes = []
 
     def _read(self, name="m1"):
+        """Read a process once its closed connections are forgotten."""
+        time.sleep(SETTLE_SECONDS)
         return readings.read_process(self._fleet.processes[name].pid)
 
     def _add(self, name, unit, sizes, values):
@@ -262,10 +265,11 @@
         """Control bytes and processor time of an idle instance."""
         rows = {}
         for instance in self._fleet.plan.instances:
+            pid = self._fleet.processes[instance.name].pid
             before = readings.read_control_bytes(instance.operators)
-            first = self._read(instance.name)
+            first = readings.read_process(pid)
             time.sleep(IDLE_SECONDS)
-            now = self._read(instance.name)
+            now = readings.read_process(pid)
             after = readings.read_control_bytes(instance.operators)
             rows[instance.name] = {
                 "cpu_percent": 100
