Find engines that turned cold without notice; measure single items' memory

Cause: an engine that turned cold without a new incarnation kept its full load and fell over (scenario 'An engine that turns cold without notice' failed first: it was cold on no instance). Change: a stream's mean time between tokens is compared with the usual of its service; three slow streams in a row on a warm engine start a new cold spell, which is told to all and needs permits again. Ruled out by runs: the engine's own first stream as its usual (it may come from the cold engine itself); judging engines known to be cold.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -376,7 +376,8 @@
         active: requests in flight as it reported.
         capacity: requests it can run at once.
         features: any of FEATURES.
-        warm: permit holders that found this incarnation warm.
+        cold_spell: times this incarnation was found to be cold again.
+        warm: permit holders that found it warm since then.
     """
 
     name: str
@@ -392,6 +393,7 @@
     active: int
     capacity: int
     features: tuple[str, ...]
+    cold_spell: int
     warm: tuple[str, ...]
 
 
@@ -474,7 +476,7 @@
 
     Attributes:
         reason: cold (upstream), or suspect (upstream run alone).
-        subject: upstream's name and incarnation, with a slash.
+        subject: what the permit is for; see `permits.name_subject`.
         request: id of the request.
         hold_ms: longest time the permit is needed for.
     """
--- a/packages/daemon/src/camphorhook_daemon/composition.py
+++ b/packages/daemon/src/camphorhook_daemon/composition.py
@@ -33,6 +33,7 @@
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.domain import suspects
+from camphorhook_daemon.domain import tempo
 from camphorhook_daemon.ports import journal as journal_port
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -112,6 +113,7 @@
             settings.name, instances, self.clock
         )
         self.retries = retries.RetryBudgets()
+        self.tempos = tempo.TempoBook()
         self.office = permits.PermitOffice(
             settings,
             self.transport,
--- a/packages/daemon/src/camphorhook_daemon/domain/answers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -6,6 +6,7 @@
 """
 
 import msgspec
+import trio
 
 from camphorhook_common import errors
 from camphorhook_common import wire
@@ -50,6 +51,9 @@
         progress: the request's Progress.
         sequence: number of the engine's last event taken.
         is_done: the engine sent its end mark after a finish reason.
+        tokens: tokens taken after the first one.
+        first_at: when the first token came.
+        last_at: when the last token came.
     """
 
     def __init__(
@@ -68,6 +72,9 @@
         self.progress = progress
         self.sequence = sequence
         self.is_done = False
+        self.tokens = 0
+        self.first_at = 0.0
+        self.last_at = 0.0
         self._stream = stream
         self._upstream = upstream
         self._name = name
@@ -147,6 +154,7 @@
         if content:
             progress.text += content
             progress.tokens += 1
+            self._time_token()
         if "role" in delta:
             repeated = progress.has_role
             progress.has_role = True
@@ -156,6 +164,13 @@
                 del delta["role"]
         return False
 
+    def _time_token(self):
+        self.last_at = trio.current_time()
+        if self.first_at:
+            self.tokens += 1
+        else:
+            self.first_at = self.last_at
+
     def _append(self, data):
         stream = self._stream
         point = streams.Point(
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -181,6 +181,7 @@
             while True:
                 try:
                     await self._read_stream(place.record, call, reader)
+                    self._note_tempo(place.record, reader)
                     return reader.is_done
                 except ports.AttemptError as error:
                     can_resume = "resume" in place.record.features
@@ -193,6 +194,14 @@
                 await self._cancel_on_engine(place.record, name)
             raise
 
+    def _note_tempo(self, record, reader):
+        """Judge a warm engine by its tempo; a cold one is slow anyway."""
+        if self._parts.office.is_cold(record):
+            return
+        seconds = reader.last_at - reader.first_at
+        if self._parts.tempos.note(record, reader.tokens, seconds):
+            self._parts.directory.note_cold(record)
+
     async def _read_stream(self, record, call, reader):
         progress = reader.progress
         try:
--- a/packages/daemon/src/camphorhook_daemon/domain/crashes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crashes.py
@@ -2,8 +2,6 @@
 
 import trio
 
-from camphorhook_daemon.domain import permits
-
 CHECK_SECONDS = 4.0
 
 
@@ -26,7 +24,7 @@
             record: the upstream's wire.Upstream.
             digest: of the client account and request.
         """
-        subject = permits.name_subject(record)
+        subject = f"{record.name}/{record.incarnation}"
         self._suspects.charge(digest, subject)
         check_at = trio.current_time() + record.ttl_ms / 1000 + CHECK_SECONDS
         self._doubtful[subject] = (record, check_at)
--- a/packages/daemon/src/camphorhook_daemon/domain/membership.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -45,6 +45,25 @@
     features: tuple[str, ...] = ()
 
 
+def is_same_spell(first, second):
+    """Tell whether two records are of one incarnation and cold spell."""
+    return (
+        first.incarnation == second.incarnation
+        and first.cold_spell == second.cold_spell
+    )
+
+
+def _merge_warmth(known, record):
+    """Return `known` with the later cold spell, or all that found it warm."""
+    if record.cold_spell > known.cold_spell:
+        return known._replace(
+            cold_spell=record.cold_spell, warm=tuple(record.warm)
+        )
+    if record.cold_spell < known.cold_spell:
+        return known
+    return known._replace(warm=tuple(sorted({*known.warm, *record.warm})))
+
+
 class _Entry:
     """An upstream's record and what this instance knows besides."""
 
@@ -140,6 +159,7 @@
     def announce(self, announcement):
         """Take in an announcement heard directly."""
         record = wire.Upstream(
+            cold_spell=0,
             warm=(),
             **{
                 field: getattr(announcement, field)
@@ -165,11 +185,13 @@
         ours = (known.incarnation, known.sequence)
         theirs = (record.incarnation, record.sequence)
         if known.incarnation == record.incarnation:
-            warm = tuple(sorted({*known.warm, *record.warm}))
-            if warm != known.warm:
-                entry.record = known = known._replace(warm=warm)
+            merged = _merge_warmth(known, record)
+            if merged != known:
+                entry.record = known = merged
                 self._mark_changed(entry, source)
-            record = record._replace(warm=warm)
+            record = record._replace(
+                cold_spell=known.cold_spell, warm=known.warm
+            )
         if theirs <= ours:
             return
         returned = now - entry.heard_at > known.ttl_ms * MS
@@ -260,16 +282,32 @@
             for entry in self._entries.values()
         )
 
-    def note_warm(self, name, incarnation, holder):
-        """Note that a permit holder found an incarnation warm."""
-        entry = self._entries.get(name)
-        if entry is None or entry.record.incarnation != incarnation:
+    def note_warm(self, record, holder):
+        """Note that a permit holder found an upstream warm.
+
+        Args:
+            record: the upstream as it was when the holder judged.
+            holder: name of the holder.
+        """
+        entry = self._entries.get(record.name)
+        if entry is None or not is_same_spell(entry.record, record):
             return
         if holder not in entry.record.warm:
             warm = tuple(sorted({*entry.record.warm, holder}))
             entry.record = entry.record._replace(warm=warm)
             self._mark_changed(entry, "")
 
+    def note_cold(self, record):
+        """Note that a warm upstream has turned cold without notice."""
+        entry = self._entries.get(record.name)
+        if entry is None or not is_same_spell(entry.record, record):
+            return
+        if entry.record.warm:
+            spell = record.cold_spell + 1
+            entry.record = entry.record._replace(cold_spell=spell, warm=())
+            self._mark_changed(entry, "")
+            self._notify(entry.record, "turned_cold")
+
     def is_heard(self, name):
         """Tell whether the upstream's last announcement still holds."""
         entry = self._entries.get(name)
--- a/packages/daemon/src/camphorhook_daemon/domain/permits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/permits.py
@@ -56,8 +56,8 @@
 
 
 def name_subject(record):
-    """Return the subject of an upstream's incarnation."""
-    return f"{record.name}/{record.incarnation}"
+    """Return the subject of an upstream: its name, start and cold spell."""
+    return f"{record.name}/{record.incarnation}/{record.cold_spell}"
 
 
 class PermitOffice:
@@ -169,9 +169,17 @@
         if reply.warm and permit.reason == COLD:
             self._note_warm(permit.subject, permit.holder)
 
+    def _find_record(self, subject):
+        """Return the record that a subject means, or None if outdated."""
+        record = self._directory.get(subject.split("/")[0])
+        if record is None or name_subject(record) != subject:
+            return None
+        return record
+
     def _note_warm(self, subject, holder):
-        name, _, incarnation = subject.rpartition("/")
-        self._directory.note_warm(name, int(incarnation), holder)
+        record = self._find_record(subject)
+        if record is not None:
+            self._directory.note_warm(record, holder)
 
     # --- granting --------------------------------------------------------
 
@@ -194,9 +202,8 @@
         ledger.held[message.request] = until
 
     def _grant_cold(self, message, ledger):
-        name, _, incarnation = message.subject.rpartition("/")
-        record = self._directory.get(name)
-        if record is None or record.incarnation != int(incarnation):
+        record = self._find_record(message.subject)
+        if record is None:
             return wire.PermitReply(False, False)
         is_warm = self._name in record.warm
         row = self._configuration.get_or_default("services", record.service)
@@ -220,15 +227,14 @@
         return wire.ReturnReply(warm)
 
     def _find_warm(self, message, ledger):
-        name, _, incarnation = message.subject.rpartition("/")
-        record = self._directory.get(name)
-        if record is None or record.incarnation != int(incarnation):
+        record = self._find_record(message.subject)
+        if record is None:
             return False
         row = self._configuration.get_or_default("services", record.service)
         holders = len(self.find_holders(record)) or 1
         if ledger.completed * holders < row["warm_after"]:
             return False
-        self._directory.note_warm(name, int(incarnation), self._name)
+        self._directory.note_warm(record, self._name)
         return True
 
     def forget_old(self):
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -6,6 +6,15 @@
     Then no engine fell over
     And every chat was answered whole or truthfully refused
 
+  Scenario: An engine that turns cold without notice is found and spared
+    When the engines are warm
+    And one engine turns cold without notice
+    And chats run on it one after the other until it is found cold
+    Then it is cold on every instance
+    When 60 callers chat at every instance at the same time
+    Then no engine fell over
+    And every chat was answered whole or truthfully refused
+
   Scenario: A surge of one account is refused with a time to come back
     When the limited account sends 40 chats at every instance at once
     Then some are refused as rate_limited with Retry-After and not-run
--- a/tests/features/steps/routing.py
+++ b/tests/features/steps/routing.py
@@ -21,6 +21,7 @@
 BALANCER_PAUSE_SECONDS = 0.1
 SAMPLE_SECONDS = 0.05
 HOT_ROUNDS = 3
+MOST_CHATS_UNTIL_COLD = 60
 
 
 def list_engines(context):
@@ -69,6 +70,43 @@
         context.fleet.wait_incarnation(one.name, since)
 
 
+@behave.when("one engine turns cold without notice")
+def chill_engine(context):
+    context.chilled = list_engines(context)[0]
+    address = f"127.0.0.1:{context.chilled.port}"
+    assert callers.send("POST", address, "/chill").status == 200
+
+
+def _is_cold(context, name):
+    rows = context.fleet.make_client(name).read("/upstreams")["upstreams"]
+    return next(
+        row["cold"] for row in rows if row["name"] == context.chilled.name
+    )
+
+
+@behave.when("chats run on it one after the other until it is found cold")
+def chat_until_cold(context):
+    address = context.fleet.plan.instances[0].callers
+    for number in range(MOST_CHATS_UNTIL_COLD):
+        body = callers.make_chat(f"chill {number}")
+        reply = callers.stream_chat(
+            address, context.fleet.plan.account_key, body
+        )
+        assert reply.is_whole, reply
+        if _is_cold(context, "a1"):
+            return
+
+
+@behave.then("it is cold on every instance")
+def check_cold(context):
+    for instance in context.fleet.plan.instances:
+        processes.wait_until(
+            lambda name=instance.name: _is_cold(context, name),
+            NO_WORK_SECONDS,
+            f"{context.chilled.name} cold at {instance.name}",
+        )
+
+
 @behave.when("{count:d} callers chat at every instance at the same time")
 def chat_everywhere(context, count):
     context.pairs = _stream_all(
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -20,8 +20,9 @@
 
 It batches continuously: each step gives every running sequence one token,
 and steps take longer the more sequences run. Prompts are cached by blocks.
-Cold, it falls over when more sequences run than it bears: those requests
-fail and all others crawl for a while. A message with CRASH-THE-ENGINE ends
+Cold, it steps slowly, and falls over when more sequences run than it bears:
+those requests fail and all others crawl for a while. POST /chill makes it
+cold without notice. A message with CRASH-THE-ENGINE ends
 the process. Tokens depend on the prompt and position only.
 """
 
@@ -44,6 +45,7 @@
 DEFAULT_TOKENS = 24
 COLLAPSE_SECONDS = 3.0
 CRAWL_FACTOR = 10.0
+COLD_FACTOR = 5.0
 KEPT_STREAMS = 2000
 
 
@@ -89,6 +91,10 @@
             self._blocks.popitem(last=False)
         return cached, count
 
+    def clear(self):
+        """Forget all blocks."""
+        self._blocks.clear()
+
 
 class Sequence:
     """One running or finished answer."""
@@ -169,6 +175,8 @@
             batch = self._running[: self._capacity]
             pause = self._step + self._per_sequence * len(batch)
             pause += sum(self._admit(one) for one in batch)
+            if self.is_cold():
+                pause *= COLD_FACTOR
             if trio.current_time() < self._collapsed_until:
                 pause *= CRAWL_FACTOR
             await trio.sleep(pause)
@@ -257,6 +265,10 @@
             await self._serve_stream(scope, receive, send)
         elif path == "/orders":
             await self._serve_order(body, send)
+        elif path == "/chill":
+            self.stats["completed"] = 0
+            self._cache.clear()
+            await serving.send_json(send, 200, {"chilled": True})
         elif path == "/stats":
             stats = dict(self.stats, active=self.count_active())
             await serving.send_json(send, 200, stats)
--- /dev/null
+++ b/tools/footprints.py
@@ -0,0 +1,160 @@
+"""Memory of single items, counted by the allocator in this process.
+
+A process's memory also holds free space that earlier work left, which hides
+small items; here only what the items themselves hold is counted.
+"""
+
+import gc
+import time
+import tracemalloc
+
+import trio
+
+from camphorhook_common import clock
+from camphorhook_common import secrets
+from camphorhook_common import timeline
+from camphorhook_common import wire
+from camphorhook_daemon.domain import configuration
+from camphorhook_daemon.domain import limits
+from camphorhook_daemon.domain import membership
+from camphorhook_daemon.domain import state
+
+RETENTION_SECONDS = 3600.0
+
+
+def _count(build, sizes):
+    """Return bytes held by what `build` makes at each size."""
+    readings = []
+    for size in sizes:
+        gc.collect()
+        tracemalloc.start()
+        kept = build(size)
+        gc.collect()
+        readings.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return readings
+
+
+def _apply_all(commands):
+    machine = state.State()
+    for index, command in enumerate(commands, start=1):
+        kind, data = wire.encode_command(command)
+        machine.apply(wire.Entry(index, 1, kind, data))
+    return machine
+
+
+def _make_cells(number):
+    return {
+        "key_hash": secrets.hash_key(f"key-{number}"),
+        "enabled": "yes",
+        "weight": 1,
+        "priority": 5,
+        "requests_per_second": 20.0,
+        "tokens_per_minute": 600000,
+        "concurrency": 64,
+    }
+
+
+def _build_claims(size):
+    now = time.time()
+    commands = []
+    for number in range(size):
+        key = f"booking-{number:012}"
+        digest = secrets.digest_body(key.encode())
+        claim = wire.Claim(
+            f"account-{number % 100}",
+            key,
+            digest,
+            f"req-{number:030}",
+            "a1",
+            RETENTION_SECONDS,
+            60.0,
+            now,
+        )
+        body = b'{"booked":"court","server":"desk"}'
+        settle = wire.Settle(
+            claim.account,
+            key,
+            claim.attempt,
+            "finished",
+            201,
+            "application/json",
+            body,
+            now,
+        )
+        commands += [claim, settle]
+    return _apply_all(commands)
+
+
+def _build_rows(size):
+    now = time.time()
+    return _apply_all(
+        wire.SetCells(
+            f"op-{number:032}",
+            "client_accounts",
+            f"account-{number}",
+            0,
+            _make_cells(number),
+            now,
+        )
+        for number in range(size)
+    )
+
+
+def _build_configuration(size):
+    view = configuration.Configuration()
+    changes = [
+        wire.Change(
+            "client_accounts", f"account-{number}", 1, _make_cells(number)
+        )
+        for number in range(size)
+    ]
+    view.adopt(wire.WatchReply(1, True, changes, 0, "a1"))
+    return view
+
+
+def _build_directory(size):
+    recorder = timeline.Recorder("a1", clock.HybridClock())
+    directory = membership.Directory(recorder)
+    recorder.record = lambda *_words, **_fields: None
+    for number in range(size):
+        directory.announce(
+            membership.Announcement(
+                f"engine-{number}",
+                "zone-a",
+                "stringmind",
+                "10.0.0.1",
+                8000,
+                1796000000000 + number,
+                1,
+                9000,
+                ("stringmind",),
+            )
+        )
+    return directory
+
+
+def _build_usages(size):
+    account_limits = limits.AccountLimits("a1", 8, clock.HybridClock())
+    for number in range(size):
+        account_limits.admit(f"account-{number}", _make_cells(number))
+    return account_limits
+
+
+BUILDERS = {
+    "replica memory per claim": _build_claims,
+    "replica memory per row": _build_rows,
+    "entry memory per row": _build_configuration,
+    "entry memory per upstream": _build_directory,
+    "entry memory per account in use": _build_usages,
+}
+
+
+def measure(sizes):
+    """Return {name: bytes at each size}."""
+
+    async def measure_all():
+        return {name: _count(build, sizes) for name, build in BUILDERS.items()}
+
+    return trio.run(measure_all)
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -28,6 +28,7 @@
 from tests.harness import fleet as fleets
 from tests.harness import plans
 from tests.harness import processes
+from tools import footprints
 from tools import readings
 
 BASE_PORT = 24000
@@ -136,8 +137,8 @@
         change("routes", "desk-book", route)
 
     def measure_accounts(self):
-        """Client accounts: memory, time and bytes of a change."""
-        memory, seconds, disk = [], [], []
+        """Client accounts: time and bytes of a change."""
+        seconds, disk = [], []
         done = 0
         first = self._read()
         for size in self._sizes:
@@ -149,17 +150,12 @@
                     {"key_hash": secrets.hash_key(f"key-{done}")},
                     expected=0,
                 )
-            time.sleep(0.5)
             now = self._read()
-            memory.append(now.memory_bytes)
             seconds.append(now.cpu_seconds - first.cpu_seconds)
             disk.append(self._measure_disk())
         sizes = self._sizes
-        self._add("replica memory per account", "B", sizes, memory)
         self._add("replica time per change", "s", sizes, seconds)
         self._add("log bytes per change", "B", sizes, disk)
-        entry = self._read("m2").memory_bytes
-        print(f"entry instance at {sizes[-1]} accounts: {entry} B")
 
     def _measure_disk(self):
         folder = self._fleet.folder / "m1.data"
@@ -176,11 +172,16 @@
         seconds = time.monotonic() - started
         entries = self._fleet.read_status()["m1"]["last_index"]
         print(f"restart at {entries} entries: {seconds:.2f} s")
-        return {"entries": entries, "seconds": seconds}
+        memory = self._read().memory_bytes
+        return {
+            "entries": entries,
+            "seconds": seconds,
+            "memory_bytes": memory,
+        }
 
     def measure_claims(self):
-        """Claimed requests: memory, time and bytes of one."""
-        memory, seconds, disk = [], [], []
+        """Claimed requests: time and bytes of one."""
+        seconds, disk = [], []
         done = 0
         first = self._read()
         for size in self._sizes:
@@ -196,11 +197,9 @@
                 )
                 assert reply.status == 201, reply
             now = self._read()
-            memory.append(now.memory_bytes)
             seconds.append(now.cpu_seconds - first.cpu_seconds)
             disk.append(self._measure_disk())
         sizes = self._sizes
-        self._add("replica memory per claim", "B", sizes, memory)
         self._add("entry and replica time per claim", "s", sizes, seconds)
         self._add("log bytes per claim", "B", sizes, disk)
 
@@ -225,8 +224,7 @@
         )
 
     def measure_upstreams(self):
-        """Upstreams: memory, time of an announcement, exchange bytes."""
-        memory, peer_memory = [], []
+        """Upstreams: time of an announcement, exchange bytes."""
         seconds, announced = [], []
         done = 0
         bytes_each = []
@@ -236,14 +234,10 @@
                 done += 1
                 self._announce(done, 1)
             time.sleep(3.0)
-            memory.append(self._read().memory_bytes)
-            peer_memory.append(self._read("m2").memory_bytes)
             announced.append(done)
             seconds.append(self._read().cpu_seconds - first.cpu_seconds)
             bytes_each.append(self._measure_load_message(size))
         sizes = self._sizes
-        self._add("entry memory per upstream heard", "B", sizes, memory)
-        self._add("entry memory per upstream told", "B", sizes, peer_memory)
         self._add("time per announcement", "s", announced, seconds)
         self._add("exchange bytes per load", "B", sizes, bytes_each)
 
@@ -261,6 +255,11 @@
         counts = readings.read_control_bytes(address)
         return counts.get((kind, direction), 0)
 
+    def measure_footprints(self):
+        """Memory of single items, as the allocator counts it."""
+        for name, values in footprints.measure(self._sizes).items():
+            self._add(name, "B", self._sizes, values)
+
     def measure_idle(self):
         """Control bytes and processor time of an idle instance."""
         rows = {}
@@ -333,6 +332,7 @@
         fleet.start_upstream("engine-m", *options)
         fleet.start_upstream("desk-m")
         fleet.wait_upstreams()
+        measurement.measure_footprints()
         idle = measurement.measure_idle()
         measurement.measure_requests()
         measurement.measure_chats()
