Split the replica, the messages and the resumption into smaller modules

Change: entries.py (log in memory), followers.py (what a leader knows), commands.py (commands and codec), resumption.py. No behaviour is meant to change.

--- a/packages/daemon/src/camphorhook_daemon/adapters/answering.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/answering.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import wire
 
@@ -47,7 +48,7 @@
 
     @answer.register
     async def _(self, message: wire.Submit):
-        command = wire.decode_command(message.kind, message.data)
+        command = commands.decode(message.kind, message.data)
         return await self._get_replica().submit(command)
 
     @answer.register
--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -4,7 +4,6 @@
 import trio
 
 from camphorhook_common import errors
-from camphorhook_common import logs
 from camphorhook_common import secrets
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import http
@@ -20,7 +19,6 @@
 CHAT_HEADER = "x-chat-id"
 MOST_HEADER_BYTES = 32768
 STATUS_SECONDS = 4.0
-RESUME_WAIT_MS = 1000
 LONGEST_KEY = 255
 PASSED_HEADERS = ("accept", "accept-language", "content-type", "traceparent")
 
@@ -319,48 +317,16 @@
                 stream.detach()
         stream = streams.ResponseStream(response, context.account, number)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy_stream, context, stream, point)
+            nursery.start_soon(
+                self._parts.resumer.fill,
+                stream,
+                point,
+                context.row["key_hash"],
+            )
             failure = await self._send_stream(context, stream, number, receive)
             nursery.cancel_scope.cancel()
         return failure
 
-    async def _copy_stream(self, context, stream, point):
-        """Fill a stream from its owner, or else from the engine."""
-        try:
-            if await self._copy_from_owner(stream):
-                return
-        except errors.UnreachableError as error:
-            logs.log(
-                "info",
-                f"owner can't be reached: {error.message}",
-                operation=stream.response,
-                step="resume",
-                peer=error.peer,
-            )
-        stream.finish(
-            await self._parts.resumer.copy_from_engine(
-                stream, point, context.row["key_hash"]
-            )
-        )
-
-    async def _copy_from_owner(self, stream):
-        """Copy events until the end; return False when it has none."""
-        owner = streams.find_owner(stream.response)
-        while True:
-            message = wire.ReadStream(
-                stream.response, stream.account, stream.count, RESUME_WAIT_MS
-            )
-            reply = await self._parts.transport.call(
-                owner, message, RESUME_WAIT_MS / 1000 + 1.0
-            )
-            if not reply.found:
-                return False
-            for event in reply.events:
-                stream.append(event)
-            if reply.finished and not reply.events:
-                stream.finish(reply.failure)
-                return True
-
     # --- plain services --------------------------------------------------
 
     async def _serve_service(self, context, receive):
--- a/packages/daemon/src/camphorhook_daemon/adapters/journal.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/journal.py
@@ -20,8 +20,8 @@
 
 import msgspec
 
+from camphorhook_common import commands
 from camphorhook_common import errors
-from camphorhook_common import wire
 from camphorhook_daemon.ports import journal as ports
 
 _HEADER = struct.Struct("<II")
@@ -172,7 +172,7 @@
         entries = []
         base = self.checkpoint.index if self.checkpoint else 0
         offset = 0
-        decoder = msgspec.msgpack.Decoder(wire.Entry)
+        decoder = msgspec.msgpack.Decoder(commands.Entry)
         while offset < len(data):
             body = _read_record(data, offset)
             if body is None:
--- a/packages/daemon/src/camphorhook_daemon/adapters/operators.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import secrets
 from camphorhook_common import tables
@@ -159,13 +160,13 @@
         now = time.time()
         if request.method == "DELETE":
             checked = tables.check_row_name(table, row)
-            command = wire.RemoveRow(
+            command = commands.RemoveRow(
                 fields.operation, table, row, expected, now
             )
         elif request.method == "PUT":
             checked = self._check_cells(table, row, fields)
             cells = checked.default_value({})
-            command = wire.SetCells(
+            command = commands.SetCells(
                 fields.operation, table, row, expected, cells, now
             )
         else:
--- a/packages/daemon/src/camphorhook_daemon/composition.py
+++ b/packages/daemon/src/camphorhook_daemon/composition.py
@@ -18,7 +18,6 @@
 from camphorhook_daemon.adapters import peers
 from camphorhook_daemon.adapters import servers
 from camphorhook_daemon.adapters import upstreams
-from camphorhook_daemon.domain import answers
 from camphorhook_daemon.domain import chats
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import crashes
@@ -28,6 +27,7 @@
 from camphorhook_daemon.domain import membership
 from camphorhook_daemon.domain import permits
 from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain import resumption
 from camphorhook_daemon.domain import retries
 from camphorhook_daemon.domain import services
 from camphorhook_daemon.domain import state
@@ -144,7 +144,9 @@
         )
         self.upstreams = upstreams.HttpUpstreams(self.settings.upstream_ca)
         self.streams = streams.StreamBook()
-        self.resumer = answers.Resumer(self.directory, self.upstreams)
+        self.resumer = resumption.Resumer(
+            self.directory, self.upstreams, self.transport
+        )
         self.chat_runner = chats.ChatRunner(self)
         self.service_runner = services.ServiceRunner(self)
 
--- a/packages/daemon/src/camphorhook_daemon/domain/answers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -8,13 +8,11 @@
 import msgspec
 import trio
 
-from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.ports import upstreams as ports
 
 DONE = "[DONE]"
-RESUME_SILENCE_SECONDS = 10.0
 
 
 class Progress:
@@ -180,57 +178,3 @@
             self.sequence,
         )
         stream.append(wire.StreamEvent(streams.format_point(point), data))
-
-
-class Resumer:
-    """Takes a stream up on the engine itself, when its owner is gone."""
-
-    def __init__(self, directory, upstreams):
-        self._directory = directory
-        self._upstreams = upstreams
-
-    async def copy_from_engine(self, stream, point, key_hash):
-        """Fill a stream with what follows a point.
-
-        Args:
-            stream: the ResponseStream to fill.
-            point: the streams.Point after which to go on; None if unknown.
-            key_hash: of the client account that asks.
-
-        Returns:
-            None when the answer is whole, or the wire.RequestFailure.
-        """
-        record = point and self._directory.get(point.upstream)
-        if point and not streams.is_own_engine_stream(point.stream, key_hash):
-            return _describe_lost("it belongs to another client account")
-        if record is None:
-            return _describe_lost("neither its owner nor its engine is here")
-        progress = Progress()
-        progress.has_role = progress.has_finish = True
-        reader = EngineStream(
-            stream,
-            progress,
-            record.name,
-            point.stream,
-            wants_usage=True,
-            sequence=point.sequence,
-        )
-        path = f"/v1/streams/{point.stream}?after={point.sequence}"
-        call = ports.Call("GET", path, [], b"", RESUME_SILENCE_SECONDS)
-        try:
-            async with self._upstreams.stream(record, call) as opened:
-                status, _, events = opened
-                if status != 200:
-                    return _describe_lost(f"{record.name} said {status}")
-                async for event in events:
-                    reader.take(event)
-                    if reader.is_done:
-                        return None
-        except errors.CamphorhookError as error:
-            return _describe_lost(error.format())
-        return _describe_lost("the engine ended it early")
-
-
-def _describe_lost(reason):
-    message = f"the answer can't be taken up again: {reason}; ask anew"
-    return wire.RequestFailure(410, "stream_lost", message, "run")
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -234,11 +234,7 @@
         row = self._parts.configuration.get_or_default(
             "services", admitted.service
         )
-        headers = [
-            ("content-type", "application/json"),
-            ("x-request-id", name),
-            ("x-priority", str(admitted.row["priority"])),
-        ]
+        headers = _make_headers(admitted, name)
         silence = row["first_token_seconds"]
         body = msgspec.json.encode(fields)
         return ports.Call("POST", PATH, headers, body, silence)
@@ -317,11 +313,7 @@
         row = self._parts.configuration.get_or_default(
             "services", admitted.service
         )
-        headers = [
-            ("content-type", "application/json"),
-            ("x-request-id", name),
-            ("x-priority", str(admitted.row["priority"])),
-        ]
+        headers = _make_headers(admitted, name)
         call = ports.Call(
             "POST",
             PATH,
@@ -345,6 +337,14 @@
         return answer
 
 
+def _make_headers(admitted, name):
+    return [
+        ("content-type", "application/json"),
+        ("x-request-id", name),
+        ("x-priority", str(admitted.row["priority"])),
+    ]
+
+
 def _name_attempt(admitted, progress):
     return streams.name_engine_stream(
         admitted.request, progress.attempts, admitted.row["key_hash"]
--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import tables
 from camphorhook_common import wire
@@ -209,7 +210,7 @@
             errors.UnreachableError: no quorum answered in time; the
                 command may still be committed.
         """
-        kind, data = wire.encode_command(command)
+        kind, data = commands.encode(command)
         message = wire.Submit(kind, data)
         candidates = [self._configuration.leader or self._replicas[0]]
         with trio.move_on_after(timeout):
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/entries.py
@@ -0,0 +1,130 @@
+"""The part of the log that a replica holds in memory."""
+
+from camphorhook_common import commands
+from camphorhook_daemon.ports import journal as journals
+
+
+class EntryLog:
+    """Entries after a snapshot, and the voters that follow from both.
+
+    Attributes:
+        base_index: index that the snapshot covers; 0 without one.
+        voters: identity by name, as of the last entry.
+        voters_index: index of the entry that set the voters.
+    """
+
+    def __init__(self, checkpoint, entries):
+        """Create a log.
+
+        Args:
+            checkpoint: the journals.Checkpoint it starts from, or None.
+            entries: the entries that follow.
+        """
+        self._entries = []
+        self.start_over(checkpoint or journals.Checkpoint(0, 0, {}, b""))
+        for entry in entries:
+            self.append(entry)
+
+    def __len__(self):
+        return len(self._entries)
+
+    def start_over(self, checkpoint):
+        """Hold nothing but a snapshot."""
+        self._set_base(checkpoint)
+        self._entries = []
+        self._find_voters()
+
+    def _set_base(self, checkpoint):
+        self.base_index = checkpoint.index
+        self._base_term = checkpoint.term
+        self._base_voters = dict(checkpoint.voters)
+
+    @property
+    def last_index(self):
+        """Index of the last entry; of the snapshot if there is none."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self):
+        """Term of the last entry."""
+        return self.term_at(self.last_index)
+
+    def term_at(self, index):
+        """Return the term of an index from `base_index` on."""
+        if index == self.base_index:
+            return self._base_term
+        return self.get(index).term
+
+    def get(self, index):
+        """Return the entry at an index above `base_index`."""
+        return self._entries[index - self.base_index - 1]
+
+    def read_from(self, index, most):
+        """Return up to `most` entries from an index on."""
+        start = index - self.base_index - 1
+        return self._entries[start : start + most]
+
+    def append(self, entry):
+        """Add the next entry."""
+        self._entries.append(entry)
+        self._note_voters(entry)
+
+    def find_fresh(self, entries):
+        """Return the entries from the first that is not here already."""
+        for position, entry in enumerate(entries):
+            if entry.index <= self.base_index:
+                continue
+            known = entry.index <= self.last_index
+            if not known or self.term_at(entry.index) != entry.term:
+                return entries[position:]
+        return []
+
+    def replace_from(self, entries):
+        """Put entries in place of all from the first one's index on."""
+        first = entries[0].index
+        if first <= self.last_index:
+            del self._entries[first - self.base_index - 1 :]
+            self._find_voters()
+        for entry in entries:
+            self.append(entry)
+
+    def make_base(self):
+        """Return the snapshot's place as a Checkpoint without its data."""
+        return journals.Checkpoint(
+            self.base_index, self._base_term, self._base_voters, b""
+        )
+
+    def plan_compaction(self, index, data):
+        """Return (Checkpoint up to an index, entries that follow)."""
+        voters = dict(self._base_voters)
+        covered = index - self.base_index
+        for entry in self._entries[:covered]:
+            voters = _read_voters(entry) or voters
+        checkpoint = journals.Checkpoint(
+            index, self.term_at(index), voters, data
+        )
+        return checkpoint, self._entries[covered:]
+
+    def compact(self, checkpoint, rest):
+        """Take up a planned compaction that is on disk."""
+        self._set_base(checkpoint)
+        self._entries = rest
+
+    def _find_voters(self):
+        self.voters = dict(self._base_voters)
+        self.voters_index = self.base_index
+        for entry in self._entries:
+            self._note_voters(entry)
+
+    def _note_voters(self, entry):
+        voters = _read_voters(entry)
+        if voters is not None:
+            self.voters = voters
+            self.voters_index = entry.index
+
+
+def _read_voters(entry):
+    """Return the voters that an entry sets, or None."""
+    if entry.kind != "voters":
+        return None
+    return commands.decode(entry.kind, entry.data).members
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -0,0 +1,116 @@
+"""What a leader knows of the other replicas."""
+
+
+class _Progress:
+    """One other replica: its disk's identity, its log, its last reply."""
+
+    def __init__(self, identity, acked_at):
+        self.identity = identity
+        self.match = 0
+        self.acked_at = acked_at
+
+
+def _majority_of(values):
+    """Return the highest value that a majority of the values reaches."""
+    ordered = sorted(values, reverse=True)
+    return ordered[len(ordered) // 2]
+
+
+class Followers:
+    """Acknowledgements of the other replicas in one term.
+
+    Those of a replica count only while it answers with the identity that
+    is the voter's; a disk that replaced it has another.
+    """
+
+    def __init__(self, name, peers, voters, now):
+        """Create the record at the start of a term.
+
+        Args:
+            name: the leader.
+            peers: names of the other replicas.
+            voters: identity by name.
+            now: seconds; the election counts as contact with all.
+        """
+        self._name = name
+        self._progress = {
+            peer: _Progress(voters.get(peer, ""), now) for peer in peers
+        }
+
+    def list_peers(self):
+        """Return names of the other replicas."""
+        return list(self._progress)
+
+    def note_reply(self, peer, identity, sent_at):
+        """Take note of a reply to a message sent at a time."""
+        progress = self._progress[peer]
+        if progress.identity != identity:
+            progress.identity = identity
+            progress.match = 0
+        progress.acked_at = max(progress.acked_at, sent_at)
+
+    def note_match(self, peer, index):
+        """Take note of the index up to which a replica's log is equal."""
+        self._progress[peer].match = index
+
+    def _find_voter(self, voter, voters):
+        """Return a voter's _Progress, or None when another disk answers."""
+        progress = self._progress.get(voter)
+        if progress is None or progress.identity != voters[voter]:
+            return None
+        return progress
+
+    def find_stored(self, voters, own_match):
+        """Return the highest index on the disks of a majority of voters."""
+        matches = []
+        for voter in voters:
+            if voter == self._name:
+                matches.append(own_match)
+                continue
+            progress = self._find_voter(voter, voters)
+            matches.append(progress.match if progress else 0)
+        return _majority_of(matches)
+
+    def find_contact(self, voters, now):
+        """Return when a majority of voters was last surely in contact."""
+        times = []
+        for voter in voters:
+            if voter == self._name:
+                times.append(now)
+                continue
+            progress = self._find_voter(voter, voters)
+            times.append(progress.acked_at if progress else float("-inf"))
+        return _majority_of(times)
+
+    def find_most_advanced(self, voters):
+        """Return the voter with the longest log; empty if there is none."""
+        known = [
+            (self._progress[voter].match, voter)
+            for voter in voters
+            if self._find_voter(voter, voters)
+        ]
+        return max(known, default=(0, ""))[1]
+
+    def plan_admission(self, voters, commit):
+        """Return the next set of voters, or None when nothing is due.
+
+        A new identity first loses the old one's vote and then gets its
+        own, so that any two successive majorities share a voter.
+
+        Args:
+            voters: identity by name.
+            commit: index that a replica must have reached.
+        """
+        for peer, progress in self._progress.items():
+            if not progress.identity or progress.match < commit:
+                continue
+            if voters.get(peer) == progress.identity:
+                continue
+            if peer in voters:
+                return {
+                    name: identity
+                    for name, identity in voters.items()
+                    if name != peer
+                }
+            return {**voters, peer: progress.identity}
+        return None
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -12,9 +12,12 @@
 
 import trio
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain import entries
+from camphorhook_daemon.domain import followers
 from camphorhook_daemon.domain import state as states
 from camphorhook_daemon.ports import journal as journals
 
@@ -39,21 +42,6 @@
         self.ended.set()
 
 
-class _Progress:
-    """What the leader knows of one other replica."""
-
-    def __init__(self, identity, acked_at):
-        self.identity = identity
-        self.match = 0
-        self.acked_at = acked_at
-
-
-def _majority_of(values):
-    """Return the highest value that a majority of the values reaches."""
-    ordered = sorted(values, reverse=True)
-    return ordered[len(ordered) // 2]
-
-
 class Replica:
     """Takes part in the log: votes, stores entries and applies them.
 
@@ -88,16 +76,11 @@
         self.leader = ""
         self.term = journal.vote.term
         self._voted_for = journal.vote.voted_for
-        self._base_index = 0
-        self._base_term = 0
-        self._base_voters = {}
-        self._entries = []
-        self._stored_index = 0
         self.commit = 0
         self._lock = trio.Lock()
         self._pending = []
         self._waiting = {}
-        self._progress = {}
+        self._followers = None
         self._leading = None
         self._heard_at = float("-inf")
         self._confirmed_at = float("-inf")
@@ -115,41 +98,21 @@
         checkpoint = self._journal.checkpoint
         if checkpoint is not None:
             self.state.load(checkpoint.data)
-            self._base_index = checkpoint.index
-            self._base_term = checkpoint.term
-            self._base_voters = checkpoint.voters
             self._snapshot_data = checkpoint.data
             self.commit = checkpoint.index
-        self._entries = list(self._journal.entries)
+        self._log = entries.EntryLog(checkpoint, self._journal.entries)
         self._journal.entries = []
-        self._stored_index = self.last_index
-        self._find_voters()
-
-    def _find_voters(self):
-        self.voters = dict(self._base_voters)
-        self._voters_index = self._base_index
-        for entry in self._entries:
-            self._note_voters(entry)
-
-    def _note_voters(self, entry):
-        if entry.kind == "voters":
-            command = wire.decode_command(entry.kind, entry.data)
-            self.voters = command.members
-            self._voters_index = entry.index
+        self._stored_index = self._log.last_index
 
     @property
     def last_index(self):
         """Index of the last entry; of the snapshot if there is none."""
-        return self._base_index + len(self._entries)
-
-    def _term_at(self, index):
-        if index == self._base_index:
-            return self._base_term
-        return self._entries[index - self._base_index - 1].term
+        return self._log.last_index
 
-    def _slice_from(self, index):
-        start = index - self._base_index - 1
-        return self._entries[start : start + BATCH_ENTRIES]
+    @property
+    def voters(self):
+        """Identity by name of the replicas that vote."""
+        return self._log.voters
 
     @property
     def is_voter(self):
@@ -224,7 +187,7 @@
             self._name,
             self._journal.identity,
             self.last_index,
-            self._term_at(self.last_index),
+            self._log.last_term,
             trial,
             transfer,
         )
@@ -263,12 +226,14 @@
     def _become_leader(self):
         self.role = "leader"
         self.leader = self._name
-        now = trio.current_time()
-        self._progress = {}
-        for peer in self._settings.list_replicas():
-            if peer != self._name:
-                identity = self.voters.get(peer, "")
-                self._progress[peer] = _Progress(identity, now)
+        peers = [
+            name
+            for name in self._settings.list_replicas()
+            if name != self._name
+        ]
+        self._followers = followers.Followers(
+            self._name, peers, self.voters, trio.current_time()
+        )
         self._pending = []
         self._recorder.record("log.leader", detail=f"term {self.term}")
         logs.log("info", f"leads the log in term {self.term}", step="elect")
@@ -318,10 +283,10 @@
 
     async def _lead(self, term):
         async with trio.open_nursery() as nursery:
-            for peer in self._progress:
+            for peer in self._followers.list_peers():
                 nursery.start_soon(self._replicate, peer, term)
             nursery.start_soon(self._admit_learners, term)
-            begin = wire.Begin(self._name, time.time())
+            begin = commands.Begin(self._name, time.time())
             await self._write([_Waiting(begin)], term)
             while self.role == "leader" and self.term == term:
                 await self._submitted.wait()
@@ -339,19 +304,18 @@
                     for waiting in batch:
                         waiting.finish(None)
                     return
-                entries = []
+                written = []
                 for waiting in batch:
                     index = self.last_index + 1
                     command = waiting.command._replace(at=now)
-                    kind, data = wire.encode_command(command)
-                    entry = wire.Entry(index, term, kind, data)
-                    entries.append(entry)
-                    self._entries.append(entry)
-                    self._note_voters(entry)
+                    kind, data = commands.encode(command)
+                    entry = commands.Entry(index, term, kind, data)
+                    written.append(entry)
+                    self._log.append(entry)
                     self._waiting[index] = waiting
                 self._announce_growth()
-                await trio.to_thread.run_sync(self._journal.append, entries)
-                self._stored_index = entries[-1].index
+                await trio.to_thread.run_sync(self._journal.append, written)
+                self._stored_index = written[-1].index
                 self._advance_commit()
 
     def _announce_growth(self):
@@ -362,7 +326,7 @@
         """Keep one replica's log equal to the leader's."""
         following = self.last_index + 1
         while self.role == "leader" and self.term == term:
-            if following <= self._base_index:
+            if following <= self._log.base_index:
                 following = await self._send_snapshot(peer, term, following)
                 continue
             grown = self._grown
@@ -378,13 +342,13 @@
     async def _send_entries(self, peer, term, following):
         """Send entries from `following`; return the next to send."""
         previous = following - 1
-        entries = self._slice_from(following)
+        batch = self._log.read_from(following, BATCH_ENTRIES)
         message = wire.Append(
             term,
             self._name,
             previous,
-            self._term_at(previous),
-            entries,
+            self._log.term_at(previous),
+            batch,
             self.commit,
         )
         sent_at = trio.current_time()
@@ -393,7 +357,7 @@
         if not await self._check_reply(peer, reply, sent_at):
             return following
         if reply.accepted:
-            self._progress[peer].match = reply.last_index
+            self._followers.note_match(peer, reply.last_index)
             self._advance_commit()
             return reply.last_index + 1
         return max(1, min(previous, reply.last_index + 1))
@@ -404,20 +368,15 @@
             async with self._lock:
                 await self._adopt_term(reply.term)
             return False
-        progress = self._progress[peer]
-        if progress.identity != reply.identity:
-            progress.identity = reply.identity
-            progress.match = 0
-        progress.acked_at = max(progress.acked_at, sent_at)
+        self._followers.note_reply(peer, reply.identity, sent_at)
         return True
 
     async def _send_snapshot(self, peer, term, following):
         """Send the snapshot in pieces; return the next index to send."""
-        index, last_term = self._base_index, self._base_term
+        base = self._log.make_base()
+        index, last_term = base.index, base.term
         data = journals.encode_checkpoint(
-            journals.Checkpoint(
-                index, last_term, self._base_voters, self._snapshot_data
-            )
+            base._replace(data=self._snapshot_data)
         )
         offset = 0
         while offset < len(data) and self.term == term:
@@ -444,26 +403,14 @@
             offset = reply.offset
         return index + 1
 
-    def _is_current(self, peer):
-        """Whether a peer's acknowledgements are those of its voter."""
-        progress = self._progress.get(peer)
-        return progress is not None and progress.identity == self.voters[peer]
-
     def _advance_commit(self):
         """Commit what a majority of voters has on disk."""
         if not self.voters:
             return
-        matches = []
-        for voter in self.voters:
-            if voter == self._name:
-                own = self._stored_index if self.is_voter else 0
-                matches.append(own)
-            elif self._is_current(voter):
-                matches.append(self._progress[voter].match)
-            else:
-                matches.append(0)
-        index = min(_majority_of(matches), self._stored_index)
-        if index > self.commit and self._term_at(index) == self.term:
+        own = self._stored_index if self.is_voter else 0
+        stored = self._followers.find_stored(self.voters, own)
+        index = min(stored, self._stored_index)
+        if index > self.commit and self._log.term_at(index) == self.term:
             self._set_commit(index)
             self._confirmed_at = trio.current_time()
 
@@ -474,16 +421,8 @@
             self._committed = trio.Event()
 
     def _find_contact(self):
-        """Return when a majority of voters was last surely in contact."""
-        times = []
-        for voter in self.voters:
-            if voter == self._name:
-                times.append(trio.current_time())
-            elif self._is_current(voter):
-                times.append(self._progress[voter].acked_at)
-            else:
-                times.append(float("-inf"))
-        return _majority_of(times)
+        now = trio.current_time()
+        return self._followers.find_contact(self.voters, now)
 
     def holds_lease(self):
         """Tell whether no other leader can exist at this moment.
@@ -500,43 +439,23 @@
         return trio.current_time() < self._find_contact() + length
 
     def _term_at_commit(self):
-        if self.commit < self._base_index:
+        if self.commit < self._log.base_index:
             return 0
-        return self._term_at(self.commit)
+        return self._log.term_at(self.commit)
 
     async def _admit_learners(self, term):
         """Replace the identity of a replica that came with a new disk."""
         while self.role == "leader" and self.term == term:
             await trio.sleep(ADMISSION_SECONDS)
-            if self._voters_index > self.commit or not self.holds_lease():
+            if self._log.voters_index > self.commit or not self.holds_lease():
                 continue
-            members = self._plan_admission()
+            members = self._followers.plan_admission(self.voters, self.commit)
             if members is not None:
                 names = ", ".join(sorted(members))
                 self._recorder.record("log.voters", detail=names)
-                command = wire.Voters(members, time.time())
+                command = commands.Voters(members, time.time())
                 await self._write([_Waiting(command)], term)
 
-    def _plan_admission(self):
-        """Return the next set of voters, or None when nothing is due.
-
-        A new identity first loses the old one's vote and then gets its
-        own, so that any two successive majorities share a voter.
-        """
-        for peer, progress in self._progress.items():
-            if not progress.identity:
-                continue
-            if self.voters.get(peer) == progress.identity:
-                continue
-            if progress.match < self.commit:
-                continue
-            if peer in self.voters:
-                rest = dict(self.voters)
-                del rest[peer]
-                return rest
-            return {**self.voters, peer: progress.identity}
-        return None
-
     # --- following -------------------------------------------------------
 
     def _heard_recently(self):
@@ -554,9 +473,8 @@
     async def _decide_vote(self, request):
         if self._heard_recently() and not request.transfer:
             return False
-        last_term = self._term_at(self.last_index)
         theirs = (request.last_term, request.last_index)
-        if theirs < (last_term, self.last_index):
+        if theirs < (self._log.last_term, self.last_index):
             return False
         if request.trial:
             return request.term > self.term
@@ -580,7 +498,7 @@
                     return self._reply_append(False, self._hint(message))
                 await self._store(message.entries)
                 matched = message.previous_index + len(message.entries)
-                matched = max(matched, self._base_index)
+                matched = max(matched, self._log.base_index)
                 self._set_commit(min(message.commit, matched))
                 self._confirmed_at = trio.current_time()
                 return self._reply_append(True, matched)
@@ -599,11 +517,11 @@
 
     def _matches(self, message):
         previous = message.previous_index
-        if previous < self._base_index:
+        if previous < self._log.base_index:
             return True
         if previous > self.last_index:
             return False
-        return self._term_at(previous) == message.previous_term
+        return self._log.term_at(previous) == message.previous_term
 
     def _hint(self, message):
         """Return the highest index worth trying next."""
@@ -611,17 +529,9 @@
             return self.last_index
         return max(self.commit, message.previous_index - BATCH_ENTRIES)
 
-    async def _store(self, entries):
+    async def _store(self, received):
         """Write the entries that are new, replacing conflicting ones."""
-        fresh = []
-        for position, entry in enumerate(entries):
-            if entry.index <= self._base_index:
-                continue
-            known = entry.index <= self.last_index
-            if known and self._term_at(entry.index) == entry.term:
-                continue
-            fresh = entries[position:]
-            break
+        fresh = self._log.find_fresh(received)
         if not fresh:
             return
         first = fresh[0].index
@@ -633,14 +543,8 @@
                 peer=self._name,
             )
         await trio.to_thread.run_sync(self._journal.append, fresh)
-        replaced = first <= self.last_index
-        del self._entries[first - self._base_index - 1 :]
-        self._entries.extend(fresh)
+        self._log.replace_from(fresh)
         self._stored_index = self.last_index
-        if replaced:
-            self._find_voters()
-        for entry in fresh:
-            self._note_voters(entry)
 
     async def handle_snapshot(self, message):
         """Answer a piece of a Snapshot; install it when it is whole."""
@@ -650,7 +554,7 @@
                     await self._follow(message.term, message.leader)
                     await self._take_piece(message)
                 offset = len(self._incoming)
-                if self._base_index >= message.last_index:
+                if self._log.base_index >= message.last_index:
                     offset = message.total
                 identity = self._journal.identity
                 return wire.SnapshotReply(self.term, offset, identity)
@@ -669,14 +573,10 @@
         await trio.to_thread.run_sync(
             self._journal.save_checkpoint, checkpoint, []
         )
-        self._base_index = checkpoint.index
-        self._base_term = checkpoint.term
-        self._base_voters = checkpoint.voters
+        self._log.start_over(checkpoint)
         self._snapshot_data = checkpoint.data
-        self._entries = []
         self._stored_index = checkpoint.index
         self.state.load(checkpoint.data)
-        self._find_voters()
         self._set_commit(checkpoint.index)
         self._announce_applied()
         detail = f"index {checkpoint.index}"
@@ -697,12 +597,12 @@
             while self.state.index < self.commit:
                 self._apply_next()
             self._announce_applied()
-            if len(self._entries) > 2 * SNAPSHOT_ENTRIES:
+            if len(self._log) > 2 * SNAPSHOT_ENTRIES:
                 await self._compact()
 
     def _apply_next(self):
         index = self.state.index + 1
-        entry = self._entries[index - self._base_index - 1]
+        entry = self._log.get(index)
         outcome = self.state.apply(entry)
         waiting = self._waiting.pop(index, None)
         if waiting is not None:
@@ -713,23 +613,14 @@
         with trio.CancelScope(shield=True):
             async with self._lock:
                 index = self.state.index
-                term = self._term_at(index)
-                voters = dict(self._base_voters)
-                covered = index - self._base_index
-                for entry in self._entries[:covered]:
-                    if entry.kind == "voters":
-                        command = wire.decode_command(entry.kind, entry.data)
-                        voters = command.members
-                rest = self._entries[covered:]
-                data = self.state.dump()
-                checkpoint = journals.Checkpoint(index, term, voters, data)
+                checkpoint, rest = self._log.plan_compaction(
+                    index, self.state.dump()
+                )
                 await trio.to_thread.run_sync(
                     self._journal.save_checkpoint, checkpoint, rest
                 )
-                self._base_index, self._base_term = index, term
-                self._base_voters = voters
-                self._snapshot_data = data
-                self._entries = rest
+                self._log.compact(checkpoint, rest)
+                self._snapshot_data = checkpoint.data
         self._recorder.record("log.compacted", detail=f"index {index}")
 
     # --- serving ---------------------------------------------------------
@@ -758,7 +649,7 @@
         Outcomes of claims only move forward, so the holder of the lease
         may answer from its state without a new entry.
         """
-        if not isinstance(command, wire.Claim) or not self.holds_lease():
+        if not isinstance(command, commands.Claim) or not self.holds_lease():
             return None
         record = self.state.claims.get((command.account, command.key))
         if record is None or record.state == "abandoned":
@@ -772,13 +663,13 @@
     def read_claim(self, message):
         """Answer ReadClaim; code not_leader without the lease."""
         if not self.holds_lease():
-            return wire.Outcome("not_leader", detail=self.leader)
+            return commands.Outcome("not_leader", detail=self.leader)
         record = self.state.claims.get((message.account, message.key))
         index = self.state.index
         if record is None:
-            return wire.Outcome("none", index)
+            return commands.Outcome("none", index)
         if record.state == "abandoned":
-            return wire.Outcome("abandoned", index)
+            return commands.Outcome("abandoned", index)
         return states.describe_claim(record, "", time.time(), index)
 
     async def hand_over(self):
@@ -788,11 +679,7 @@
         """
         if self.role != "leader":
             return
-        best = max(
-            (name for name in self.voters if self._is_current(name)),
-            key=lambda name: self._progress[name].match,
-            default="",
-        )
+        best = self._followers.find_most_advanced(self.voters)
         async with self._lock:
             self._step_down("handed over")
             self._heard_at = trio.current_time()
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/resumption.py
@@ -0,0 +1,96 @@
+"""Takes up a stream whose caller was dropped."""
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+from camphorhook_daemon.domain import answers
+from camphorhook_daemon.domain import streams
+from camphorhook_daemon.ports import upstreams as ports
+
+OWNER_WAIT_MS = 1000
+RESUME_SILENCE_SECONDS = 10.0
+
+
+class Resumer:
+    """Takes a stream up from its owner, or else from the engine itself."""
+
+    def __init__(self, directory, upstreams, transport):
+        self._directory = directory
+        self._upstreams = upstreams
+        self._transport = transport
+
+    async def fill(self, stream, point, key_hash):
+        """Fill a stream with what follows a point, to its end.
+
+        Args:
+            stream: the ResponseStream to fill; it is finished on return.
+            point: the streams.Point after which to go on; None if unknown.
+            key_hash: of the client account that asks.
+        """
+        try:
+            if await self._copy_from_owner(stream):
+                return
+        except errors.UnreachableError as error:
+            logs.log(
+                "info",
+                f"owner can't be reached: {error.message}",
+                operation=stream.response,
+                step="resume",
+                peer=error.peer,
+            )
+        stream.finish(await self._copy_from_engine(stream, point, key_hash))
+
+    async def _copy_from_owner(self, stream):
+        """Copy events until the end; return False when it has none."""
+        owner = streams.find_owner(stream.response)
+        while True:
+            message = wire.ReadStream(
+                stream.response, stream.account, stream.count, OWNER_WAIT_MS
+            )
+            reply = await self._transport.call(
+                owner, message, OWNER_WAIT_MS / 1000 + 1.0
+            )
+            if not reply.found:
+                return False
+            for event in reply.events:
+                stream.append(event)
+            if reply.finished and not reply.events:
+                stream.finish(reply.failure)
+                return True
+
+    async def _copy_from_engine(self, stream, point, key_hash):
+        """Copy events; return None when whole, or the RequestFailure."""
+        record = point and self._directory.get(point.upstream)
+        if point and not streams.is_own_engine_stream(point.stream, key_hash):
+            return _describe_lost("it belongs to another client account")
+        if record is None:
+            return _describe_lost("neither its owner nor its engine is here")
+        progress = answers.Progress()
+        progress.has_role = progress.has_finish = True
+        reader = answers.EngineStream(
+            stream,
+            progress,
+            record.name,
+            point.stream,
+            wants_usage=True,
+            sequence=point.sequence,
+        )
+        path = f"/v1/streams/{point.stream}?after={point.sequence}"
+        call = ports.Call("GET", path, [], b"", RESUME_SILENCE_SECONDS)
+        try:
+            async with self._upstreams.stream(record, call) as opened:
+                status, _, events = opened
+                if status != 200:
+                    return _describe_lost(f"{record.name} said {status}")
+                async for event in events:
+                    reader.take(event)
+                    if reader.is_done:
+                        return None
+        except errors.CamphorhookError as error:
+            return _describe_lost(error.format())
+        return _describe_lost("the engine ended it early")
+
+
+def _describe_lost(reason):
+    message = f"the answer can't be taken up again: {reason}; ask anew"
+    return wire.RequestFailure(410, "stream_lost", message, "run")
--- a/packages/daemon/src/camphorhook_daemon/domain/services.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import secrets
@@ -223,7 +224,7 @@
         row = self._parts.configuration.get_or_default(
             "services", request.service
         )
-        claim = wire.Claim(
+        claim = commands.Claim(
             request.account,
             request.key,
             _digest(request),
@@ -319,7 +320,7 @@
 
     async def _settle(self, claim, state, answer=None):
         """Record an outcome; goes on in the background if it takes long."""
-        message = wire.Settle(
+        message = commands.Settle(
             claim.account,
             claim.key,
             claim.attempt,
@@ -350,7 +351,7 @@
 
     def _abandon(self, claim):
         """Release a claim that may have been committed unheard."""
-        message = wire.Settle(
+        message = commands.Settle(
             claim.account,
             claim.key,
             claim.attempt,
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from camphorhook_common import commands
 from camphorhook_common import tables
 from camphorhook_common import wire
 
@@ -51,7 +52,7 @@
 class StoredOperation(typing.NamedTuple):
     """The remembered outcome of an operator's call."""
 
-    outcome: wire.Outcome
+    outcome: commands.Outcome
     at: float
 
 
@@ -87,7 +88,7 @@
 
     def apply(self, entry):
         """Apply an entry of the log and return its Outcome."""
-        command = wire.decode_command(entry.kind, entry.data)
+        command = commands.decode(entry.kind, entry.data)
         self.index = entry.index
         self.time = max(self.time, command.at)
         self._expire_claims()
@@ -195,35 +196,35 @@
     version = stored.version if exists else 0
     if command.expected not in (ANY_VERSION, version):
         detail = f"row {command.row} is at version {version}"
-        outcome = wire.Outcome("conflict", state.index, version, detail)
+        outcome = commands.Outcome("conflict", state.index, version, detail)
     elif cells is None and not exists:
         detail = f"row {command.row} does not exist"
-        outcome = wire.Outcome("refused", state.index, 0, detail)
+        outcome = commands.Outcome("refused", state.index, 0, detail)
     else:
         if cells is not None and exists:
             cells = {**stored.cells, **cells}
         version = state.put_row(command.table, command.row, cells)
-        outcome = wire.Outcome("done", state.index, version)
+        outcome = commands.Outcome("done", state.index, version)
     state.remember(command.operation, outcome)
     return outcome
 
 
 @_apply_command.register
-def _(command: wire.SetCells, state):
+def _(command: commands.SetCells, state):
     return _change_row(command, state, command.cells)
 
 
 @_apply_command.register
-def _(command: wire.RemoveRow, state):
+def _(command: commands.RemoveRow, state):
     return _change_row(command, state, None)
 
 
 @_apply_command.register
-def _(command: wire.Claim, state):
+def _(command: commands.Claim, state):
     record = state.claims.get((command.account, command.key))
     if record is not None and record.state == "abandoned":
         if record.attempt == command.attempt:
-            return wire.Outcome("abandoned", state.index)
+            return commands.Outcome("abandoned", state.index)
         record = None
     if record is None:
         record = ClaimRecord(
@@ -238,9 +239,9 @@
             b"",
         )
         state.put_claim(command.account, command.key, record)
-        return wire.Outcome("done", state.index)
+        return commands.Outcome("done", state.index)
     if record.attempt == command.attempt and record.state == "running":
-        return wire.Outcome("done", state.index)
+        return commands.Outcome("done", state.index)
     return describe_claim(record, command.digest, state.time, state.index)
 
 
@@ -254,9 +255,9 @@
         index: index of the state.
     """
     if digest and record.digest != digest:
-        return wire.Outcome("mismatch", index)
+        return commands.Outcome("mismatch", index)
     if record.state == "finished":
-        return wire.Outcome(
+        return commands.Outcome(
             "replay",
             index,
             status=record.status,
@@ -266,11 +267,11 @@
     code = record.state
     if code == "running" and now > record.overdue_at:
         code = "unknown"
-    return wire.Outcome(code, index, detail=record.instance)
+    return commands.Outcome(code, index, detail=record.instance)
 
 
 @_apply_command.register
-def _(command: wire.Settle, state):
+def _(command: commands.Settle, state):
     record = state.claims.get((command.account, command.key))
     if record is None and command.state == "abandoned":
         # The claim itself may still be on its way; this bars it.
@@ -287,9 +288,11 @@
         )
         state.put_claim(command.account, command.key, record)
     if record is None or record.attempt != command.attempt:
-        return wire.Outcome("refused", state.index, detail="no such attempt")
+        return commands.Outcome(
+            "refused", state.index, detail="no such attempt"
+        )
     if record.state in ("finished", "abandoned"):
-        return wire.Outcome("done", state.index)
+        return commands.Outcome("done", state.index)
     settled = record._replace(
         state=command.state,
         status=command.status,
@@ -297,19 +300,19 @@
         body=command.body,
     )
     state.claims[command.account, command.key] = settled
-    return wire.Outcome("done", state.index)
+    return commands.Outcome("done", state.index)
 
 
 @_apply_command.register
-def _(command: wire.TakeFence, state):
-    return wire.Outcome("done", state.index)
+def _(command: commands.TakeFence, state):
+    return commands.Outcome("done", state.index)
 
 
 @_apply_command.register
-def _(command: wire.Voters, state):
-    return wire.Outcome("done", state.index)
+def _(command: commands.Voters, state):
+    return commands.Outcome("done", state.index)
 
 
 @_apply_command.register
-def _(command: wire.Begin, state):
-    return wire.Outcome("done", state.index)
+def _(command: commands.Begin, state):
+    return commands.Outcome("done", state.index)
--- a/packages/daemon/src/camphorhook_daemon/ports/journal.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/journal.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from camphorhook_common import wire
+from camphorhook_common import commands
 
 
 class Vote(typing.NamedTuple):
@@ -31,7 +31,7 @@
     def save_vote(self, vote: Vote):
         """Persist term and vote."""
 
-    def append(self, entries: list[wire.Entry]):
+    def append(self, entries: list[commands.Entry]):
         """Persist entries; one with a known index replaces it and all after.
 
         Raises:
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -16,6 +16,7 @@
 import trio.testing
 
 from camphorhook_common import clock
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import settings
 from camphorhook_common import timeline
@@ -244,7 +245,7 @@
         number += 1
         row = f"row-{submitter}-{number}"
         one = group.chance.choice(leaders)
-        command = wire.SetCells(
+        command = commands.SetCells(
             f"op-{row}", "upstreams", row, -1, {"weight": 1}, 0
         )
         with trio.move_on_after(SUBMIT_SECONDS):
--- a/tools/footprints.py
+++ b/tools/footprints.py
@@ -11,6 +11,7 @@
 import trio
 
 from camphorhook_common import clock
+from camphorhook_common import commands
 from camphorhook_common import secrets
 from camphorhook_common import timeline
 from camphorhook_common import wire
@@ -36,11 +37,11 @@
     return readings
 
 
-def _apply_all(commands):
+def _apply_all(built):
     machine = state.State()
-    for index, command in enumerate(commands, start=1):
-        kind, data = wire.encode_command(command)
-        machine.apply(wire.Entry(index, 1, kind, data))
+    for index, command in enumerate(built, start=1):
+        kind, data = commands.encode(command)
+        machine.apply(commands.Entry(index, 1, kind, data))
     return machine
 
 
@@ -58,11 +59,11 @@
 
 def _build_claims(size):
     now = time.time()
-    commands = []
+    built = []
     for number in range(size):
         key = f"booking-{number:012}"
         digest = secrets.digest_body(key.encode())
-        claim = wire.Claim(
+        claim = commands.Claim(
             f"account-{number % 100}",
             key,
             digest,
@@ -73,7 +74,7 @@
             now,
         )
         body = b'{"booked":"court","server":"desk"}'
-        settle = wire.Settle(
+        settle = commands.Settle(
             claim.account,
             key,
             claim.attempt,
@@ -83,14 +84,14 @@
             body,
             now,
         )
-        commands += [claim, settle]
-    return _apply_all(commands)
+        built += [claim, settle]
+    return _apply_all(built)
 
 
 def _build_rows(size):
     now = time.time()
     return _apply_all(
-        wire.SetCells(
+        commands.SetCells(
             f"op-{number:032}",
             "client_accounts",
             f"account-{number}",
