Count permits that a restarted holder forgot

Cause: a permit holder that was killed while its permits were out granted them again; with both holders killed a cold engine got four requests and fell over (scenario 'Holders of permits are killed' failed first). Ruled out: telling a new upstream by the first sequence that is heard (a neighbour may tell sequence 2 of one that already runs work; still red). Change: an upstream is new if it joined after a neighbour had told all it knows; for others a restarted holder grants none until the next report, then counts those reported.

--- a/packages/daemon/src/camphorhook_daemon/domain/exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/exchange.py
@@ -173,7 +173,6 @@
         cursor = self._cursors.get(message.sender)
         if cursor is not None:
             cursor.meet(message.incarnation)
-        self._has_met = self._has_met or message.whole
         for record in message.upstreams:
             self._directory.merge(record, message.sender)
         self._directory.merge_loads(message.loads, message.sender)
@@ -181,6 +180,9 @@
             self._limits.merge(usage)
         for suspect in message.suspects:
             self._suspects.merge(suspect)
+        if message.whole:
+            self._has_met = True
+            self._directory.note_met()
         if message.stopping:
             self.stopping_peers.add(message.sender)
         else:
--- a/packages/daemon/src/camphorhook_daemon/domain/membership.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -74,6 +74,7 @@
         self.load_changed = 0
         self.starts = []
         self.source = ""
+        self.is_known_from_start = False
 
 
 def _fingerprint(record):
@@ -142,6 +143,7 @@
         self._entries = {}
         self._by_fingerprint = {}
         self._counter = 0
+        self._has_met = False
         self._listeners = []
         self.urgent = trio.Event()
         self.moved = trio.Event()
@@ -212,6 +214,8 @@
         self._by_fingerprint.pop(_fingerprint(entry.record), None)
         entry.record = record
         self._by_fingerprint[_fingerprint(record)] = entry
+        if event in ("joined", "restarted"):
+            entry.is_known_from_start = self._has_met
         if event in ("joined", "restarted", "returned"):
             entry.starts.append(trio.current_time())
         self._mark_changed(entry, source)
@@ -316,6 +320,18 @@
         silent = trio.current_time() - entry.heard_at
         return silent <= entry.record.ttl_ms * MS
 
+    def is_known_from_start(self, name):
+        """Tell whether this instance has known an incarnation all along.
+
+        One that is new to an instance which neighbours had told all they
+        know is new to the fleet.
+        """
+        return self._entries[name].is_known_from_start
+
+    def note_met(self):
+        """Note that a neighbour has told all that it knows."""
+        self._has_met = True
+
     def is_flapping(self, name):
         """Tell whether the upstream joined too often a short while ago."""
         entry = self._entries[name]
--- a/packages/daemon/src/camphorhook_daemon/domain/permits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/permits.py
@@ -21,6 +21,8 @@
 SUSPECT = "suspect"
 DIGEST = "digest"
 FORGET_SECONDS = 3600.0
+REPORTS_PER_TTL = 3
+REPORT_LAG_SECONDS = 2.0
 
 
 class _Ledger:
@@ -72,6 +74,7 @@
         self._configuration = configuration
         self._suspects = suspects
         self._ledgers = {}
+        self._started_at = trio.current_time()
         self._entry_instances = _group_entry_instances(settings)
 
     # --- who holds -------------------------------------------------------
@@ -208,11 +211,30 @@
         is_warm = self._name in record.warm
         row = self._configuration.get_or_default("services", record.service)
         share = self._find_share(record, self._name, row["cold_allowance"])
-        granted = len(ledger.held) < share or not self.is_cold(record)
+        taken = max(len(ledger.held), self._count_forgotten(record, row))
+        granted = taken < share or not self.is_cold(record)
         if granted:
             self._hold(ledger, message)
         return wire.PermitReply(granted, is_warm)
 
+    def _count_forgotten(self, record, row):
+        """Return how many permits from before a restart may be out.
+
+        A holder that has restarted forgot them. Until the upstream's next
+        report, all may be out; then the report counts them, until the
+        longest attempt from before is over.
+        """
+        if self._directory.is_known_from_start(record.name):
+            if not record.cold_spell:
+                return 0
+        running = trio.current_time() - self._started_at
+        if running > row["attempt_seconds"]:
+            return 0
+        reported = record.ttl_ms * MS / REPORTS_PER_TTL + REPORT_LAG_SECONDS
+        if running < reported:
+            return row["cold_allowance"]
+        return record.active
+
     def take_back(self, message):
         """Answer ReturnPermit."""
         ledger = self._ledgers.get((message.reason, message.subject))
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -6,6 +6,16 @@
     Then no engine fell over
     And every chat was answered whole or truthfully refused
 
+  Scenario: Holders of permits are killed while their permits are out
+    When all engines are killed and start again cold
+    And 12 chats fill the cold engines
+    And the processes a1, a2 are killed at once
+    And the processes a1, a2 start again
+    And the restarted instances a1, a2 are ready
+    And 60 callers chat at every instance at the same time
+    Then no engine fell over
+    And every chat was answered whole or truthfully refused
+
   Scenario: An engine that turns cold without notice is found and spared
     When the engines are warm
     And one engine turns cold without notice
--- a/tests/features/steps/routing.py
+++ b/tests/features/steps/routing.py
@@ -21,6 +21,7 @@
 BALANCER_PAUSE_SECONDS = 0.1
 SAMPLE_SECONDS = 0.05
 HOT_ROUNDS = 3
+VERY_LONG_TOKENS = 900
 MOST_CHATS_UNTIL_COLD = 60
 
 
@@ -107,6 +108,26 @@
         )
 
 
+@behave.when("{count:d} chats fill the cold engines")
+def fill_cold_engines(context, count):
+    instances = [
+        one for one in context.fleet.plan.instances if "replica" in one.roles
+    ]
+    for number in range(count):
+        body = callers.make_chat(f"fill {number}", tokens=VERY_LONG_TOKENS)
+        address = instances[number % len(instances)].callers
+        key = context.fleet.plan.account_key
+        streams.BackgroundStream(address, key, body)
+    processes.wait_until(
+        lambda: sum_stats(context, "active") >= count / 2, what="long chats"
+    )
+
+
+@behave.when("the restarted instances {names} are ready")
+def wait_restarted(context, names):
+    context.fleet.wait_ready(*names.split(", "))
+
+
 @behave.when("{count:d} callers chat at every instance at the same time")
 def chat_everywhere(context, count):
     context.pairs = _stream_all(
