--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -269,6 +269,7 @@
             ("camphorhook-response", stream.response),
             (http.DISPOSITION_HEADER, "run"),
         ]
+        was_begun = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_cancel_on_leave, receive, nursery)
             await http.send_head(context.send, 200, headers)
@@ -276,6 +277,10 @@
                 await stream.wait_beyond(number)
                 events = stream.read_after(number)
                 number += len(events)
+                if events and not was_begun:
+                    was_begun = True
+                    waited = trio.current_time() - context.started_at
+                    self._parts.meter.record_first_token(waited)
                 if events:
                     piece = b"".join(_encode_event(one) for one in events)
                     await http.send_piece(context.send, piece, True)
@@ -420,6 +425,7 @@
         self.row = row
         self.send = send
         self.headers = headers
+        self.started_at = trio.current_time()
 
 
 def _encode_event(event):
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -104,6 +104,8 @@
                     stream.finish(failure)
 
     def _finish_run(self, admitted, place):
+        self._parts.meter.count_attempt("whole")
+        self._parts.meter.count_request(admitted.service)
         self._parts.suspects.clear(admitted.chat.digest)
         self._parts.recorder.record(
             "chat.finished", request=admitted.request, peer=place.record.name
@@ -262,6 +264,7 @@
 
     async def _note_failure(self, admitted, place, progress, error):
         record = place.record
+        self._parts.meter.count_attempt("failed")
         progress.last = error.format()
         progress.excluded.add(record.name)
         logs.log(
--- a/packages/daemon/src/camphorhook_daemon/domain/services.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -312,6 +312,7 @@
                     await self._parts.dispatcher.release(place, done)
             if answer is not None:
                 self._record("booking.finished", request, place)
+                self._parts.meter.count_request(request.service)
                 return Served(answer, "run", False, place.record.name)
             if sent:
                 self._record("booking.unknown", request, place)
--- a/tests/features/steps/durable_log.py
+++ b/tests/features/steps/durable_log.py
@@ -46,7 +46,8 @@
             self.open.pop(row, None)
 
 
-def _get_operator(context):
+def get_operator(context):
+    """Return the scenario's Operator, made at its first use."""
     if not hasattr(context, "operator"):
         prefix = f"row-{abs(hash(context.scenario.name)) % 10**6}"
         context.operator = Operator(context.fleet.client, prefix)
@@ -55,14 +56,14 @@
 
 @behave.when("operators make {count:d} changes")
 def make_changes(context, count):
-    operator = _get_operator(context)
+    operator = get_operator(context)
     for _ in range(count):
         operator.change()
 
 
 @behave.when("operators make {count:d} changes while the leader is killed")
 def make_changes_and_kill(context, count):
-    operator = _get_operator(context)
+    operator = get_operator(context)
 
     def change_all():
         for _ in range(count):
@@ -81,7 +82,7 @@
 
 
 def _has_accepted(context, name):
-    operator = _get_operator(context)
+    operator = get_operator(context)
     try:
         rows = _read_rows(context, name)
     except errors.CamphorhookError:
@@ -188,7 +189,7 @@
 
 @behave.when("operators make {count:d} changes at the others")
 def make_changes_elsewhere(context, count):
-    operator = _get_operator(context)
+    operator = get_operator(context)
     cut = getattr(context, "cut", "c1")
     other = next(
         one.name
