Stop a replica whose disk is full; keep one failed stream from ending all

Change: storage errors end the process, as they did on the leader's own path. A full disk ends the time line's file, not the process. An unexpected error in one stream's task ended the whole instance; it is logged now and ends that stream. Ruled out: going on without the disk as a learner; its answers since the failure would have to be taken back.

--- a/packages/common/src/camphorhook_common/timeline.py
+++ b/packages/common/src/camphorhook_common/timeline.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from camphorhook_common import clock as clocks
+from camphorhook_common import logs
 
 RING_LENGTH = 20000
 
@@ -48,8 +49,15 @@
         entry.update((key, str(value)) for key, value in fields.items())
         self._ring.append(entry)
         if self._file:
-            line = msgspec.json.encode(entry).decode()
-            self._file.write(line + "\n")
+            self._write(msgspec.json.encode(entry).decode() + "\n")
+
+    def _write(self, line):
+        """Append to the file; a full disk ends the file, not the process."""
+        try:
+            self._file.write(line)
+        except OSError as error:
+            self._file = None
+            logs.log("warning", f"{error}; no more events", step="time line")
 
     def read(self, after=0, limit=RING_LENGTH):
         """Return the newest `limit` events whose stamp is above `after`."""
--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -4,6 +4,7 @@
 import trio
 
 from camphorhook_common import errors
+from camphorhook_common import logs
 from camphorhook_common import secrets
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import http
@@ -254,6 +255,15 @@
         tokens = 0
         try:
             tokens = await self._parts.chat_runner.run_stream(admitted, stream)
+        except Exception:
+            # Only this answer fails; `run_stream` has ended its stream.
+            logs.log(
+                "error",
+                "streaming failed unexpectedly",
+                with_trace=True,
+                request=admitted.request,
+                step="stream",
+            )
         finally:
             self._parts.limits.release(admitted.account, tokens)
 
--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -192,6 +192,9 @@
             return
         try:
             reply = await self._answer(message)
+        except errors.StorageError:
+            # The process must end: what it would answer may be lost.
+            raise
         except errors.CamphorhookError as error:
             reply = wire.Failure(error.step, error.message)
         try:
--- a/tests/features/durable_log.feature
+++ b/tests/features/durable_log.feature
@@ -67,6 +67,14 @@
     When the replica b1 loses its disk and starts again
     Then b1 is a voter again with a new identity
 
+  Scenario: A full disk stops the replica with a clear error
+    When operators make 5 changes
+    And b1's disk has no more room for its log
+    And operators make 10 changes
+    Then b1 ended by itself with exit code 1 and its log names the file
+    When the process b1 starts again
+    Then every accepted change is in force on every instance
+
   Scenario: A torn last record is dropped
     When operators make 5 changes
     And the process c1 is killed
--- a/tests/features/steps/durable_log.py
+++ b/tests/features/steps/durable_log.py
@@ -1,5 +1,6 @@
 """Steps of the replicated log: changes under failures."""
 
+import resource
 import shutil
 import threading
 
@@ -13,6 +14,7 @@
 TABLE = "upstreams"
 SETTLE_SECONDS = 30.0
 DAMAGED_OFFSET = 300
+ROOM_BYTES = 100
 
 
 class Operator:
@@ -225,6 +227,27 @@
     path.write_bytes(bytes(data))
 
 
+@behave.when("{name:Word}'s disk has no more room for its log")
+def fill_disk(context, name):
+    size = _find_entries(context, name).stat().st_size + ROOM_BYTES
+    pid = context.fleet.processes[name].pid
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, size))
+
+
+@behave.then(
+    "{name:Word} ended by itself with exit code {code:d} and its log names "
+    "the file"
+)
+def check_ended(context, name, code):
+    process = context.fleet.processes[name]
+    processes.wait_until(
+        lambda: not process.is_running(), what=f"the end of {name}"
+    )
+    text = process.read_log()
+    assert process.stop() == code, text
+    assert f"{name}.data" in text and "mend the disk" in text, text
+
+
 @behave.when("the end of {name:Word}'s log is torn off")
 def tear_log(context, name):
     path = _find_entries(context, name)
