Share one codec; drop what nothing calls

Cause, seen on reading the whole change: commands.py and wire.py held the same encoder, decoders and error handling twice since they were split; and some names had no caller (listeners and has_urgent of the directory, match_key, six constants that nothing reads). Change: codec.Codec serves both modules; the dead names are gone. Behaviour stays as it was. Left as it is: pairs of look-alike test steps for one and for several processes, which read better apart.

--- a/packages/client/src/camphorhook/main.py
+++ b/packages/client/src/camphorhook/main.py
@@ -64,7 +64,6 @@
     "keys": commands.make_keys,
     "make-key": commands.make_bearer_key,
 }
-LOCAL_COMMANDS = ("keys", "make-key")
 DEFAULT_SERVER = "127.0.0.1:8103"
 
 
--- a/packages/common/src/camphorhook_common/commands.py
+++ b/packages/common/src/camphorhook_common/commands.py
@@ -2,9 +2,7 @@
 
 import typing
 
-import msgspec
-
-from camphorhook_common import errors
+from camphorhook_common import codec
 from camphorhook_common import tables
 
 
@@ -112,7 +110,6 @@
     "voters": Voters,
     "begin": Begin,
 }
-KIND_OF = {command: kind for kind, command in KINDS.items()}
 
 
 class Entry(typing.NamedTuple):
@@ -153,27 +150,6 @@
     body: bytes = b""
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoders = {
-    kind: msgspec.msgpack.Decoder(type_) for kind, type_ in KINDS.items()
-}
-
-
-def encode(command):
-    """Return the command's kind and body for an entry."""
-    return KIND_OF[type(command)], _encoder.encode(command)
-
-
-def decode(kind, data):
-    """Return the command of an entry.
-
-    Raises:
-        errors.ProtocolError: unknown kind or a body that does not fit it.
-    """
-    decoder = _decoders.get(kind)
-    if decoder is None:
-        raise errors.ProtocolError(f"unknown command {kind!r}", step="decode")
-    try:
-        return decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(str(error), step="decode") from error
+_codec = codec.Codec(KINDS)
+encode = _codec.encode
+decode = _codec.decode
--- a/packages/common/src/camphorhook_common/secrets.py
+++ b/packages/common/src/camphorhook_common/secrets.py
@@ -1,13 +1,11 @@
-"""Bearer keys and their hashes, and signed identifiers."""
+"""Bearer keys and their hashes, and digests of requests."""
 
 import hashlib
-import hmac
 import secrets
 
 HASH_PREFIX = "sha256:"
 KEY_PREFIX = "chk-"
 KEY_BYTES = 24
-SIGNATURE_DIGITS = 16
 
 
 def make_key():
@@ -23,11 +21,6 @@
     return HASH_PREFIX + hashlib.sha256(key.encode()).hexdigest()
 
 
-def match_key(key, key_hash):
-    """Tell whether the key belongs to the hash, in constant time."""
-    return hmac.compare_digest(hash_key(key), key_hash)
-
-
 def digest_body(body):
     """Return the digest that identifies a request body (32 characters)."""
     return hashlib.blake2b(body, digest_size=16).hexdigest()
--- a/packages/common/src/camphorhook_common/tables.py
+++ b/packages/common/src/camphorhook_common/tables.py
@@ -6,7 +6,6 @@
 import expression
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
-MAX_TEXT_LENGTH = 256
 
 
 class CellError(typing.NamedTuple):
--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -6,10 +6,8 @@
 
 import typing
 
-import msgspec
-
+from camphorhook_common import codec
 from camphorhook_common import commands
-from camphorhook_common import errors
 from camphorhook_common import tables
 
 # --- messages between replicas ------------------------------------------
@@ -455,29 +453,7 @@
     "sr": StreamReply,
     "fa": Failure,
 }
-KIND_OF = {message: kind for kind, message in KINDS.items()}
-
-_encoder = msgspec.msgpack.Encoder()
-_decoders = {
-    kind: msgspec.msgpack.Decoder(type_) for kind, type_ in KINDS.items()
-}
-
 
-def encode(message):
-    """Return the message's kind and body."""
-    return KIND_OF[type(message)], _encoder.encode(message)
-
-
-def decode(kind, body):
-    """Return the message of a kind and body.
-
-    Raises:
-        errors.ProtocolError: unknown kind or a body that does not fit it.
-    """
-    decoder = _decoders.get(kind)
-    if decoder is None:
-        raise errors.ProtocolError(f"unknown kind {kind!r}", step="decode")
-    try:
-        return decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(str(error), step="decode") from error
+_codec = codec.Codec(KINDS)
+encode = _codec.encode
+decode = _codec.decode
--- a/packages/daemon/src/camphorhook_daemon/adapters/journal.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/journal.py
@@ -30,7 +30,6 @@
 _SNAPSHOT_FILE = "snapshot"
 _ENTRIES_FILE = "entries"
 FIRST_IDENTITY_SUFFIX = "#0"
-LARGEST_RECORD_BYTES = 64 * 1024 * 1024
 
 
 def make_first_identity(name):
--- a/packages/daemon/src/camphorhook_daemon/domain/membership.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -144,19 +144,12 @@
         self._by_fingerprint = {}
         self._counter = 0
         self._has_met = False
-        self._listeners = []
         self.urgent = trio.Event()
         self.moved = trio.Event()
 
-    def add_listener(self, listener):
-        """Call listener(name, event) on joined, restarted and expired."""
-        self._listeners.append(listener)
-
     def _notify(self, record, event):
         peer = f"{record.name}/{record.incarnation}"
         self._recorder.record(f"upstream.{event}", peer=peer)
-        for listener in self._listeners:
-            listener(record, event)
 
     def announce(self, announcement):
         """Take in an announcement heard directly."""
@@ -280,13 +273,6 @@
                 )
         return records, b"".join(loads), self._counter
 
-    def has_urgent(self, peer, since):
-        """Tell whether more than loads changed after a cursor."""
-        return any(
-            entry.changed > since and entry.source != peer
-            for entry in self._entries.values()
-        )
-
     def note_warm(self, record, holder):
         """Note that a permit holder found an upstream warm.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/streams.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/streams.py
@@ -16,7 +16,6 @@
 from camphorhook_common import wire
 
 KEEP_SECONDS = 60.0
-LARGEST_BUFFER_EVENTS = 100000
 POINT_SEPARATOR = "~"
 TAG_BYTES = 8
 TAG_KEY_BYTES = 64
