--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -5,8 +5,8 @@
 from camphorhook import csvfiles
 from camphorhook import formatting
 from camphorhook import keys
+from camphorhook_common import checks
 from camphorhook_common import errors
-from camphorhook_common import tables
 from camphorhook_common import timeline
 
 STATUS_COLUMNS = (
@@ -89,7 +89,7 @@
     """Set one cell."""
     table, row = arguments["TABLE"], arguments["ROW"]
     column = arguments["COLUMN"]
-    value = _check(tables.check_cell(table, row, column, arguments["VALUE"]))
+    value = _check(checks.check_cell(table, row, column, arguments["VALUE"]))
     _change(client, arguments, table, row, {column: value})
 
 
@@ -97,7 +97,7 @@
     """Add a row; cells that are not given take defaults."""
     table, row = arguments["TABLE"], arguments["ROW"]
     given = dict(pair.partition("=")[::2] for pair in arguments["CELL"])
-    cells = _check(tables.check_row(table, row, given))
+    cells = _check(checks.check_row(table, row, given))
     arguments["--expected"] = arguments["--expected"] or "0"
     _change(client, arguments, table, row, cells)
 
--- a/packages/client/src/camphorhook/csvfiles.py
+++ b/packages/client/src/camphorhook/csvfiles.py
@@ -2,8 +2,8 @@
 
 import csv
 
+from camphorhook_common import checks
 from camphorhook_common import errors
-from camphorhook_common import tables
 
 ROW_COLUMN = "row"
 
@@ -29,7 +29,7 @@
             faults.append(f"line {number}: the column `row` is missing")
             continue
         given = {key: value for key, value in record.items() if value != ""}
-        checked = tables.check_row(table, name, given)
+        checked = checks.check_row(table, name, given)
         if checked.is_error():
             faults.append(f"line {number}: {checked.error.format()}")
         else:
--- /dev/null
+++ b/packages/common/src/camphorhook_common/checks.py
@@ -0,0 +1,91 @@
+"""Checks of operators' rows and cells against the tables' schemas."""
+
+import re
+
+import expression
+
+from camphorhook_common import tables
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
+
+
+def _parse_value(column, value):
+    """Return the cell's value in the column's type; ValueError if wrong."""
+    match column:
+        case tables.WholeNumber():
+            number = int(str(value))
+            if not column.low <= number <= column.high:
+                raise ValueError(value)
+            return number
+        case tables.Decimal():
+            number = float(str(value))
+            if not column.low <= number <= column.high:
+                raise ValueError(value)
+            return number
+        case tables.Choice():
+            if value not in column.words:
+                raise ValueError(value)
+            return value
+        case _:
+            if not re.fullmatch(column.pattern, str(value)):
+                raise ValueError(value)
+            return str(value)
+
+
+def check_row_name(table, row) -> expression.Result[str, tables.CellError]:
+    """Check a row's name; the error says what names look like."""
+    if table not in tables.TABLES:
+        allowed = "one of the tables " + ", ".join(tables.TABLES)
+        return expression.Error(
+            tables.CellError(table, row, "-", table, allowed)
+        )
+    if not NAME_PATTERN.fullmatch(row):
+        allowed = "up to 64 letters, digits, dots, colons, - and _"
+        return expression.Error(
+            tables.CellError(table, row, "-", row, allowed)
+        )
+    return expression.Ok(row)
+
+
+def check_cell(
+    table, row, column, value
+) -> expression.Result[tables.Cell, tables.CellError]:
+    """Check one cell and return its value in the column's type.
+
+    Args:
+        table: a table's name.
+        row: the row's name.
+        column: a column's name.
+        value: the value as text or already in its type.
+    """
+    named = check_row_name(table, row)
+    if named.is_error():
+        return expression.Error(named.error)
+    definition = tables.TABLES[table].get(column)
+    if definition is None:
+        allowed = "one of the columns " + ", ".join(tables.TABLES[table])
+        return expression.Error(
+            tables.CellError(table, row, column, column, allowed)
+        )
+    try:
+        return expression.Ok(_parse_value(definition, value))
+    except ValueError:
+        allowed = tables.describe_column(definition)
+        fault = tables.CellError(table, row, column, str(value), allowed)
+        return expression.Error(fault)
+
+
+def check_row(
+    table, row, cells
+) -> expression.Result[tables.Row, tables.CellError]:
+    """Check a whole row; columns that are not given take defaults."""
+    named = check_row_name(table, row)
+    if named.is_error():
+        return expression.Error(named.error)
+    checked = tables.default_row(table)
+    for column, value in cells.items():
+        result = check_cell(table, row, column, value)
+        if result.is_error():
+            return expression.Error(result.error)
+        checked[column] = result.ok
+    return expression.Ok(checked)
--- a/packages/common/src/camphorhook_common/clock.py
+++ b/packages/common/src/camphorhook_common/clock.py
@@ -9,6 +9,14 @@
 COUNTER_BITS = 16
 
 
+def read_boottime():
+    """Return seconds of a clock that runs while the machine is suspended.
+
+    Leases are counted on it: a monotonic clock stands still meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class HybridClock:
     """Issues stamps that grow along every chain of messages."""
 
--- a/packages/common/src/camphorhook_common/commands.py
+++ b/packages/common/src/camphorhook_common/commands.py
@@ -86,6 +86,20 @@
     at: float
 
 
+class ImportDocument(typing.NamedTuple):
+    """Replaces the routing document, if its version is the highest yet.
+
+    Attributes:
+        version: the version that its author gave it.
+        body: the document as sent, compressed by zlib, in base 85.
+        at: leader's wall clock, seconds since the epoch.
+    """
+
+    version: int
+    body: str
+    at: float
+
+
 class Voters(typing.NamedTuple):
     """Replaces the set of voters; one voter differs at the most."""
 
@@ -100,10 +114,20 @@
     at: float
 
 
-Command = SetCells | RemoveRow | Claim | Settle | TakeFence | Voters | Begin
+Command = (
+    SetCells
+    | RemoveRow
+    | ImportDocument
+    | Claim
+    | Settle
+    | TakeFence
+    | Voters
+    | Begin
+)
 KINDS = {
     "set": SetCells,
     "remove": RemoveRow,
+    "document": ImportDocument,
     "claim": Claim,
     "settle": Settle,
     "fence": TakeFence,
--- a/packages/common/src/camphorhook_common/logs.py
+++ b/packages/common/src/camphorhook_common/logs.py
@@ -7,7 +7,7 @@
 
 from absl import logging as absl_logging
 
-FIELDS = ("request", "operation", "step", "peer", "account")
+FIELDS = ("request", "operation", "step", "peer", "account", "inputs")
 
 
 class JsonFormatter(logging.Formatter):
@@ -37,14 +37,15 @@
         return json.dumps(line, ensure_ascii=False)
 
 
-def configure(instance, level="info"):
-    """Send the program's logs to standard error as JSON lines.
+def configure(instance, level="info", stream=None):
+    """Send the program's logs to a stream as JSON lines.
 
     Args:
         instance: the name put in each line.
         level: debug, info, warning or error.
+        stream: where to; standard error by default.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter(instance))
     root = logging.getLogger()
     root.handlers = [handler]
--- a/packages/common/src/camphorhook_common/tables.py
+++ b/packages/common/src/camphorhook_common/tables.py
@@ -1,12 +1,7 @@
-"""Schemas of the operators' tables and the checks on their cells."""
+"""Schemas of the operators' tables."""
 
-import re
 import typing
 
-import expression
-
-NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
-
 
 class CellError(typing.NamedTuple):
     """Says which cell was refused and what it may hold."""
@@ -181,77 +176,3 @@
             return "one of " + ", ".join(column.words)
         case _:
             return column.allowed
-
-
-def _parse_value(column, value):
-    """Return the cell's value in the column's type; ValueError if wrong."""
-    match column:
-        case WholeNumber():
-            number = int(str(value))
-            if not column.low <= number <= column.high:
-                raise ValueError(value)
-            return number
-        case Decimal():
-            number = float(str(value))
-            if not column.low <= number <= column.high:
-                raise ValueError(value)
-            return number
-        case Choice():
-            if value not in column.words:
-                raise ValueError(value)
-            return value
-        case _:
-            if not re.fullmatch(column.pattern, str(value)):
-                raise ValueError(value)
-            return str(value)
-
-
-def check_row_name(table, row) -> expression.Result[str, CellError]:
-    """Check a row's name; the error says what names look like."""
-    if table not in TABLES:
-        allowed = "one of the tables " + ", ".join(TABLES)
-        return expression.Error(CellError(table, row, "-", table, allowed))
-    if not NAME_PATTERN.fullmatch(row):
-        allowed = "up to 64 letters, digits, dots, colons, - and _"
-        return expression.Error(CellError(table, row, "-", row, allowed))
-    return expression.Ok(row)
-
-
-def check_cell(
-    table, row, column, value
-) -> expression.Result[Cell, CellError]:
-    """Check one cell and return its value in the column's type.
-
-    Args:
-        table: a table's name.
-        row: the row's name.
-        column: a column's name.
-        value: the value as text or already in its type.
-    """
-    named = check_row_name(table, row)
-    if named.is_error():
-        return expression.Error(named.error)
-    definition = TABLES[table].get(column)
-    if definition is None:
-        allowed = "one of the columns " + ", ".join(TABLES[table])
-        return expression.Error(CellError(table, row, column, column, allowed))
-    try:
-        return expression.Ok(_parse_value(definition, value))
-    except ValueError:
-        allowed = describe_column(definition)
-        fault = CellError(table, row, column, str(value), allowed)
-        return expression.Error(fault)
-
-
-def check_row(table, row, cells) -> expression.Result[Row, CellError]:
-    """Check a whole row; columns that are not given take defaults."""
-    named = check_row_name(table, row)
-    if named.is_error():
-        return expression.Error(named.error)
-    checked = default_row(table)
-    for column, value in cells.items():
-        result = check_cell(table, row, column, value)
-        if result.is_error():
-            return expression.Error(result.error)
-        checked[column] = result.ok
-    return expression.Ok(checked)
--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -158,6 +158,7 @@
         changes: rows in the order of their changes.
         age_ms: time since the replica heard from a leader; -1 if unknown.
         leader: name of the leader as far as known.
+        replicas: names of the replicas as far as known.
     """
 
     index: int
@@ -165,6 +166,7 @@
     changes: list[Change]
     age_ms: int
     leader: str
+    replicas: tuple[str, ...] = ()
 
 
 class ConfirmIndex(typing.NamedTuple):
@@ -179,6 +181,86 @@
     index: int
 
 
+class Introduce(typing.NamedTuple):
+    """Tells a replica of another one, with its data folder's identity."""
+
+    name: str
+    identity: str
+
+
+class IntroduceReply(typing.NamedTuple):
+    """Answers Introduce with the leader and all replicas, as known."""
+
+    leader: str
+    replicas: tuple[str, ...]
+
+
+class Registration(typing.NamedTuple):
+    """What an upstream said of itself when it last registered.
+
+    Attributes:
+        name: the upstream's id.
+        service: the service it belongs to.
+        failure_domain: where it runs.
+        address: IP number.
+        port: TCP port.
+        incarnation: Unix milliseconds of its start.
+        sequence: grows with each registration of an incarnation.
+        state: live, leaving or gone.
+        capacity: requests it runs at once.
+        cold_ms: how much longer it is cold, from the time of sending.
+    """
+
+    name: str
+    service: str
+    failure_domain: str
+    address: str
+    port: int
+    incarnation: int
+    sequence: int
+    state: str
+    capacity: int
+    cold_ms: int
+
+
+class WatchUpstreams(typing.NamedTuple):
+    """Asks a replica for registrations that changed.
+
+    Attributes:
+        sender: the instance that asks.
+        epoch: start of the replica's process as last seen; empty for none.
+        after: position up to which the sender knows the changes.
+        wait_ms: how long to wait for a change.
+    """
+
+    sender: str
+    epoch: str
+    after: int
+    wait_ms: int
+
+
+class UpstreamsReply(typing.NamedTuple):
+    """Answers WatchUpstreams.
+
+    Attributes:
+        epoch: identifies the replica's process.
+        position: the changes are known up to it.
+        whole: the registrations are all there are, not the changed ones.
+        changed: registrations, removed ones left out.
+        removed: names of upstreams that no longer register here.
+        age_ms: how long the replica's process has been running.
+        watchers: instances that watched this replica of late.
+    """
+
+    epoch: str
+    position: int
+    whole: bool
+    changed: list[Registration]
+    removed: list[str]
+    age_ms: int
+    watchers: int
+
+
 class ShowStatus(typing.NamedTuple):
     """Asks an instance for its state, for operators."""
 
@@ -441,6 +523,10 @@
     "wy": WatchReply,
     "ci": ConfirmIndex,
     "cy": IndexReply,
+    "in": Introduce,
+    "iy": IntroduceReply,
+    "wu": WatchUpstreams,
+    "uu": UpstreamsReply,
     "st": ShowStatus,
     "ty": StatusReply,
     "ex": Exchange,
--- a/packages/daemon/src/camphorhook_daemon/adapters/answering.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/answering.py
@@ -60,6 +60,17 @@
         index = await self._get_replica().confirm_index()
         return wire.IndexReply(index)
 
+    @answer.register
+    async def _(self, message: wire.Introduce):
+        own = self._get_replica()
+        own.introduce(message.name, message.identity)
+        return wire.IntroduceReply(own.leader, list(own.list_members()))
+
+    @answer.register
+    async def _(self, message: wire.WatchUpstreams):
+        self._get_replica()
+        return await self._parts.registry.answer(message)
+
     @answer.register
     async def _(self, message: wire.Watch):
         self._get_replica()
--- a/packages/daemon/src/camphorhook_daemon/adapters/operators.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from camphorhook_common import checks
 from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import secrets
@@ -159,7 +160,7 @@
             return wire.RequestFailure(400, "invalid_body", text, "not-run")
         now = time.time()
         if request.method == "DELETE":
-            checked = tables.check_row_name(table, row)
+            checked = checks.check_row_name(table, row)
             command = commands.RemoveRow(
                 fields.operation, table, row, expected, now
             )
@@ -179,7 +180,7 @@
 
     def _check_cells(self, table, row, fields):
         """Check cells; a new row's missing columns take defaults."""
-        whole = tables.check_row(table, row, fields.cells)
+        whole = checks.check_row(table, row, fields.cells)
         exists = self._parts.configuration.get_row(table, row) is not None
         if whole.is_error() or fields.expected == 0 or not exists:
             return whole
--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -6,6 +6,7 @@
 """
 
 import struct
+import typing
 
 import trio
 import zmq
@@ -19,10 +20,8 @@
 _HEADER = struct.Struct(">2sQI")
 _FRAME_OVERHEAD_BYTES = 33 + 40  # CURVE message and TCP/IP headers
 _QUEUE_LENGTH = 1000
-_RECONNECT_MS = 100
-_RECONNECT_MAX_MS = 1000
-_PING_MS = 10000
-_PING_TIMEOUT_MS = 30000
+_CONNECT_POLL_SECONDS = 0.02
+_CONNECT_MS = 1500  # covers a lost opening packet, which is sent again in 1 s
 
 
 class TrioSocket:
@@ -68,97 +67,182 @@
         self.socket = TrioSocket(socket)
         self.waiting = {}
         self.next_number = 1
+        self.is_new_until = trio.current_time() + _CONNECT_MS / 1000
+
+
+class CurveGuard:
+    """Encrypts by CURVE; only instances with a known key may connect."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._authenticator = None
+        self._keys = None
+
+    def start(self, context):
+        """Load the own keys and check those of others.
+
+        Raises:
+            OSError, ValueError: a key can't be read.
+        """
+        authenticator = zmq.auth.thread.ThreadAuthenticator(context)
+        authenticator.start()
+        self._authenticator = authenticator
+        folder = self._settings.known_keys_folder
+        authenticator.configure_curve("*", str(folder))
+        self._keys = zmq.auth.load_certificate(
+            str(self._settings.secret_key_file)
+        )
+
+    def stop(self):
+        """Stop checking keys."""
+        if self._authenticator is not None:
+            self._authenticator.stop()
+
+    def secure_server(self, socket):
+        """Set a listening socket's options."""
+        socket.curve_publickey, socket.curve_secretkey = self._keys
+        socket.curve_server = True
+
+    def secure_client(self, socket, peer):
+        """Set a connecting socket's options."""
+        socket.curve_publickey, socket.curve_secretkey = self._keys
+        key_file = self._settings.known_keys_folder / f"{peer}.key"
+        socket.curve_serverkey, _ = zmq.auth.load_certificate(str(key_file))
+
+
+class OpenGuard:
+    """Lets every instance of a closed network connect."""
+
+    def start(self, context):
+        """Need nothing."""
+
+    def stop(self):
+        """Hold nothing."""
+
+    def secure_server(self, socket):
+        """Set no options."""
+
+    def secure_client(self, socket, peer):
+        """Set no options."""
+
+
+class LinkTiming(typing.NamedTuple):
+    """How soon a dead connection between instances is found and replaced.
+
+    Attributes:
+        ping_ms: between pings on a connection.
+        silence_ms: silence after which a connection is closed.
+        reconnect_ms: first wait before connecting again.
+        reconnect_max_ms: longest such wait.
+    """
+
+    ping_ms: int = 10000
+    silence_ms: int = 30000
+    reconnect_ms: int = 100
+    reconnect_max_ms: int = 1000
 
 
 class PeerTransport:
     """Sends messages to peers and answers theirs."""
 
-    def __init__(self, settings, clock, meter):
+    def __init__(
+        self,
+        name,
+        listener,
+        guard,
+        clock,
+        meter,
+        timing=LinkTiming(),
+        locate=None,
+    ):
         """Create the transport; nothing is connected until `open`.
 
         Args:
-            settings: the instance's Settings.
+            name: the own name.
+            listener: settings.Listener that peers connect to.
+            guard: a CurveGuard or OpenGuard.
             clock: HybridClock, stamped on and fed by every message.
             meter: object with count_control(kind, direction, size).
+            timing: a LinkTiming.
+            locate: returns the settings.Listener of a peer that was not
+                known in advance; None where all are known.
         """
-        self._settings = settings
+        self._locate = locate
+        self._name = name
+        self._listener = listener
+        self._guard = guard
         self._clock = clock
         self._meter = meter
+        self._timing = timing
         self._links = {}
         self._answer = None
         self._context = None
-        self._authenticator = None
         self._router = None
+        self._nursery = None
 
-    def open(self, answer):
-        """Bind the own socket and connect to every peer.
+    def open(self, answer, peers=()):
+        """Bind the own socket and connect to peers.
 
         Args:
             answer: async function from a message to its reply.
+            peers: settings.Peer of each instance known in advance.
 
         Raises:
             errors.SettingsError: a key can't be read or the port is taken.
         """
         self._answer = answer
         self._context = zmq.Context()
-        self._authenticator = zmq.auth.thread.ThreadAuthenticator(
-            self._context
-        )
-        self._authenticator.start()
-        folder = self._settings.known_keys_folder
-        self._authenticator.configure_curve("*", str(folder))
         try:
-            public, secret = zmq.auth.load_certificate(
-                str(self._settings.secret_key_file)
-            )
-            self._bind(public, secret)
-            for peer in self._settings.peers:
-                self._connect(peer, public, secret)
+            self._guard.start(self._context)
+            self._bind()
+            for peer in peers:
+                self._connect(peer.name, peer.listener)
         except (OSError, ValueError, zmq.ZMQError) as error:
             self.close()
             raise errors.SettingsError(
                 f"{error}; make keys with `camphorhook keys`",
                 step="open peers port",
-                peer=self._settings.peers_listener.format(),
+                peer=self._listener.format(),
             ) from error
 
-    def _make_socket(self, kind, public, secret):
+    def _make_socket(self, kind):
         socket = self._context.socket(kind)
         socket.linger = 0
         socket.sndhwm = _QUEUE_LENGTH
         socket.rcvhwm = _QUEUE_LENGTH
-        socket.curve_publickey = public
-        socket.curve_secretkey = secret
+        socket.heartbeat_ivl = self._timing.ping_ms
+        socket.heartbeat_timeout = self._timing.silence_ms
         return socket
 
-    def _bind(self, public, secret):
-        socket = self._make_socket(zmq.ROUTER, public, secret)
-        socket.curve_server = True
-        socket.bind(f"tcp://{self._settings.peers_listener.format()}")
+    def _bind(self):
+        socket = self._make_socket(zmq.ROUTER)
+        self._guard.secure_server(socket)
+        socket.bind(f"tcp://{self._listener.format()}")
         self._router = TrioSocket(socket)
 
-    def _connect(self, peer, public, secret):
-        key_file = self._settings.known_keys_folder / f"{peer.name}.key"
-        server_key, _ = zmq.auth.load_certificate(str(key_file))
-        socket = self._make_socket(zmq.DEALER, public, secret)
-        socket.curve_serverkey = server_key
+    def _connect(self, name, listener):
+        socket = self._make_socket(zmq.DEALER)
+        self._guard.secure_client(socket, name)
         socket.immediate = True
-        socket.reconnect_ivl = _RECONNECT_MS
-        socket.reconnect_ivl_max = _RECONNECT_MAX_MS
-        socket.heartbeat_ivl = _PING_MS
-        socket.heartbeat_timeout = _PING_TIMEOUT_MS
-        socket.connect(f"tcp://{peer.listener.format()}")
-        self._links[peer.name] = _Link(socket)
+        socket.reconnect_ivl = self._timing.reconnect_ms
+        socket.reconnect_ivl_max = self._timing.reconnect_max_ms
+        socket.connect_timeout = _CONNECT_MS
+        socket.handshake_ivl = _CONNECT_MS
+        socket.connect(f"tcp://{listener.format()}")
+        link = self._links[name] = _Link(socket)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._receive_replies, name, link)
+        return link
 
     def close(self):
         """Close all sockets at once."""
-        if self._authenticator is not None:
-            self._authenticator.stop()
+        self._guard.stop()
         self._context.destroy(linger=0)
 
     async def run(self):
         """Answer peers' messages and receive replies until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             for name, link in self._links.items():
                 nursery.start_soon(self._receive_replies, name, link)
             while True:
@@ -228,7 +312,7 @@
         step = type(message).__name__
         reply = None
         with trio.move_on_after(timeout):
-            if peer == self._settings.name:
+            if peer == self._name:
                 reply = await self._answer(message)
             else:
                 reply = await self._exchange(peer, message, step)
@@ -240,6 +324,8 @@
 
     async def _exchange(self, peer, message, step):
         link = self._links.get(peer)
+        if link is None and self._locate is not None:
+            link = self._connect(peer, self._locate(peer))
         if link is None:
             raise errors.UnreachableError(
                 "unknown instance", step=step, peer=peer
@@ -249,7 +335,7 @@
         sender, receiver = trio.open_memory_channel(1)
         link.waiting[number] = sender
         try:
-            link.socket.send([self._pack(message, number)])
+            await self._send(link, self._pack(message, number))
             return await receiver.receive()
         except zmq.ZMQError as error:
             raise errors.UnreachableError(
@@ -257,3 +343,14 @@
             ) from error
         finally:
             link.waiting.pop(number, None)
+
+    async def _send(self, link, frame):
+        """Send a frame, waiting while a new connection is being made."""
+        while True:
+            try:
+                link.socket.send([frame])
+                return
+            except zmq.Again:
+                if trio.current_time() > link.is_new_until:
+                    raise
+            await trio.sleep(_CONNECT_POLL_SECONDS)
--- a/packages/daemon/src/camphorhook_daemon/composition.py
+++ b/packages/daemon/src/camphorhook_daemon/composition.py
@@ -70,7 +70,13 @@
             settings.name, self.clock, settings.timeline_file
         )
         self.meter = meters.Meter(settings)
-        self.transport = peers.PeerTransport(settings, self.clock, self.meter)
+        self.transport = peers.PeerTransport(
+            settings.name,
+            settings.peers_listener,
+            peers.CurveGuard(settings),
+            self.clock,
+            self.meter,
+        )
         self.configuration = configuration.Configuration()
         self._build_log(found)
         self._build_routing()
@@ -193,7 +199,7 @@
         found: a replica with a new data folder is a founding one.
     """
     parts = Parts(settings, found=found)
-    parts.transport.open(answering.Answerer(parts).answer)
+    parts.transport.open(answering.Answerer(parts).answer, settings.peers)
     stopped = trio.Event()
     try:
         async with trio.open_nursery() as nursery:
--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -12,6 +12,7 @@
 
 from camphorhook_common import commands
 from camphorhook_common import errors
+from camphorhook_common import logs
 from camphorhook_common import tables
 from camphorhook_common import wire
 
@@ -31,22 +32,39 @@
     Attributes:
         index: index in force; -1 before the first state.
         leader: name of the log's leader as far as known.
+        replicas: names of the replicas, as a replica told.
+        confirmed_at: seconds on the clock of `now`; whatever was accepted
+            before is in force here.
     """
 
-    def __init__(self):
+    def __init__(self, now=trio.current_time):
         self.index = -1
         self.leader = ""
+        self.replicas = ()
         self.changed = trio.Event()
         self._tables = {table: {} for table in tables.TABLES}
         self._fresh_at = float("-inf")
+        self._now = now
+        self.confirmed_at = float("-inf")
 
-    def adopt(self, reply):
+    def measure_confirmed_age(self):
+        """Return seconds since the state in force was surely the newest."""
+        return self._now() - self.confirmed_at
+
+    def adopt(self, reply, confirmed_at=float("-inf")):
         """Take in a WatchReply; return whether anything changed.
 
         Replies older than what is in force are ignored.
+
+        Args:
+            reply: the WatchReply.
+            confirmed_at: when a watch that asked for a confirmed state was
+                sent, on the clock of `now`.
         """
         if reply.leader:
             self.leader = reply.leader
+        if reply.replicas:
+            self.replicas = reply.replicas
         if reply.index < self.index:
             return False
         if reply.age_ms >= 0:
@@ -58,6 +76,7 @@
         for change in reply.changes:
             self._put(change)
         self.index = reply.index
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
         if reply.changes or reply.whole:
             self.changed.set()
             self.changed = trio.Event()
@@ -94,16 +113,24 @@
 
 
 class WatchServer:
-    """Answers watches on a replica."""
+    """Answers watches on a replica.
+
+    Requests for a confirmed state share rounds to the leader: a round
+    answers every request that came before it began.
+    """
 
-    def __init__(self, replica, transport):
+    def __init__(self, replica, transport, now=trio.current_time):
         self._replica = replica
         self._transport = transport
+        self._now = now
+        self._round = trio.Lock()
+        self._began_at = float("-inf")
+        self._confirmed_index = -1
 
     async def answer(self, request):
         """Answer a Watch, waiting for a change up to its wait_ms."""
         state = self._replica.state
-        if request.confirm and not await self._wait_until_current():
+        if request.confirm and not await self.wait_until_current():
             raise errors.UnreachableError(
                 "no leader confirms the state", step="watch"
             )
@@ -115,23 +142,32 @@
             whole, changes = False, []
         age = self._replica.measure_age()
         age_ms = -1 if age is None else int(age / MS)
-        leader = self._replica.leader
-        return wire.WatchReply(state.index, whole, changes, age_ms, leader)
+        return wire.WatchReply(
+            state.index,
+            whole,
+            changes,
+            age_ms,
+            self._replica.leader,
+            self._replica.list_members(),
+        )
 
     def _has_news(self, index):
         whole, changes = self._replica.state.list_changes(index)
         return bool(whole or changes)
 
-    async def _wait_until_current(self):
-        """Wait until the state holds all that was ever acknowledged."""
-        index = await self._replica.confirm_index()
-        if index < 0:
-            leader = self._replica.leader
-            if not leader:
-                return False
-            question = wire.ConfirmIndex("")
-            reply = await self._transport.call(leader, question, 1.0)
-            index = reply.index
+    async def wait_until_current(self):
+        """Wait until the state holds all that was acknowledged before.
+
+        Returns:
+            False when no leader confirms it in time.
+        """
+        asked_at = self._now()
+        async with self._round:
+            if self._began_at < asked_at:
+                began_at = self._now()
+                index = await self._ask_index()
+                self._began_at, self._confirmed_index = began_at, index
+            index = self._confirmed_index
         if index < 0:
             return False
         with trio.move_on_after(1.0):
@@ -139,11 +175,36 @@
                 await self._replica.applied.wait()
         return self._replica.state.index >= index
 
+    async def _ask_index(self):
+        """Return the leader's confirmed index, or -1."""
+        index = await self._replica.confirm_index()
+        leader = self._replica.leader
+        if index >= 0 or not leader or leader == self._replica.name:
+            return index
+        try:
+            question = wire.ConfirmIndex("")
+            reply = await self._transport.call(leader, question, 1.0)
+        except errors.UnreachableError as error:
+            logs.log("debug", error.format(), step="confirm", peer=leader)
+            return -1
+        return reply.index
+
 
 class Watcher:
     """Keeps the Configuration up to date from a replica."""
 
-    def __init__(self, settings, configuration, transport, recorder):
+    def __init__(self, settings, configuration, transport, recorder, now=None):
+        """Create a watcher.
+
+        Args:
+            settings: the instance's Settings.
+            configuration: the Configuration to keep up to date.
+            transport: a Transport.
+            recorder: the Recorder of the time line.
+            now: the configuration's clock; given, every watch asks for a
+                confirmed state, so that its age is known.
+        """
+        self._now = now
         self._settings = settings
         self._configuration = configuration
         self._transport = transport
@@ -152,13 +213,15 @@
 
     def _order_replicas(self):
         """Return replicas: this instance, its failure domain, others."""
-        domains = {peer.name: peer for peer in self._settings.peers}
+        domains = {
+            peer.name: peer.failure_domain for peer in self._settings.peers
+        }
 
         def rank(name):
             if name == self._settings.name:
                 return 0
-            domain = domains[name].failure_domain
-            return 1 if domain == self._settings.failure_domain else 2
+            near = domains.get(name) == self._settings.failure_domain
+            return 1 if near else 2
 
         names = self._settings.list_replicas()
         random.Random(self._settings.name).shuffle(names)
@@ -168,6 +231,9 @@
         """Watch until cancelled, changing replicas on failures."""
         position = 0
         while True:
+            for name in self._configuration.replicas:
+                if name not in self._replicas:
+                    self._replicas.append(name)
             replica = self._replicas[position % len(self._replicas)]
             try:
                 stale = not await self._watch_once(replica)
@@ -182,10 +248,14 @@
         configuration = self._configuration
         wait = self._settings.timing.watch_ms
         first = configuration.index < 0
-        request = wire.Watch(configuration.index, 0 if first else wait, first)
+        confirm = first or self._now is not None
+        request = wire.Watch(
+            configuration.index, 0 if first else wait, confirm
+        )
         timeout = wait * MS + CALL_SLACK_SECONDS
+        sent_at = self._now() if self._now else float("-inf")
         reply = await self._transport.call(replica, request, timeout)
-        if configuration.adopt(reply) and reply.changes:
+        if configuration.adopt(reply, sent_at) and reply.changes:
             detail = f"index {configuration.index}"
             self._recorder.record("configuration.in_force", detail=detail)
         age = reply.age_ms * MS
@@ -196,10 +266,18 @@
     """Hands commands to the log's leader, wherever it is."""
 
     def __init__(self, settings, configuration, transport):
-        self._replicas = settings.list_replicas()
+        self._settings = settings
         self._configuration = configuration
         self._transport = transport
 
+    @property
+    def _replicas(self):
+        known = self._settings.list_replicas()
+        more = [
+            name for name in self._configuration.replicas if name not in known
+        ]
+        return known + more
+
     async def submit(self, command, timeout):
         """Commit a command and return its Outcome.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -1,5 +1,7 @@
 """What a leader knows of the other replicas."""
 
+GONE_SECONDS = 4.0  # silence after which a waiting replica takes the vote
+
 
 class _Progress:
     """One other replica: its disk's identity, its log, its last reply."""
@@ -37,6 +39,13 @@
             peer: _Progress(voters.get(peer, ""), now) for peer in peers
         }
 
+    def add(self, peer, identity):
+        """Take up a replica; return False when it was known."""
+        if peer in self._progress or peer == self._name:
+            return False
+        self._progress[peer] = _Progress(identity, float("-inf"))
+        return True
+
     def list_peers(self):
         """Return names of the other replicas."""
         return list(self._progress)
@@ -91,26 +100,47 @@
         ]
         return max(known, default=(0, ""))[1]
 
-    def plan_admission(self, voters, commit):
+    def plan_admission(self, voters, commit, now, most=None):
         """Return the next set of voters, or None when nothing is due.
 
         A new identity first loses the old one's vote and then gets its
-        own, so that any two successive majorities share a voter.
+        own, so that any two successive majorities share a voter. Where all
+        seats are taken, a replica that is up to date takes the seat of a
+        voter that has been silent for GONE_SECONDS.
 
         Args:
             voters: identity by name.
             commit: index that a replica must have reached.
+            now: seconds.
+            most: how many voters there may be; None for no bound.
         """
         for peer, progress in self._progress.items():
             if not progress.identity or progress.match < commit:
                 continue
+            if now - progress.acked_at > GONE_SECONDS:
+                continue
             if voters.get(peer) == progress.identity:
                 continue
             if peer in voters:
-                return {
-                    name: identity
-                    for name, identity in voters.items()
-                    if name != peer
-                }
-            return {**voters, peer: progress.identity}
+                return _leave_out(voters, peer)
+            if most is None or len(voters) < most:
+                return {**voters, peer: progress.identity}
+            gone = self._find_gone(voters, now)
+            if gone is not None:
+                return _leave_out(voters, gone)
         return None
+
+    def _find_gone(self, voters, now):
+        """Return a voter that has been silent for long, or None."""
+        for voter in voters:
+            progress = self._find_voter(voter, voters)
+            if voter == self._name:
+                continue
+            if progress is None or now - progress.acked_at > GONE_SECONDS:
+                return voter
+        return None
+
+
+def _leave_out(voters, gone):
+    """Return the voters without one of them."""
+    return {name: held for name, held in voters.items() if name != gone}
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/joining.py
@@ -0,0 +1,45 @@
+"""How a replica makes itself known to the others."""
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+
+SILENCE_SECONDS = 1.5  # without a leader's word, longer than an election
+INTERVAL_SECONDS = 0.5
+CALL_SECONDS = 1.0
+
+
+async def join(replica, identity, settings, transport):
+    """Introduce a replica whenever no leader feeds it, until cancelled.
+
+    Args:
+        replica: the own Replica.
+        identity: of the own data folder.
+        settings: with name and list_replicas.
+        transport: a Transport.
+    """
+    known = {*settings.list_replicas()}
+    message = wire.Introduce(settings.name, identity)
+    while True:
+        await trio.sleep(INTERVAL_SECONDS)
+        age = replica.measure_age()
+        if age is not None and age < SILENCE_SECONDS:
+            continue
+        known.update(replica.list_members())
+        known.discard(settings.name)
+        async with trio.open_nursery() as nursery:
+            for peer in sorted(known):
+                nursery.start_soon(_introduce, peer, message, transport, known)
+
+
+async def _introduce(peer, message, transport, known):
+    try:
+        reply = await transport.call(peer, message, CALL_SECONDS)
+    except errors.UnreachableError as error:
+        logs.log("debug", error.format(), step="introduce", peer=peer)
+        return
+    known.update(reply.replicas)
+    if reply.leader:
+        known.add(reply.leader)
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -53,7 +53,17 @@
         state: the State that entries are applied to.
     """
 
-    def __init__(self, settings, journal, state, transport, recorder, chance):
+    def __init__(
+        self,
+        settings,
+        journal,
+        state,
+        transport,
+        recorder,
+        chance,
+        now=trio.current_time,
+        most_voters=None,
+    ):
         """Create a replica from what its journal holds.
 
         Args:
@@ -63,6 +73,9 @@
             transport: a Transport.
             recorder: the Recorder of the time line.
             chance: random.Random for election timeouts.
+            now: returns seconds; its clock must not stand still while
+                the machine is suspended, or a lease outlives its time.
+            most_voters: replicas beyond it stay learners; None: all vote.
         """
         self._settings = settings
         self._timing = settings.timing
@@ -71,6 +84,9 @@
         self._transport = transport
         self._recorder = recorder
         self._chance = chance
+        self._now = now
+        self._most_voters = most_voters
+        self._lead_nursery = None
         self.state = state
         self.role = "follower"
         self.leader = ""
@@ -119,6 +135,16 @@
         """Whether this data folder's identity is a voter."""
         return self.voters.get(self._name) == self._journal.identity
 
+    @property
+    def name(self):
+        """This replica's name."""
+        return self._name
+
+    def list_members(self):
+        """Return names of the voters and of those that learn from here."""
+        learners = self._followers.list_peers() if self._followers else []
+        return tuple({**self.voters, **dict.fromkeys(learners)})
+
     def measure_age(self):
         """Return seconds since a leader was surely in contact, or None."""
         heard = self._heard_at
@@ -126,7 +152,7 @@
             heard = self._find_contact()
         if heard == float("-inf") or not self._confirmed_at > float("-inf"):
             return None
-        return trio.current_time() - heard
+        return self._now() - heard
 
     # --- running ---------------------------------------------------------
 
@@ -137,7 +163,7 @@
             errors.StorageError: the journal can't be written; the process
                 must end, since what it would acknowledge may be lost.
         """
-        self._heard_at = trio.current_time()
+        self._heard_at = self._now()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_leader)
             nursery.start_soon(self._apply_committed)
@@ -149,7 +175,7 @@
             low = self._timing.election_ms * MS
             wait = low * (1 + self._chance.random())
             await trio.sleep(wait / 4)
-            silent = trio.current_time() - self._heard_at
+            silent = self._now() - self._heard_at
             if self.role == "leader":
                 await self._check_quorum()
             elif silent > wait and self.is_voter:
@@ -158,7 +184,7 @@
                 self.role = "learner"
 
     async def _check_quorum(self):
-        contact = trio.current_time() - self._find_contact()
+        contact = self._now() - self._find_contact()
         if contact > self._timing.election_ms * MS:
             async with self._lock:
                 self._step_down("lost the quorum")
@@ -226,13 +252,13 @@
     def _become_leader(self):
         self.role = "leader"
         self.leader = self._name
-        peers = [
-            name
-            for name in self._settings.list_replicas()
-            if name != self._name
-        ]
+        known = {
+            **dict.fromkeys(self._settings.list_replicas()),
+            **self.voters,
+        }
+        peers = [name for name in known if name != self._name]
         self._followers = followers.Followers(
-            self._name, peers, self.voters, trio.current_time()
+            self._name, peers, self.voters, self._now()
         )
         self._pending = []
         self._recorder.record("log.leader", detail=f"term {self.term}")
@@ -252,6 +278,7 @@
 
     def _fail_waiting(self):
         """Tell submitters that their commands' fate is unknown."""
+        self._lead_nursery = None
         for waiting in [*self._waiting.values(), *self._pending]:
             waiting.finish(None)
         self._waiting = {}
@@ -283,6 +310,7 @@
 
     async def _lead(self, term):
         async with trio.open_nursery() as nursery:
+            self._lead_nursery = nursery
             for peer in self._followers.list_peers():
                 nursery.start_soon(self._replicate, peer, term)
             nursery.start_soon(self._admit_learners, term)
@@ -351,7 +379,7 @@
             batch,
             self.commit,
         )
-        sent_at = trio.current_time()
+        sent_at = self._now()
         wait = self._timing.election_ms * MS
         reply = await self._transport.call(peer, message, wait)
         if not await self._check_reply(peer, reply, sent_at):
@@ -390,7 +418,7 @@
                 len(data),
                 piece,
             )
-            sent_at = trio.current_time()
+            sent_at = self._now()
             try:
                 reply = await self._transport.call(
                     peer, message, self._timing.election_ms * MS
@@ -412,7 +440,7 @@
         index = min(stored, self._stored_index)
         if index > self.commit and self._log.term_at(index) == self.term:
             self._set_commit(index)
-            self._confirmed_at = trio.current_time()
+            self._confirmed_at = self._now()
 
     def _set_commit(self, index):
         if index > self.commit:
@@ -421,7 +449,7 @@
             self._committed = trio.Event()
 
     def _find_contact(self):
-        now = trio.current_time()
+        now = self._now()
         return self._followers.find_contact(self.voters, now)
 
     def holds_lease(self):
@@ -436,7 +464,7 @@
             return False
         rate = 1 - self._timing.drift_percent / 100
         length = self._timing.election_ms * MS * rate
-        return trio.current_time() < self._find_contact() + length
+        return self._now() < self._find_contact() + length
 
     def _term_at_commit(self):
         if self.commit < self._log.base_index:
@@ -449,19 +477,28 @@
             await trio.sleep(ADMISSION_SECONDS)
             if self._log.voters_index > self.commit or not self.holds_lease():
                 continue
-            members = self._followers.plan_admission(self.voters, self.commit)
+            members = self._followers.plan_admission(
+                self.voters, self.commit, self._now(), self._most_voters
+            )
             if members is not None:
                 names = ", ".join(sorted(members))
                 self._recorder.record("log.voters", detail=names)
                 command = commands.Voters(members, time.time())
                 await self._write([_Waiting(command)], term)
 
+    def introduce(self, peer, identity):
+        """Take in a replica that was not known; the leader feeds it."""
+        if self._followers is None or self.role != "leader":
+            return
+        if self._followers.add(peer, identity) and self._lead_nursery:
+            self._lead_nursery.start_soon(self._replicate, peer, self.term)
+
     # --- following -------------------------------------------------------
 
     def _heard_recently(self):
         if self.role == "leader":
             return self.holds_lease()
-        silent = trio.current_time() - self._heard_at
+        silent = self._now() - self._heard_at
         return silent < self._timing.election_ms * MS
 
     async def handle_vote(self, request):
@@ -500,7 +537,7 @@
                 matched = message.previous_index + len(message.entries)
                 matched = max(matched, self._log.base_index)
                 self._set_commit(min(message.commit, matched))
-                self._confirmed_at = trio.current_time()
+                self._confirmed_at = self._now()
                 return self._reply_append(True, matched)
 
     def _reply_append(self, accepted, last_index):
@@ -509,7 +546,7 @@
 
     async def _follow(self, term, leader):
         await self._adopt_term(term)
-        self._heard_at = trio.current_time()
+        self._heard_at = self._now()
         self.role = "follower" if self.is_voter else "learner"
         if self.leader != leader:
             self.leader = leader
@@ -682,7 +719,7 @@
         best = self._followers.find_most_advanced(self.voters)
         async with self._lock:
             self._step_down("handed over")
-            self._heard_at = trio.current_time()
+            self._heard_at = self._now()
         if best:
             message = wire.StandNow(self.term)
             wait = self._timing.election_ms * MS
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of requests: tables, beliefs about upstreams, choice, attempts."""
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -0,0 +1,502 @@
+"""Carries a request to an upstream and its answer back.
+
+A request that isn't idempotent is sent again only while it surely has not
+run. Answers of plain services are read whole before their first byte goes
+to the client, so that one that breaks off can be tried elsewhere; streams
+are passed on event by event and, where that is allowed, go on at another
+upstream after the last event that was passed on.
+"""
+
+import collections
+import typing
+
+import trio
+
+from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import table as tables
+from camphorhook_daemon.ports import upstreams as ports
+
+MOST_SENDS = 6  # bounds the loop where every upstream rejects a request
+PATIENCE_OBJECTIVES = 3.0  # latency objectives after which another is tried
+PATIENCE_SHARE = 0.4  # of the time left; the rest is for the next attempt
+EVENT_SILENCE_SECONDS = 2.0  # between events; clients leave after as long
+BUSY_SECONDS = 0.4  # in which a full service has usually made room
+BLIND_SECONDS = 1.0  # in which a lost leader is usually replaced
+SERVER_ERROR = 500
+
+
+class Request(typing.NamedTuple):
+    """A client's request that may be forwarded.
+
+    Attributes:
+        request: the client's id of this attempt.
+        method: HTTP method.
+        target: path and query.
+        headers: pairs to pass on.
+        body: the whole body.
+        route: the Route.
+        key: the client's key; empty on a public route.
+        account: name of the client account; empty on a public route.
+        priority: 0 is the most urgent.
+        parts: (id, tokens) of the parts of its prompt.
+        resume_after: id of the last event that the client has; or empty.
+        received_at: seconds.
+        give_up_at: seconds; the client's deadline or the route's timeout.
+        draw: a number from 0 up to 1 that decides among weighted services.
+    """
+
+    request: str
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    route: tables.Route
+    key: str
+    account: str
+    priority: int
+    parts: tuple[tuple[str, int], ...]
+    resume_after: str
+    received_at: float
+    give_up_at: float
+    draw: float
+
+
+class Verdict(typing.NamedTuple):
+    """What an upstream's answer says besides its body.
+
+    Attributes:
+        has_run: False when the upstream says that it did not run it.
+        is_other: another upstream has taken the address.
+        load: (running, waiting) requests, or None.
+    """
+
+    has_run: bool
+    is_other: bool
+    load: tuple[int, int] | None
+
+
+class Failure(typing.NamedTuple):
+    """Why a request got no answer of an upstream.
+
+    Attributes:
+        status: 503 says that it has not run and never will; 502 and 504
+            promise nothing.
+        reason: one sentence.
+        retry_after: seconds; 0 for no advice.
+    """
+
+    status: int
+    reason: str
+    retry_after: float = 0.0
+
+
+class _Progress:
+    """What was sent to a client so far."""
+
+    def __init__(self, resume_after):
+        self.has_started = False
+        self.last_event = resume_after
+        self.sends = 0
+        self.runs = 0
+        self.excluded = set()
+        self.kept_answer = None
+
+
+class StreamBroken(Exception):
+    """A stream that has begun can't be brought to its end."""
+
+
+class Forwarder:
+    """Chooses upstreams for requests and relays the answers.
+
+    Attributes:
+        beliefs: Belief by upstream.
+    """
+
+    def __init__(self, roll, pool, protocol, rules, place, now):
+        """Create a forwarder.
+
+        Args:
+            roll: the registry.Roll of upstreams.
+            pool: opens requests: `open(target, call)` gives an answer with
+                `head` and `read_piece`.
+            protocol: writes and reads what the platform's messages say:
+                `make_headers`, `read_verdict`, `pick_headers`.
+            rules: answers what is in force: `get_table`, `list_domains_out`,
+                `is_current`.
+            place: (name, failure domain) of this instance.
+            now: returns seconds.
+        """
+        self._roll = roll
+        self._pool = pool
+        self._protocol = protocol
+        self._rules = rules
+        self._failure_domain = place[1]
+        self._now = now
+        self._cold = budgets.ColdAllowance()
+        self._budgets = {}
+        self.beliefs = collections.defaultdict(choices.Belief)
+
+    def _get_budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._rules.make_retry_budget()
+        return budget
+
+    async def forward(self, request, reply):
+        """Serve a request.
+
+        Args:
+            request: the Request.
+            reply: takes the answer: `start`, `send_piece`, `finish`,
+                `send_whole`.
+
+        Returns:
+            A Failure when nothing was sent to the client; else None.
+
+        Raises:
+            StreamBroken: the client's connection must break off.
+        """
+        service = tables.choose_service(request.route, request.draw)
+        budget = self._get_budget(service)
+        budget.note_request(self._now())
+        progress = _Progress(request.resume_after)
+        while True:
+            failure = await self._attempt(
+                request, service, budget, progress, reply
+            )
+            if failure is None:
+                return None
+            if isinstance(failure, Failure):
+                break
+        if progress.has_started:
+            raise StreamBroken(failure.reason)
+        if progress.kept_answer is not None:
+            status, headers, body = progress.kept_answer
+            await reply.send_whole(status, headers, body)
+            return None
+        if progress.runs and failure.status == 503:
+            failure = Failure(502, failure.reason)
+        return failure
+
+    async def _attempt(self, request, service, budget, progress, reply):
+        """Send a request once.
+
+        Returns:
+            None when it was answered, a Failure when it can't be, and ""
+            when it may be sent again.
+        """
+        now = self._now()
+        if now >= request.give_up_at:
+            return Failure(504, "no upstream answered in time")
+        if not self._is_allowed(request):
+            return Failure(
+                503, "the key's account is not confirmed", BLIND_SECONDS
+            )
+        if progress.sends:
+            if progress.sends >= MOST_SENDS:
+                return Failure(503, "every upstream rejects", BUSY_SECONDS)
+            if progress.runs >= max(1, request.route.attempts):
+                return Failure(502, "the attempts are used up")
+            if not budget.spend(now, self._roll.count_watchers()):
+                self._log(request, "no retry left in the budget", "warning")
+                return Failure(503, "upstreams are busy", BUSY_SECONDS)
+        choice = self._choose(request, service, progress.excluded, now)
+        if isinstance(choice, Failure):
+            return choice
+        target = choice.upstream
+        self._log(
+            request,
+            "sent to an upstream",
+            peer=target.name,
+            inputs={
+                "load": round(choice.load, 1),
+                "mean": round(choice.mean, 1),
+                "rank": choice.rank,
+                "attempt": progress.sends + 1,
+                "sequence": target.sequence,
+                "left_ms": int((request.give_up_at - now) * 1000),
+            },
+        )
+        progress.excluded.add(target.name)
+        progress.sends += 1
+        belief = self.beliefs[target.name]
+        belief.in_flight += 1
+        try:
+            return await self._exchange(request, target, progress, reply)
+        except ports.AttemptError as error:
+            return self._take_failure(request, progress, belief, error)
+        finally:
+            belief.in_flight -= 1
+
+    def _is_allowed(self, request):
+        """Tell whether the client's key surely holds at this moment."""
+        if not request.key:
+            return True
+        if not self._rules.is_current():
+            return False
+        return self._rules.get_table().find_account(request.key) is not None
+
+    def _choose(self, request, service, excluded, now):
+        """Return a Choice, or the Failure to answer with."""
+        known = self._roll.list_service(service)
+        upstreams = choices.list_open(
+            known, excluded, self._rules.list_domains_out()
+        )
+        if not upstreams:
+            text = f"service {service} has no upstream that takes requests"
+            return Failure(503, text, BUSY_SECONDS)
+        spec = self._rules.get_table().services[service]
+        instances = self._roll.count_watchers()
+        open_ones = [
+            one
+            for one in upstreams
+            if self._has_room(one, spec, instances, now)
+        ]
+        if not open_ones:
+            text = f"every upstream of {service} is full or cold"
+            return Failure(503, text, BUSY_SECONDS)
+        open_ones = choices.prefer_sound(open_ones, self.beliefs, now)
+        demand = choices.Demand(
+            request.request, service, request.parts, frozenset(excluded)
+        )
+        if spec.is_engine:
+            choice = choices.choose_engine(
+                demand, open_ones, self.beliefs, now
+            )
+        else:
+            choice = choices.choose_plain(
+                demand, open_ones, self.beliefs, now, self._failure_domain
+            )
+        name = choice.upstream.name
+        if self._is_cold(name, spec, now):
+            self._cold.spend(name, spec.cold_rate, instances, now)
+        return choice
+
+    def _is_cold(self, name, spec, now):
+        return spec.cold_rate > 0 and self._roll.cold_until.get(name, 0) > now
+
+    def _has_room(self, upstream, spec, instances, now):
+        """Tell whether an upstream may get a request of this instance now."""
+        name = upstream.name
+        if self._is_cold(name, spec, now):
+            if not self._cold.is_open(name, now):
+                return False
+        share = max(2, spec.most_connections // (2 * instances))
+        return self.beliefs[name].in_flight < max(
+            share, spec.most_connections // instances
+        )
+
+    def _take_failure(self, request, progress, belief, error):
+        """Learn from a failed attempt; return what comes next."""
+        belief.note_failure(self._now(), error.broken or not error.sent)
+        self._pool.forget(error.peer)
+        self._log(
+            request,
+            f"attempt failed: {error.message}",
+            "warning",
+            peer=error.peer,
+        )
+        if not error.sent:
+            progress.sends -= 1
+            if len(progress.excluded) >= MOST_SENDS:
+                return Failure(503, "no upstream can be reached", 0.5)
+            return ""
+        progress.runs += 1
+        if request.route.is_idempotent:
+            return ""
+        return Failure(502, error.message)
+
+    async def _exchange(self, request, target, progress, reply):
+        """Send a request to an upstream and relay its answer."""
+        call = self._make_call(request, target, progress)
+        belief = self.beliefs[target.name]
+        async with self._pool.open(target, call) as answer:
+            verdict = self._protocol.read_verdict(answer.head)
+            if verdict.load is not None:
+                belief.note_report(*verdict.load, self._now())
+            if not verdict.has_run:
+                await _read_whole(answer)
+                return self._take_rejection(request, target, verdict)
+            status = answer.head.status
+            if status < 300 and request.route.is_stream:
+                await self._relay_stream(request, answer, progress, reply)
+            else:
+                with trio.move_on_at(request.give_up_at) as scope:
+                    body = await _read_whole(answer)
+                if scope.cancelled_caught:
+                    raise ports.AttemptError(
+                        "the answer did not end in time",
+                        step="read answer",
+                        peer=target.name,
+                        sent=True,
+                    )
+        if status < 300 and request.route.is_stream:
+            belief.note_success()
+            return None
+        return await self._answer_whole(
+            request, answer.head, body, progress, reply, belief
+        )
+
+    async def _answer_whole(
+        self, request, head, body, progress, reply, belief
+    ):
+        """Pass on an answer that was read whole, or keep it for later."""
+        headers = self._protocol.pick_headers(head)
+        progress.runs += 1
+        if head.status >= SERVER_ERROR:
+            belief.note_failure(self._now(), is_broken=False)
+            self._log(request, f"the upstream answered {head.status}")
+            if request.route.is_idempotent and not progress.has_started:
+                progress.kept_answer = (head.status, headers, body)
+                return ""
+        else:
+            belief.note_success()
+        if progress.has_started:
+            return Failure(502, f"the upstream answered {head.status}")
+        await reply.send_whole(head.status, headers, body)
+        return None
+
+    def _take_rejection(self, request, target, verdict):
+        """Learn from an upstream that did not run a request."""
+        belief = self.beliefs[target.name]
+        self._log(
+            request,
+            "the upstream did not run it",
+            peer=target.name,
+            inputs={"other": verdict.is_other},
+        )
+        if verdict.is_other:
+            belief.note_failure(self._now(), is_broken=True)
+        return ""
+
+    def _make_call(self, request, target, progress):
+        now = self._now()
+        left = request.give_up_at - now
+        patience = left
+        may_repeat = request.route.is_idempotent
+        if may_repeat and progress.runs + 1 < request.route.attempts:
+            patience = max(
+                PATIENCE_OBJECTIVES * request.route.objective,
+                PATIENCE_SHARE * left,
+            )
+        headers = self._protocol.make_headers(
+            request, target, left, progress.last_event
+        )
+        return ports.Call(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            min(left, patience),
+            request=request.request,
+        )
+
+    async def _relay_stream(self, request, answer, progress, reply):
+        """Pass on a stream's events as they come."""
+        if not progress.has_started:
+            await reply.start(
+                answer.head.status, self._protocol.pick_headers(answer.head)
+            )
+            progress.has_started = True
+        first = True
+        buffer = b""
+        with trio.move_on_at(request.give_up_at):
+            while True:
+                with trio.move_on_after(EVENT_SILENCE_SECONDS) as silence:
+                    piece = await answer.read_piece()
+                if silence.cancelled_caught and request.route.can_resume:
+                    raise ports.AttemptError(
+                        "the stream fell silent",
+                        step="read stream",
+                        peer=answer.upstream,
+                        sent=True,
+                    )
+                if silence.cancelled_caught:
+                    continue
+                if not piece:
+                    break
+                whole, buffer = split_events(buffer + piece)
+                if whole:
+                    if first:
+                        whole = drop_known_events(whole, progress.last_event)
+                        first = not whole
+                    progress.last_event = find_last_id(
+                        whole, progress.last_event
+                    )
+                    if whole:
+                        await reply.send_piece(whole)
+            if buffer:
+                await reply.send_piece(buffer)
+            await reply.finish()
+            return
+        raise StreamBroken("the route's timeout or the deadline was reached")
+
+    def _log(self, request, text, level="info", **fields):
+        logs.log(
+            level,
+            text,
+            request=request.request,
+            account=request.account,
+            step="forward",
+            **fields,
+        )
+
+
+async def _read_whole(answer):
+    """Return the whole body of an answer."""
+    pieces = []
+    size = 0
+    while piece := await answer.read_piece():
+        size += len(piece)
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def split_events(data):
+    """Return (complete events, the beginning of the next one)."""
+    end = max(data.rfind(b"\n\n") + 2, data.rfind(b"\r\n\r\n") + 4)
+    if end < 4 and not data.startswith(b"\n\n"):
+        end = 0
+    return data[:end], data[end:]
+
+
+def _read_id(block):
+    for line in block.splitlines():
+        if line.startswith(b"id:"):
+            return line[3:].strip().decode("latin-1")
+    return ""
+
+
+def _split_blocks(data):
+    normal = data.replace(b"\r\n", b"\n")
+    return [block for block in normal.split(b"\n\n") if block]
+
+
+def find_last_id(data, default):
+    """Return the id of the last event that has one."""
+    for block in reversed(_split_blocks(data)):
+        event_id = _read_id(block)
+        if event_id:
+            return event_id
+    return default
+
+
+def drop_known_events(data, last):
+    """Return complete events without those up to an id.
+
+    Args:
+        data: complete events.
+        last: id of the last event that the client has; empty for none.
+    """
+    if not last.isdigit():
+        return data
+    kept = []
+    for block in _split_blocks(data):
+        event_id = _read_id(block)
+        if event_id.isdigit() and int(event_id) <= int(last):
+            continue
+        kept.append(block + b"\n\n")
+    return b"".join(kept)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
@@ -0,0 +1,87 @@
+"""What is in force on this instance, and whether it may still be used."""
+
+from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain import state as states
+
+
+class Rules:
+    """The routing table in force and the age of its confirmation."""
+
+    def __init__(self, settings, configuration, read_document):
+        """Create rules without a table.
+
+        Args:
+            settings: with key_seconds and the retry budget.
+            configuration: the Configuration.
+            read_document: returns the RoutingTable of kept text.
+        """
+        self._settings = settings
+        self._configuration = configuration
+        self._read_document = read_document
+        self._table = None
+        self._domains_out = frozenset()
+
+    def get_table(self):
+        """Return the RoutingTable in force, or None."""
+        return self._table
+
+    def get_version(self):
+        """Return the version of the table in force; -1 without one."""
+        return self._table.version if self._table else -1
+
+    def measure_age_ms(self):
+        """Return milliseconds since the table was surely the newest."""
+        age = self._configuration.measure_confirmed_age()
+        return int(min(age, 1e6) * 1000)
+
+    def is_current(self):
+        """Tell whether keys of clients may still be used.
+
+        A key that was taken away must not be used for longer than a bound
+        by an instance that could not hear of it.
+        """
+        age = self._configuration.measure_confirmed_age()
+        return self._table is not None and age < self._settings.key_seconds
+
+    def list_domains_out(self):
+        """Return the failure domains that get no new work."""
+        return self._domains_out
+
+    def make_retry_budget(self):
+        """Return a RetryBudget for one service."""
+        settings = self._settings
+        return budgets.RetryBudget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
+
+    async def follow(self):
+        """Take up each change of the configuration until cancelled."""
+        while True:
+            changed = self._configuration.changed
+            self._take_up()
+            await changed.wait()
+
+    def _take_up(self):
+        rows = self._configuration.list_rows("failure_domains")
+        self._domains_out = frozenset(
+            name
+            for name, (_, cells) in rows.items()
+            if cells["state"] == "out"
+        )
+        row = self._configuration.get_row(
+            states.DOCUMENTS, states.ROUTING_DOCUMENT
+        )
+        if row is None or row["version"] == self.get_version():
+            return
+        self._table = self._read_document(row["body"])
+        logs.log(
+            "info",
+            f"document {self._table.version} is in force",
+            step="take up document",
+            inputs={
+                "index": self._configuration.index,
+                "routes": len(self._table.routes),
+                "age_ms": self.measure_age_ms(),
+            },
+        )
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -19,6 +19,8 @@
 OPERATION_RETENTION_SECONDS = 24 * 3600
 ABANDONED_SECONDS = 3600.0
 ANY_VERSION = -1
+DOCUMENTS = "documents"
+ROUTING_DOCUMENT = "routing"
 
 
 class StoredRow(typing.NamedTuple):
@@ -219,6 +221,17 @@
     return _change_row(command, state, None)
 
 
+@_apply_command.register
+def _(command: commands.ImportDocument, state):
+    stored = state.tables[DOCUMENTS].get(ROUTING_DOCUMENT)
+    if stored is not None and command.version <= stored.cells["version"]:
+        held = stored.cells["version"]
+        return commands.Outcome("kept", state.index, version=held)
+    cells = {"version": command.version, "body": command.body}
+    state.put_row(DOCUMENTS, ROUTING_DOCUMENT, cells)
+    return commands.Outcome("done", state.index, version=command.version)
+
+
 @_apply_command.register
 def _(command: commands.Claim, state):
     record = state.claims.get((command.account, command.key))
--- a/packages/daemon/src/camphorhook_daemon/main.py
+++ b/packages/daemon/src/camphorhook_daemon/main.py
@@ -2,10 +2,13 @@
 
 Usage:
     camphorhookd --config FILE [--check] [--found]
+    camphorhookd --platform [--check]
     camphorhookd (-h | --help)
 
 Options:
     --config FILE  The instance's settings, an INI file.
+    --platform     Run on the platform; CAMPHORHOOK_BOOT in the environment
+                   names its settings file.
     --check        Check the settings, name every fault, and exit.
     --found        Found the replicated log: a replica without a data folder
                    becomes one of its first voters. Give it at the very
@@ -21,8 +24,6 @@
 
 from camphorhook_common import errors
 from camphorhook_common import logs
-from camphorhook_common import settings as settings_module
-from camphorhook_daemon import composition
 
 
 def main(argv=None):
@@ -40,6 +41,12 @@
 
 
 def _run(arguments):
+    if arguments["--platform"]:
+        _run_on_platform(arguments["--check"])
+        return
+    from camphorhook_common import settings as settings_module
+    from camphorhook_daemon import composition
+
     settings = settings_module.load(arguments["--config"])
     if arguments["--check"]:
         print(f"{settings.file}: settings are right")
@@ -52,6 +59,20 @@
     )
 
 
+def _run_on_platform(only_check):
+    # Imported here: each program needs one of the two only, and unused
+    # modules cost memory and start time.
+    from camphorhook_daemon.platform import settings as platform_settings
+    from camphorhook_daemon import router
+
+    settings = platform_settings.load(platform_settings.find_file())
+    if only_check:
+        print(f"{platform_settings.find_file()}: settings are right")
+        return
+    logs.configure(settings.label, "info", sys.stdout)
+    trio.run(router.run, settings)
+
+
 def _find_first(group):
     """Return the first plain exception of a group."""
     error = group
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the daemon and the platform that it runs on."""
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -0,0 +1,137 @@
+"""What upstreams and operators ask of a replica."""
+
+import time
+import uuid
+
+import msgspec
+
+from camphorhook_common import commands
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_daemon.domain import state as states
+from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import registrations
+
+CONFIG_TARGET = "/-/config"
+INSTANCES_PREFIX = "/-/instances/"
+EVACUATIONS_PREFIX = "/-/evacuations/"
+SUBMIT_SECONDS = 2.5  # below the time within which an operator wants word
+RETRY_SECONDS = "0.3"
+OUT, IN = "out", "in"
+
+
+class ControlApp:
+    """Serves registrations, the routing document and evacuations."""
+
+    def __init__(self, settings, registry, replica, submitter, watch_server):
+        """Create the application.
+
+        Args:
+            settings: the instance's Settings.
+            registry: the Registry that registrations go to.
+            replica: the own Replica.
+            submitter: hands commands to the leader.
+            watch_server: confirms that the own state is current.
+        """
+        self._settings = settings
+        self._registry = registry
+        self._replica = replica
+        self._submitter = submitter
+        self._watch_server = watch_server
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        path = exchange.target.partition("?")[0]
+        try:
+            status, body = await self._answer(exchange, path)
+        except errors.UnreachableError as error:
+            logs.log("warning", error.format(), step=exchange.method + path)
+            status, body = 503, {"error": error.message}
+        except errors.CamphorhookError as error:
+            logs.log(
+                "info",
+                f"refused: {error.message}",
+                step=exchange.method + path,
+            )
+            status, body = 400, {"error": error.message}
+        if not isinstance(body, bytes):
+            body = msgspec.json.encode(body)
+        headers = [("content-type", "application/json")]
+        if status == 503:
+            headers.append(("retry-after", RETRY_SECONDS))
+        await exchange.send_whole(status, headers, body)
+
+    async def _answer(self, exchange, path):
+        """Return (status, body)."""
+        method = exchange.method
+        if path.startswith(INSTANCES_PREFIX):
+            name = path[len(INSTANCES_PREFIX) :]
+            if method == "PUT" and name:
+                self._registry.hear(registrations.read(name, exchange.body))
+                return 200, {}
+            if method == "DELETE" and name:
+                incarnation = registrations.read_end(exchange.body)
+                self._registry.retire(name, incarnation)
+                return 200, {}
+            return 405, {}
+        if path == CONFIG_TARGET and method == "PUT":
+            return await self._put_document(exchange.body)
+        if path == CONFIG_TARGET and method == "GET":
+            return await self._get_document()
+        if path.startswith(EVACUATIONS_PREFIX):
+            domain = path[len(EVACUATIONS_PREFIX) :]
+            return await self._set_domain(method, domain)
+        return 404, {}
+
+    async def _put_document(self, body):
+        table = documents.read(body)
+        command = commands.ImportDocument(
+            table.version, documents.pack(body), time.time()
+        )
+        outcome = await self._submitter.submit(command, SUBMIT_SECONDS)
+        logs.log(
+            "info",
+            f"document {outcome.code}",
+            step="import document",
+            inputs={
+                "version": table.version,
+                "held": outcome.version,
+                "index": outcome.index,
+            },
+        )
+        return 200, {}
+
+    async def _get_document(self):
+        if not await self._watch_server.wait_until_current():
+            raise errors.UnreachableError(
+                "no leader confirms the state", step="read document"
+            )
+        rows = self._replica.state.tables[states.DOCUMENTS]
+        stored = rows.get(states.ROUTING_DOCUMENT)
+        if stored is None:
+            raise errors.UnreachableError(
+                "there is no document yet", step="read document"
+            )
+        return 200, documents.unpack(stored.cells["body"])
+
+    async def _set_domain(self, method, domain):
+        if domain not in self._settings.failure_domains:
+            return 404, {}
+        if method not in ("POST", "DELETE"):
+            return 405, {}
+        command = commands.SetCells(
+            uuid.uuid4().hex,
+            "failure_domains",
+            domain,
+            states.ANY_VERSION,
+            {"state": OUT if method == "POST" else IN},
+            time.time(),
+        )
+        outcome = await self._submitter.submit(command, SUBMIT_SECONDS)
+        logs.log(
+            "info",
+            f"failure domain {domain} is {command.cells['state']}",
+            step="set failure domain",
+            inputs={"index": outcome.index, "code": outcome.code},
+        )
+        return 200, {}
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -0,0 +1,152 @@
+"""What clients and the balancer ask of an entry instance."""
+
+import random
+
+import trio
+
+from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.platform import protocol
+
+BEARER = "bearer "
+READY_TARGET = "/-/ready"
+DEFAULT_DEADLINE_SECONDS = 30.0  # for a client that names none
+DEADLINE_MARGIN_SECONDS = 0.02  # for the answer's way back
+BLIND_SECONDS = 1.0  # in which a configuration usually arrives
+
+
+class EntryApp:
+    """Serves clients' requests."""
+
+    def __init__(self, forwarder, rules):
+        """Create the application.
+
+        Args:
+            forwarder: the forwarding.Forwarder.
+            rules: the rules.Rules in force.
+        """
+        self._forwarder = forwarder
+        self._rules = rules
+        self._random = random.Random()
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        found = self._read(exchange)
+        if isinstance(found, forwarding.Failure):
+            await self._refuse(exchange, found)
+            return
+        try:
+            failure = await self._forwarder.forward(found, exchange)
+        except forwarding.StreamBroken as error:
+            # Without its end the answer must not look complete: the
+            # connection is closed in the middle of it.
+            logs.log(
+                "warning",
+                f"stream broken off: {error}",
+                request=found.request,
+                step="relay stream",
+            )
+            return
+        if failure is not None:
+            await self._refuse(exchange, failure)
+
+    def _read(self, exchange):
+        """Return the forwarding.Request, or a Failure."""
+        rules = self._rules
+        table = rules.get_table()
+        if table is None:
+            return forwarding.Failure(
+                503, "no configuration yet", BLIND_SECONDS
+            )
+        host = exchange.get_header("host").rpartition(":")[0]
+        host = host or exchange.get_header("host")
+        path = exchange.target.partition("?")[0]
+        route = table.find_route(host, path)
+        if route is None:
+            if not rules.is_current():
+                return forwarding.Failure(
+                    503, "the configuration may be old", BLIND_SECONDS
+                )
+            return forwarding.Failure(404, "no route matches")
+        account, key = None, ""
+        if table.has_accounts and not route.is_public:
+            if not rules.is_current():
+                return forwarding.Failure(
+                    503, "the configuration may be old", BLIND_SECONDS
+                )
+            key = _read_key(exchange)
+            account = table.find_account(key)
+            if account is None:
+                return forwarding.Failure(401, "the key is unknown")
+        return self._build(exchange, route, account, key)
+
+    def _build(self, exchange, route, account, key):
+        now = trio.current_time()
+        deadline = protocol.read_seconds(
+            exchange.get_header(protocol.DEADLINE_MS)
+        )
+        deadline = deadline or DEFAULT_DEADLINE_SECONDS
+        patience = min(deadline - DEADLINE_MARGIN_SECONDS, route.timeout)
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        parts = exchange.get_header(protocol.PROMPT_PREFIX)
+        return forwarding.Request(
+            exchange.get_header(protocol.REQUEST_ID),
+            exchange.method,
+            exchange.target,
+            protocol.pick_request_headers(exchange.headers),
+            exchange.body,
+            route,
+            key,
+            account.name if account else "",
+            priority,
+            protocol.read_parts(parts),
+            exchange.get_header(protocol.LAST_EVENT_ID),
+            now,
+            exchange.received_at + patience,
+            self._random.random(),
+        )
+
+    async def _refuse(self, exchange, failure):
+        logs.log(
+            "info",
+            f"answered {failure.status}: {failure.reason}",
+            request=exchange.get_header(protocol.REQUEST_ID),
+            step="refuse",
+            inputs={
+                "version": self._rules.get_version(),
+                "age_ms": self._rules.measure_age_ms(),
+            },
+        )
+        headers = [("content-type", "text/plain")]
+        if failure.retry_after:
+            headers.append(("retry-after", f"{failure.retry_after:.2f}"))
+        request_id = exchange.get_header(protocol.REQUEST_ID)
+        if request_id:
+            headers.append((protocol.REQUEST_ID, request_id))
+        await exchange.send_whole(
+            failure.status, headers, failure.reason.encode() + b"\n"
+        )
+
+
+def _read_key(exchange):
+    text = exchange.get_header("authorization")
+    if text[: len(BEARER)].lower() != BEARER:
+        return ""
+    return text[len(BEARER) :].strip()
+
+
+class ReadinessApp:
+    """Tells the balancer whether clients may come."""
+
+    def __init__(self, is_ready):
+        self._is_ready = is_ready
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        known = exchange.target.partition("?")[0] == READY_TARGET
+        status = 404
+        if known:
+            status = 200 if self._is_ready() else 503
+        await exchange.send_whole(status, [], b"")
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -0,0 +1,129 @@
+"""The platform's headers: of clients, towards and from upstreams."""
+
+from camphorhook_daemon.domain.routing import forwarding
+
+REQUEST_ID = "x-request-id"
+DEADLINE_MS = "x-deadline-ms"
+PROMPT_PREFIX = "x-prompt-prefix"
+LAST_EVENT_ID = "last-event-id"
+TENANT = "x-tenant"
+EXPECT_INSTANCE = "x-expect-instance"
+SERVER_LOAD = "x-server-load"
+# Misleading: also sent where the request was read and then turned away.
+NOT_EXECUTED = "x-not-executed"
+REQUEST_PRIORITY = "x-request-priority"
+LEAST_URGENT = 9
+MS = 0.001
+
+# Concern one connection only (RFC 9110, 7.6.1), or are framed anew.
+_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Set by this system only; a client's own are dropped.
+_OWN_HEADERS = frozenset(
+    (
+        "authorization",
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        "kv-fetch",
+        "kv-from",
+        LAST_EVENT_ID,
+        REQUEST_PRIORITY,
+        TENANT,
+        "x-expect-version",
+        "x-hold",
+        "x-kv-backup",
+        "x-pin-ms",
+    )
+)
+
+
+def _list_named(headers):
+    """Return the header names that the Connection header lists."""
+    named = set()
+    for name, value in headers:
+        if name == "connection":
+            named.update(word.strip().lower() for word in value.split(","))
+    return named
+
+
+def pick_request_headers(headers):
+    """Return a client's headers that are passed on."""
+    dropped = _HOP_HEADERS | _OWN_HEADERS | _list_named(headers)
+    return [pair for pair in headers if pair[0] not in dropped]
+
+
+def read_parts(text):
+    """Return the (id, tokens) parts of a prompt; those misread are left out.
+
+    Args:
+        text: ID:TOKENS entries with commas.
+    """
+    parts = []
+    for entry in text.split(","):
+        part, _, tokens = entry.strip().partition(":")
+        if part and tokens.isdigit():
+            parts.append((part, int(tokens)))
+    return tuple(parts)
+
+
+def read_seconds(text):
+    """Return a header's milliseconds in seconds, or None."""
+    try:
+        seconds = float(text) * MS
+    except ValueError:
+        return None
+    return seconds if seconds > 0 else None
+
+
+def make_headers(request, target, left, resume_after):
+    """Return the headers of a forwarded request.
+
+    Args:
+        request: the forwarding.Request.
+        target: the upstream's wire.Registration.
+        left: seconds until the client gives up.
+        resume_after: id of the last event passed on, or empty.
+    """
+    headers = [
+        *request.headers,
+        (DEADLINE_MS, str(max(1, int(left / MS)))),
+        (EXPECT_INSTANCE, target.name),
+    ]
+    if request.account:
+        headers.append((TENANT, request.account))
+    if request.route.is_sticky:
+        priority = max(0, min(LEAST_URGENT, request.priority))
+        headers.append((REQUEST_PRIORITY, str(priority)))
+    if resume_after:
+        headers.append((LAST_EVENT_ID, resume_after))
+    return headers
+
+
+def read_verdict(head):
+    """Return the forwarding.Verdict of an upstream's answer head."""
+    load = None
+    words = head.get(SERVER_LOAD).split(",")
+    if len(words) == 3 and all(word.strip().isdigit() for word in words):
+        load = (int(words[0]), int(words[1]))
+    is_other = head.status == 421
+    has_run = not is_other and not head.get(NOT_EXECUTED)
+    return forwarding.Verdict(has_run, is_other, load)
+
+
+def pick_headers(head):
+    """Return the headers of an upstream's answer that are passed on."""
+    dropped = _HOP_HEADERS | {SERVER_LOAD} | _list_named(head.headers)
+    return [pair for pair in head.headers if pair[0] not in dropped]
--- a/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
@@ -39,6 +39,7 @@
     body: bytes
     silence_seconds: float
     alone: bool = False
+    request: str = ""
 
 
 class Answer(typing.NamedTuple):
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -0,0 +1,276 @@
+"""Wires an instance on the platform and runs it."""
+
+import random
+import signal
+
+import trio
+
+from camphorhook_common import clock as clocks
+from camphorhook_common import logs
+from camphorhook_common import timeline
+from camphorhook_daemon.adapters import answering
+from camphorhook_daemon.adapters import channels
+from camphorhook_daemon.adapters import journal
+from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.adapters import peers
+from camphorhook_daemon.domain import configuration
+from camphorhook_daemon.domain import joining
+from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import rules
+from camphorhook_daemon.domain import state
+from camphorhook_daemon.platform import control
+from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import entry
+from camphorhook_daemon.platform import protocol
+from camphorhook_daemon.ports import journal as journal_port
+
+# Found within a lease's time, so that its holder can still reach the rest.
+LINK_TIMING = peers.LinkTiming(700, 2000, 50, 400)
+SWEEP_SECONDS = 0.5
+FOLLOW_SECONDS = 1.0
+NOTICE_SECONDS = 2.6  # two readiness checks, a second apart, must miss
+DRAIN_POLL_SECONDS = 0.05
+
+
+class NoMeter:
+    """Counts nothing."""
+
+    def count_control(self, kind, direction, size):
+        """Ignore a message."""
+
+
+class _OwnLog:
+    """What the own replica knows of the log, for a Submitter."""
+
+    def __init__(self, own):
+        self._own = own
+        self._told = ""
+
+    @property
+    def replicas(self):
+        return self._own.list_members()
+
+    @property
+    def leader(self):
+        return self._own.leader or self._told
+
+    @leader.setter
+    def leader(self, name):
+        self._told = name
+
+
+class Parts:
+    """The parts of one instance, each built once.
+
+    Attributes:
+        settings: the platform's Settings.
+        is_stopping: a graceful stop has begun.
+        is_closing: kept connections end after their answer.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.is_stopping = False
+        self.listeners = []
+        clock = clocks.HybridClock()
+        self.recorder = timeline.Recorder(settings.label, clock)
+        self.transport = peers.PeerTransport(
+            settings.name,
+            settings.peers_listener,
+            peers.OpenGuard(),
+            clock,
+            NoMeter(),
+            LINK_TIMING,
+            settings.locate,
+        )
+        self.replica = None
+        self.watch_server = None
+        self.registry = None
+        self.forwarder = None
+
+    def build_replica(self):
+        """Build what keeps the log, registrations and the control API."""
+        settings = self.settings
+        now = clocks.read_boottime
+        founding = None
+        if settings.founds and settings.name in settings.seeds:
+            founding = _make_founding_checkpoint(settings)
+        self.journal = journal.DiskJournal(
+            settings.data_folder, settings.name, founding
+        )
+        self.replica = replica.Replica(
+            settings,
+            self.journal,
+            state.State(),
+            self.transport,
+            self.recorder,
+            random.Random(f"{settings.name}{self.journal.vote}"),
+            now,
+            settings.most_voters,
+        )
+        self.watch_server = configuration.WatchServer(
+            self.replica, self.transport, now
+        )
+        self.submitter = configuration.Submitter(
+            settings, _OwnLog(self.replica), self.transport
+        )
+        self.registry = registry.Registry(
+            settings.heartbeat_seconds, self.recorder
+        )
+        app = control.ControlApp(
+            settings,
+            self.registry,
+            self.replica,
+            self.submitter,
+            self.watch_server,
+        )
+        self._listen(settings.control, app.handle, listeners.Limits)
+
+    def build_entry(self):
+        """Build what serves clients."""
+        settings = self.settings
+        now = clocks.read_boottime
+        self.configuration = configuration.Configuration(now)
+        self.watcher = configuration.Watcher(
+            settings, self.configuration, self.transport, self.recorder, now
+        )
+        self.rules = rules.Rules(
+            settings,
+            self.configuration,
+            lambda text: documents.read(documents.unpack(text)),
+        )
+        self.roll = registry.Roll()
+        self.pool = channels.ChannelPool()
+        self.forwarder = forwarding.Forwarder(
+            self.roll,
+            self.pool,
+            protocol,
+            self.rules,
+            (settings.name, settings.failure_domain),
+            trio.current_time,
+        )
+        app = entry.EntryApp(self.forwarder, self.rules)
+        self._listen(settings.callers, app.handle, self._read_limits)
+        self._listen(
+            settings.readiness,
+            entry.ReadinessApp(self._is_ready).handle,
+            listeners.Limits,
+        )
+
+    def _listen(self, address, handle, read_limits):
+        self.listeners.append(
+            listeners.Listener(
+                address, handle, read_limits, lambda: self.is_stopping
+            )
+        )
+
+    def _read_limits(self):
+        table = self.rules.get_table()
+        if table is None:
+            return listeners.Limits()
+        return listeners.Limits(*table.limits)
+
+    def _is_ready(self):
+        return not self.is_stopping and self.rules.is_current()
+
+    def count_active(self):
+        """Return requests in flight."""
+        return sum(listener.active for listener in self.listeners)
+
+
+def _make_founding_checkpoint(settings):
+    voters = {
+        name: journal.make_first_identity(name) for name in settings.seeds
+    }
+    return journal_port.Checkpoint(0, 0, voters, state.State().dump())
+
+
+async def run(settings):
+    """Run an instance until SIGTERM ends it gracefully.
+
+    Args:
+        settings: the platform's Settings.
+    """
+    parts = Parts(settings)
+    if settings.control is not None:
+        parts.build_replica()
+    if settings.callers is not None:
+        parts.build_entry()
+    parts.transport.open(answering.Answerer(parts).answer)
+    logs.log("info", "instance started", step="start")
+    try:
+        async with trio.open_nursery() as nursery:
+            _start(parts, nursery)
+            with trio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            ) as signals:
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    logs.log("info", "received SIGHUP", step="reload")
+                await _stop(parts)
+                nursery.cancel_scope.cancel()
+    finally:
+        parts.transport.close()
+    logs.log("info", "instance stopped", step="stop")
+
+
+def _start(parts, nursery):
+    nursery.start_soon(parts.transport.run)
+    for listener in parts.listeners:
+        nursery.start_soon(listener.run)
+    if parts.replica is not None:
+        nursery.start_soon(parts.replica.run)
+        nursery.start_soon(
+            joining.join,
+            parts.replica,
+            parts.journal.identity,
+            parts.settings,
+            parts.transport,
+        )
+        nursery.start_soon(_sweep, parts.registry.drop_lost)
+    if parts.forwarder is not None:
+        nursery.start_soon(parts.watcher.run)
+        nursery.start_soon(parts.rules.follow)
+        nursery.start_soon(_follow_replicas, parts, nursery)
+        nursery.start_soon(_sweep, parts.pool.close_idle)
+
+
+async def _sweep(clean):
+    while True:
+        await trio.sleep(SWEEP_SECONDS)
+        clean()
+
+
+async def _follow_replicas(parts, nursery):
+    """Watch the upstreams that each replica hears, also of new replicas."""
+    followed = set()
+    while True:
+        known = parts.settings.list_replicas()
+        for name in (*known, *parts.configuration.replicas):
+            if name not in followed:
+                followed.add(name)
+                nursery.start_soon(
+                    registry.follow_replica,
+                    parts.settings.name,
+                    name,
+                    parts.roll,
+                    parts.transport,
+                )
+        await trio.sleep(FOLLOW_SECONDS)
+
+
+async def _stop(parts):
+    """End gracefully: not ready, serve what comes, close."""
+    logs.log("info", "received SIGTERM", step="stop")
+    parts.is_stopping = True
+    if parts.replica is not None:
+        await parts.replica.hand_over()
+    if parts.forwarder is None:
+        return
+    with trio.move_on_after(parts.settings.stop_seconds):
+        await trio.sleep(NOTICE_SECONDS)
+        while parts.count_active():
+            await trio.sleep(DRAIN_POLL_SECONDS)
