--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -136,16 +136,22 @@
         self.http.receive_data(data)
         return data
 
-    async def read_exchange(self):
-        """Return the next Exchange, or None when the connection ends."""
+    async def read_exchange(self, idle):
+        """Return the next Exchange, or None when the connection ends.
+
+        Args:
+            idle: scope that is cancelled to close an idle connection; not
+                any more once bytes of a request are here.
+        """
         limits = self._listener.read_limits()
         event = self.http.next_event()
         if event is h11.NEED_DATA:
-            with trio.move_on_after(limits.idle_seconds) as idle:
+            with trio.move_on_after(limits.idle_seconds) as unused:
                 await self._receive()
-            if idle.cancelled_caught:
+            if unused.cancelled_caught:
                 return None
             event = self.http.next_event()
+        self._listener.note_busy(idle)
         with trio.move_on_after(limits.header_seconds) as slow:
             while event is h11.NEED_DATA:
                 await self._receive()
@@ -239,6 +245,19 @@
         self.read_limits = read_limits
         self.is_stopping = is_stopping
         self.active = 0
+        self._accepting = None
+        self._idle = set()
+
+    def note_busy(self, idle):
+        """Keep a connection open, as a request has begun to arrive."""
+        self._idle.discard(idle)
+
+    def close(self):
+        """Accept nothing more and close connections without a request."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+        for scope in self._idle:
+            scope.cancel()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled."""
@@ -248,16 +267,19 @@
         socket.listen(BACKLOG)
         task_status.started()
         async with trio.open_nursery() as nursery:
-            while True:
-                try:
-                    accepted, _ = await socket.accept()
-                except OSError as error:
-                    logs.log(
-                        "warning", f"can't accept: {error}", step="accept"
-                    )
-                    await trio.sleep(ACCEPT_PAUSE_SECONDS)
-                    continue
-                nursery.start_soon(self._serve, accepted)
+            with trio.CancelScope() as self._accepting:
+                await self._accept(socket, nursery)
+            socket.close()
+
+    async def _accept(self, socket, nursery):
+        while True:
+            try:
+                accepted, _ = await socket.accept()
+            except OSError as error:
+                logs.log("warning", f"can't accept: {error}", step="accept")
+                await trio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            nursery.start_soon(self._serve, accepted)
 
     async def _serve(self, accepted):
         try:
@@ -296,7 +318,13 @@
 
     async def _serve_requests(self, connection):
         while True:
-            exchange = await connection.read_exchange()
+            exchange = None
+            with trio.CancelScope() as idle:
+                self._idle.add(idle)
+                try:
+                    exchange = await connection.read_exchange(idle)
+                finally:
+                    self._idle.discard(idle)
             if exchange is None:
                 return
             self.active += 1
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -15,8 +15,8 @@
 from camphorhook_daemon.domain.routing import registry
 
 REPORT_DECAY_SECONDS = 1.5  # within it, half of the requests have ended
-LOAD_BOUND = 1.3  # times the mean load; below the multiple that is allowed
-LOAD_SLACK = 2.0  # requests above that bound, so that low loads don't bind
+LOAD_BOUND = 1.8  # times the mean load; below the multiple that is allowed
+LOAD_SLACK = 2.5  # requests above that bound, so that low loads don't bind
 FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure average
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
 FAILING_SHARE = 0.35  # failure average from which others are preferred
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -215,6 +215,7 @@
                 "load": round(choice.load, 1),
                 "mean": round(choice.mean, 1),
                 "rank": choice.rank,
+                "route": request.route.name,
                 "attempt": progress.sends + 1,
                 "sequence": target.sequence,
                 "left_ms": int((request.give_up_at - now) * 1000),
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -272,5 +272,9 @@
         return
     with trio.move_on_after(parts.settings.stop_seconds):
         await trio.sleep(NOTICE_SECONDS)
+        # From here a client that comes again must find another instance,
+        # or the stop would never find the instance idle.
+        for listener in parts.listeners:
+            listener.close()
         while parts.count_active():
             await trio.sleep(DRAIN_POLL_SECONDS)
