--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -223,6 +223,13 @@
     cold_ms: int
 
 
+class Placement(typing.NamedTuple):
+    """Says that a request with a shared part was sent to an upstream."""
+
+    part: str
+    upstream: str
+
+
 class WatchUpstreams(typing.NamedTuple):
     """Asks a replica for registrations that changed.
 
@@ -231,12 +238,16 @@
         epoch: start of the replica's process as last seen; empty for none.
         after: position up to which the sender knows the changes.
         wait_ms: how long to wait for a change.
+        placements: of shared parts by the sender since it last told.
+        placements_after: position up to which it knows those of others.
     """
 
     sender: str
     epoch: str
     after: int
     wait_ms: int
+    placements: list[Placement]
+    placements_after: int
 
 
 class UpstreamsReply(typing.NamedTuple):
@@ -250,6 +261,8 @@
         removed: names of upstreams that no longer register here.
         age_ms: how long the replica's process has been running.
         watchers: instances that watched this replica of late.
+        placements: of others, in the order in which they were told.
+        placements_position: the placements are known up to it.
     """
 
     epoch: str
@@ -259,6 +272,8 @@
     removed: list[str]
     age_ms: int
     watchers: int
+    placements: list[Placement]
+    placements_position: int
 
 
 class ShowStatus(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -139,36 +139,40 @@
     return up or upstreams
 
 
-def find_home_key(parts):
-    """Return the id of the part that decides where a prompt is at home.
+def find_shared_part(parts):
+    """Return (id, tokens) of the part that decides where a prompt goes.
 
     The last part is the request's or its session's own; the one before it
     is the longest that others share.
     """
     if not parts:
-        return ""
-    return parts[-2][0] if len(parts) > 1 else parts[0][0]
+        return "", 0
+    return parts[-2] if len(parts) > 1 else parts[0]
 
 
-def choose_engine(demand, upstreams, beliefs, now):
+def choose_engine(demand, upstreams, beliefs, now, holders):
     """Return the Choice for a prompt: the first home that isn't crowded.
 
+    Engines that hold the shared part come first, the least loaded of them
+    before the others; then all in their rendezvous order.
+
     Args:
         demand: the Demand.
         upstreams: wire.Registrations, not empty.
         beliefs: Belief by name.
         now: seconds.
+        holders: names of upstreams that used the shared part of late.
     """
-    loads = {
-        one.name: beliefs[one.name].estimate_load(now) for one in upstreams
-    }
+    by_name = {one.name: one for one in upstreams}
+    loads = {name: beliefs[name].estimate_load(now) for name in by_name}
     mean = sum(loads.values()) / len(loads)
     bound = LOAD_BOUND * mean + LOAD_SLACK
-    by_name = {one.name: one for one in upstreams}
-    key = find_home_key(demand.parts) or demand.request
+    key = find_shared_part(demand.parts)[0] or demand.request
     ranked = hashing.rank(key, dict.fromkeys(by_name, 1.0))
-    for rank, name in enumerate(ranked):
+    held = sorted((name for name in holders if name in by_name), key=loads.get)
+    for name in (*held, *ranked):
         if loads[name] + 1 <= min(bound, by_name[name].capacity):
+            rank = ranked.index(name)
             return Choice(by_name[name], loads[name], mean, rank)
     name = min(loads, key=loads.get)
     return Choice(by_name[name], loads[name], mean, ranked.index(name))
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -115,11 +115,12 @@
         beliefs: Belief by upstream.
     """
 
-    def __init__(self, roll, pool, protocol, rules, place, now):
+    def __init__(self, roll, book, pool, protocol, rules, place, now):
         """Create a forwarder.
 
         Args:
             roll: the registry.Roll of upstreams.
+            book: the homes.HomeBook of shared parts.
             pool: opens requests: `open(target, call)` gives an answer with
                 `head` and `read_piece`.
             protocol: writes and reads what the platform's messages say:
@@ -130,6 +131,7 @@
             now: returns seconds.
         """
         self._roll = roll
+        self._book = book
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
@@ -264,9 +266,15 @@
             request.request, service, request.parts, frozenset(excluded)
         )
         if spec.is_engine:
+            part, tokens = choices.find_shared_part(request.parts)
             choice = choices.choose_engine(
-                demand, open_ones, self.beliefs, now
+                demand,
+                open_ones,
+                self.beliefs,
+                now,
+                self._book.find(part, now),
             )
+            self._book.note(part, tokens, choice.upstream.name, now)
         else:
             choice = choices.choose_plain(
                 demand, open_ones, self.beliefs, now, self._failure_domain
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -14,6 +14,7 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import homes
 
 MS = 0.001
 LIVE = "live"
@@ -24,7 +25,7 @@
 RECENT_SECONDS = 5.0  # a watcher that was not heard for so long has left
 MISSED_BEATS = 3.4  # heartbeats missed until an upstream counts as lost
 SETTLE_SECONDS = 4.0  # a replica has heard every upstream so long after start
-WATCH_MS = 800
+WATCH_MS = 400  # half of the longest delay of a placement
 RETRY_SECONDS = 0.25
 
 
@@ -80,6 +81,7 @@
         self._removed = {}
         self._position = 1
         self._watchers = {}
+        self._board = homes.Board()
         self.changed = trio.Event()
 
     def hear(self, registration):
@@ -167,6 +169,7 @@
     async def answer(self, request):
         """Answer WatchUpstreams, waiting for a change up to its wait_ms."""
         self._watchers[request.sender] = self._now()
+        self._board.post(request.sender, request.placements)
         if request.epoch == self._epoch:
             with trio.move_on_after(request.wait_ms * MS):
                 while self._position <= request.after:
@@ -192,6 +195,10 @@
             removed,
             int((now - self._began_at) / MS),
             self._count_watchers(now),
+            self._board.read(
+                request.sender, -1 if whole else request.placements_after
+            ),
+            self._board.position,
         )
 
     def _count_watchers(self, now):
@@ -218,6 +225,7 @@
         self.answered_at = float("-inf")
         self.is_settled = False
         self.watchers = 0
+        self.placements_position = 0
 
 
 class Roll:
@@ -236,10 +244,23 @@
         self.cold_until = {}
         self.changed = trio.Event()
 
-    def get_view(self, replica):
-        """Return (epoch, position) that a replica's changes follow."""
+    def make_watch(self, name, replica, placements):
+        """Return the WatchUpstreams that asks a replica for news.
+
+        Args:
+            name: the own name.
+            replica: the replica's name.
+            placements: own placements to tell.
+        """
         view = self._views.setdefault(replica, _View())
-        return view.epoch, view.position
+        return wire.WatchUpstreams(
+            name,
+            view.epoch,
+            view.position,
+            WATCH_MS,
+            placements,
+            view.placements_position,
+        )
 
     def adopt(self, replica, reply):
         """Take in a replica's UpstreamsReply."""
@@ -251,6 +272,7 @@
         view.answered_at = self._now()
         view.is_settled = reply.age_ms * MS > SETTLE_SECONDS
         view.watchers = reply.watchers
+        view.placements_position = reply.placements_position
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._note_cold(registration)
@@ -315,22 +337,24 @@
         ]
 
 
-async def follow_replica(name, replica, roll, transport):
+async def follow_replica(name, replica, roll, book, transport):
     """Keep a Roll up to date with one replica until cancelled.
 
     Args:
         name: the own name.
         replica: the replica to watch.
         roll: the Roll.
+        book: the HomeBook that placements come from and go to.
         transport: a Transport.
     """
     in_touch = None
     while True:
-        epoch, position = roll.get_view(replica)
-        request = wire.WatchUpstreams(name, epoch, position, WATCH_MS)
+        untold = book.take_untold()
+        request = roll.make_watch(name, replica, untold)
         try:
             reply = await transport.call(replica, request, 2 * WATCH_MS * MS)
         except errors.UnreachableError as error:
+            book.tell_again(untold)
             if in_touch is not False:
                 logs.log(
                     "warning",
@@ -350,3 +374,4 @@
             )
         in_touch = True
         roll.adopt(replica, reply)
+        book.adopt(reply.placements, trio.current_time())
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -17,6 +17,7 @@
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain import state
@@ -142,9 +143,11 @@
             lambda text: documents.read(documents.unpack(text)),
         )
         self.roll = registry.Roll()
+        self.homes = homes.HomeBook()
         self.pool = channels.ChannelPool()
         self.forwarder = forwarding.Forwarder(
             self.roll,
+            self.homes,
             self.pool,
             protocol,
             self.rules,
@@ -257,6 +260,7 @@
                     parts.settings.name,
                     name,
                     parts.roll,
+                    parts.homes,
                     parts.transport,
                 )
         await trio.sleep(FOLLOW_SECONDS)
