Tell other instances load, unread prompts and placements at once

Cause of late streams in the first seconds: prompts of 10k to 30k tokens read one after another on one engine stop all streams beside them for over 500 ms; instances placed them by hash alone, blind to each other.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -230,6 +230,34 @@
     upstream: str
 
 
+class UpstreamLoad(typing.NamedTuple):
+    """What an instance has on an upstream.
+
+    Attributes:
+        upstream: its name.
+        in_flight: requests.
+        unread_tokens: tokens of prompts that it probably has yet to read.
+    """
+
+    upstream: str
+    in_flight: int
+    unread_tokens: int
+
+
+class Notice(typing.NamedTuple):
+    """Told by an instance to all others of its kind; needs no answer.
+
+    Attributes:
+        sender: the instance.
+        loads: all upstreams on which it has requests.
+        placements: since its last notice.
+    """
+
+    sender: str
+    loads: list[UpstreamLoad]
+    placements: list[Placement]
+
+
 class WatchUpstreams(typing.NamedTuple):
     """Asks a replica for registrations that changed.
 
@@ -238,16 +266,12 @@
         epoch: start of the replica's process as last seen; empty for none.
         after: position up to which the sender knows the changes.
         wait_ms: how long to wait for a change.
-        placements: of shared parts by the sender since it last told.
-        placements_after: position up to which it knows those of others.
     """
 
     sender: str
     epoch: str
     after: int
     wait_ms: int
-    placements: list[Placement]
-    placements_after: int
 
 
 class UpstreamsReply(typing.NamedTuple):
@@ -261,8 +285,6 @@
         removed: names of upstreams that no longer register here.
         age_ms: how long the replica's process has been running.
         watchers: instances that watched this replica of late.
-        placements: of others, in the order in which they were told.
-        placements_position: the placements are known up to it.
     """
 
     epoch: str
@@ -271,9 +293,7 @@
     changed: list[Registration]
     removed: list[str]
     age_ms: int
-    watchers: int
-    placements: list[Placement]
-    placements_position: int
+    watchers: list[str]
 
 
 class ShowStatus(typing.NamedTuple):
@@ -542,6 +562,7 @@
     "iy": IntroduceReply,
     "wu": WatchUpstreams,
     "uu": UpstreamsReply,
+    "no": Notice,
     "st": ShowStatus,
     "ty": StatusReply,
     "ex": Exchange,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -1,11 +1,11 @@
 """Which upstream a request goes to: beliefs about load and health.
 
-An instance sees only a part of the traffic. It adds its own requests in
-flight to what an upstream last reported of others' requests; the older that
-report, the less it counts. Engines get requests by the parts of their
-prompt, so that equal prompts meet on the same engine, as long as that one
-is not loaded far above the mean. This answers hot prompts, uneven clients,
-and upstreams that fail or slow down.
+Load is what the instances told each other; where some are not heard, an
+upstream's last report fills in, and counts less as it gets older. Engines
+get requests by the longest shared part of their prompt, since reading it
+again costs more than a longer wait. This answers hot prompts, long prompts
+that hold up the streams beside them, uneven clients, and upstreams that fail
+or slow down.
 """
 
 import math
@@ -17,6 +17,8 @@
 REPORT_DECAY_SECONDS = 1.5  # within it, half of the requests have ended
 LOAD_BOUND = 1.8  # times the mean load; below the multiple that is allowed
 LOAD_SLACK = 2.5  # requests above that bound, so that low loads don't bind
+HOME_CHOICES = 3  # rendezvous places tried for a part that nobody holds
+LOAD_TOKENS = 400  # unread tokens that weigh as much as one running request
 FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure average
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
 FAILING_SHARE = 0.35  # failure average from which others are preferred
@@ -27,33 +29,29 @@
 
 
 class Belief:
-    """What this instance believes of one upstream.
+    """What this instance believes of one upstream besides its load.
 
     Attributes:
-        in_flight: own requests on it.
         avoid_until: seconds; until then others are preferred.
         failure: moving average of failed outcomes, 0 to 1.
     """
 
     def __init__(self):
-        self.in_flight = 0
         self.avoid_until = 0.0
         self.failure = 0.0
         self._failures_in_row = 0
-        self._foreign = 0.0
+        self._reported = 0.0
         self._reported_at = float("-inf")
 
     def note_report(self, running, waiting, now):
         """Take in the load that the upstream reported."""
-        self._foreign = max(0.0, running + waiting - self.in_flight)
+        self._reported = running + waiting
         self._reported_at = now
 
-    def estimate_load(self, now):
-        """Return the requests that are probably on the upstream."""
+    def estimate_reported(self, now):
+        """Return what is left to believe of the last report."""
         age = now - self._reported_at
-        return self.in_flight + self._foreign * math.exp(
-            -age / REPORT_DECAY_SECONDS
-        )
+        return self._reported * math.exp(-age / REPORT_DECAY_SECONDS)
 
     def note_success(self):
         """Take note of an answer."""
@@ -152,53 +150,86 @@
     return parts[-2] if len(parts) > 1 else parts[0]
 
 
-def choose_engine(demand, upstreams, beliefs, now, holders):
-    """Return the Choice for a prompt: the first home that isn't crowded.
+class Load(typing.NamedTuple):
+    """The fleet's load on an upstream: requests, and tokens to be read."""
+
+    requests: float
+    unread_tokens: float = 0.0
+
+
+def estimate_load(told, belief, own, hears_all, now):
+    """Return the Load of an upstream.
+
+    Args:
+        told: (requests, unread tokens) of the instances that are heard.
+        belief: the upstream's Belief.
+        own: own requests on it.
+        hears_all: every instance is heard.
+        now: seconds.
+    """
+    requests, unread = told
+    if not hears_all:
+        requests = max(requests, own, belief.estimate_reported(now))
+    return Load(requests, unread)
+
+
+def choose_engine(demand, upstreams, loads, holders):
+    """Return the Choice for a prompt.
 
     Engines that hold the shared part come first, the least loaded of them
-    before the others; then all in their rendezvous order.
+    before the others. A part that nobody holds goes to the first few of its
+    rendezvous order, to the one with the least to read and to run: a long
+    prompt holds up every stream beside it. No engine is chosen that carries
+    far more than the mean, unless all do.
 
     Args:
         demand: the Demand.
         upstreams: wire.Registrations, not empty.
-        beliefs: Belief by name.
-        now: seconds.
+        loads: Load by name.
         holders: names of upstreams that used the shared part of late.
     """
     by_name = {one.name: one for one in upstreams}
-    loads = {name: beliefs[name].estimate_load(now) for name in by_name}
-    mean = sum(loads.values()) / len(loads)
+    mean = sum(loads[name].requests for name in by_name) / len(by_name)
     bound = LOAD_BOUND * mean + LOAD_SLACK
+
+    def is_open(name):
+        most = min(bound, by_name[name].capacity)
+        return loads[name].requests + 1 <= most
+
+    def measure_work(name):
+        return loads[name].unread_tokens + LOAD_TOKENS * loads[name].requests
+
     key = find_shared_part(demand.parts)[0] or demand.request
     ranked = hashing.rank(key, dict.fromkeys(by_name, 1.0))
-    held = sorted((name for name in holders if name in by_name), key=loads.get)
-    for name in (*held, *ranked):
-        if loads[name] + 1 <= min(bound, by_name[name].capacity):
+    held = [name for name in holders if name in by_name and is_open(name)]
+    homes = [name for name in ranked if is_open(name)][:HOME_CHOICES]
+    for names in (held, homes, ranked):
+        if names:
+            name = min(names, key=measure_work)
             break
-    else:
-        name = min(loads, key=loads.get)
     return Choice(
-        by_name[name], loads[name], mean, ranked.index(name), name in held
+        by_name[name],
+        loads[name].requests,
+        mean,
+        ranked.index(name),
+        name in held,
     )
 
 
-def choose_plain(demand, upstreams, beliefs, now, failure_domain):
+def choose_plain(demand, upstreams, beliefs, loads, failure_domain):
     """Return the Choice for a plain service: the least loaded, near by.
 
     Args:
         demand: the Demand.
         upstreams: wire.Registrations, not empty.
         beliefs: Belief by name.
-        now: seconds.
+        loads: Load by name.
         failure_domain: the instance's own.
     """
-    loads = {
-        one.name: beliefs[one.name].estimate_load(now) for one in upstreams
-    }
-    mean = sum(loads.values()) / len(loads)
+    mean = sum(loads[one.name].requests for one in upstreams) / len(upstreams)
 
     def measure_cost(one):
-        cost = loads[one.name] / max(1, one.capacity)
+        cost = loads[one.name].requests / max(1, one.capacity)
         cost += FAILURE_COST * beliefs[one.name].failure
         if one.failure_domain != failure_domain:
             cost += FOREIGN_DOMAIN_COST
@@ -206,4 +237,4 @@
         return cost + SPREAD_COST / (1 + tie)
 
     best = min(upstreams, key=measure_cost)
-    return Choice(best, loads[best.name], mean, -1)
+    return Choice(best, loads[best.name].requests, mean, -1)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -104,6 +104,60 @@
         self.kept_answer = None
 
 
+class _Pace:
+    """How a stream's events came and went, in seconds."""
+
+    def __init__(self, received_at, now):
+        self._received_at = received_at
+        self._now = now
+        self._last = None
+        self._first = 0.0
+        self._pause = 0.0
+        self._send = 0.0
+        self._events = 0
+
+    def note_arrival(self):
+        """Take note that events came from the upstream."""
+        now = self._now()
+        if self._last is None:
+            self._first = now - self._received_at
+        else:
+            self._pause = max(self._pause, now - self._last)
+        self._events += 1
+        self._last = now
+
+    def note_sent(self):
+        """Take note that they were taken by the client's connection."""
+        self._send = max(self._send, self._now() - self._last)
+
+    def describe(self):
+        """Return the figures of a log line, in milliseconds."""
+        return {
+            "first_ms": int(self._first * 1000),
+            "pause_ms": int(self._pause * 1000),
+            "send_ms": int(self._send * 1000),
+            "pieces": self._events,
+        }
+
+
+class _Unread:
+    """Tokens of a prompt that an upstream has probably yet to read."""
+
+    def __init__(self, loads, upstream, request, choice):
+        self._loads = loads
+        self._upstream = upstream
+        tokens = sum(count for _, count in request.parts)
+        if choice.was_held:
+            tokens = request.parts[-1][1]
+        self._tokens = tokens
+        loads.begin(upstream, tokens)
+
+    def settle(self):
+        """Take the tokens back, as the prompt was read or given up."""
+        self._loads.note_read(self._upstream, self._tokens)
+        self._tokens = 0
+
+
 class StreamBroken(Exception):
     """A stream that has begun can't be brought to its end."""
 
@@ -113,14 +167,16 @@
 
     Attributes:
         beliefs: Belief by upstream.
+        changed: set when own loads or placements changed.
     """
 
-    def __init__(self, roll, book, pool, protocol, rules, place, now):
+    def __init__(self, roll, book, loads, pool, protocol, rules, place, now):
         """Create a forwarder.
 
         Args:
             roll: the registry.Roll of upstreams.
             book: the homes.HomeBook of shared parts.
+            loads: the loads.FleetLoads.
             pool: opens requests: `open(target, call)` gives an answer with
                 `head` and `read_piece`.
             protocol: writes and reads what the platform's messages say:
@@ -132,6 +188,7 @@
         """
         self._roll = roll
         self._book = book
+        self._loads = loads
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
@@ -140,6 +197,7 @@
         self._cold = budgets.ColdAllowance()
         self._budgets = {}
         self.beliefs = collections.defaultdict(choices.Belief)
+        self.changed = trio.Event()
 
     def _get_budget(self, service):
         budget = self._budgets.get(service)
@@ -202,7 +260,7 @@
                 return Failure(503, "every upstream rejects", BUSY_SECONDS)
             if progress.runs >= max(1, request.route.attempts):
                 return Failure(502, "the attempts are used up")
-            if not budget.spend(now, self._roll.count_watchers()):
+            if not budget.spend(now, self._roll.count_instances()):
                 self._log(request, "no retry left in the budget", "warning")
                 return Failure(503, "upstreams are busy", BUSY_SECONDS)
         choice = self._choose(request, service, progress.excluded, now)
@@ -227,14 +285,19 @@
         )
         progress.excluded.add(target.name)
         progress.sends += 1
-        belief = self.beliefs[target.name]
-        belief.in_flight += 1
+        unread = _Unread(self._loads, target.name, request, choice)
+        self.changed.set()
         try:
-            return await self._exchange(request, target, progress, reply)
+            return await self._exchange(
+                request, target, progress, reply, unread
+            )
         except ports.AttemptError as error:
+            belief = self.beliefs[target.name]
             return self._take_failure(request, progress, belief, error)
         finally:
-            belief.in_flight -= 1
+            unread.settle()
+            self._loads.end(target.name)
+            self.changed.set()
 
     def _is_allowed(self, request):
         """Tell whether the client's key surely holds at this moment."""
@@ -254,7 +317,7 @@
             text = f"service {service} has no upstream that takes requests"
             return Failure(503, text, BUSY_SECONDS)
         spec = self._rules.get_table().services[service]
-        instances = self._roll.count_watchers()
+        instances = self._roll.count_instances()
         open_ones = [
             one
             for one in upstreams
@@ -267,25 +330,38 @@
         demand = choices.Demand(
             request.request, service, request.parts, frozenset(excluded)
         )
+        loads = self._estimate_loads(open_ones, instances, now)
         if spec.is_engine:
             part, tokens = choices.find_shared_part(request.parts)
-            choice = choices.choose_engine(
-                demand,
-                open_ones,
-                self.beliefs,
-                now,
-                self._book.find(part, now),
-            )
+            holders = self._book.find(part, now)
+            choice = choices.choose_engine(demand, open_ones, loads, holders)
             self._book.note(part, tokens, choice.upstream.name, now)
         else:
             choice = choices.choose_plain(
-                demand, open_ones, self.beliefs, now, self._failure_domain
+                demand,
+                open_ones,
+                self.beliefs,
+                loads,
+                self._failure_domain,
             )
         name = choice.upstream.name
         if self._is_cold(name, spec, now):
             self._cold.spend(name, spec.cold_rate, instances, now)
         return choice
 
+    def _estimate_loads(self, upstreams, instances, now):
+        hears_all = self._loads.count_heard() >= instances - 1
+        return {
+            one.name: choices.estimate_load(
+                self._loads.sum_load(one.name),
+                self.beliefs[one.name],
+                self._loads.get_own(one.name),
+                hears_all,
+                now,
+            )
+            for one in upstreams
+        }
+
     def _is_cold(self, name, spec, now):
         return spec.cold_rate > 0 and self._roll.cold_until.get(name, 0) > now
 
@@ -296,7 +372,7 @@
             if not self._cold.is_open(name, now):
                 return False
         share = max(2, spec.most_connections // (2 * instances))
-        return self.beliefs[name].in_flight < max(
+        return self._loads.get_own(name) < max(
             share, spec.most_connections // instances
         )
 
@@ -320,11 +396,12 @@
             return ""
         return Failure(502, error.message)
 
-    async def _exchange(self, request, target, progress, reply):
+    async def _exchange(self, request, target, progress, reply, unread):
         """Send a request to an upstream and relay its answer."""
         call = self._make_call(request, target, progress)
         belief = self.beliefs[target.name]
         async with self._pool.open(target, call) as answer:
+            unread.settle()
             verdict = self._protocol.read_verdict(answer.head)
             if verdict.load is not None:
                 belief.note_report(*verdict.load, self._now())
@@ -414,6 +491,7 @@
             progress.has_started = True
         first = True
         buffer = b""
+        pace = _Pace(request.received_at, self._now)
         with trio.move_on_at(request.give_up_at):
             while True:
                 with trio.move_on_after(EVENT_SILENCE_SECONDS) as silence:
@@ -438,10 +516,18 @@
                         whole, progress.last_event
                     )
                     if whole:
+                        pace.note_arrival()
                         await reply.send_piece(whole)
+                        pace.note_sent()
             if buffer:
                 await reply.send_piece(buffer)
             await reply.finish()
+            self._log(
+                request,
+                "stream ended",
+                peer=answer.upstream,
+                inputs=pace.describe(),
+            )
             return
         raise StreamBroken("the route's timeout or the deadline was reached")
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -1,9 +1,8 @@
 """Which engines probably hold a prompt's shared part in their cache.
 
-Rendezvous hashing alone moves prompts whenever engines come and go. So
-instances tell each other, through the replicas, where they placed prompts
-with a long shared part; the next request with that part goes there as long
-as the engine isn't crowded.
+Rendezvous hashing alone moves prompts whenever engines come and go, and
+knows nothing of load. So instances tell each other where they placed prompts
+with a long shared part; the next request with that part goes there.
 """
 
 import collections
@@ -12,10 +11,9 @@
 
 MOST_PARTS = 4096  # bounds memory to under 2 MB
 MOST_HOLDERS = 3  # engines remembered for one part
-HOLD_SECONDS = 30.0  # a part that nobody used for so long has often yielded
-LEAST_TOKENS = 300  # shorter parts are read again faster than told about
-MOST_TOLD = 256  # placements carried by one message
-BOARD_LENGTH = 2048
+HOLD_SECONDS = 40.0  # a part that nobody used for so long has often yielded
+LEAST_TOKENS = 64  # shorter parts are read again faster than told about
+MOST_UNTOLD = 256  # placements carried by one notice
 
 
 class HomeBook:
@@ -23,7 +21,7 @@
 
     def __init__(self):
         self._holders = collections.OrderedDict()
-        self._untold = collections.deque(maxlen=MOST_TOLD)
+        self._untold = collections.deque(maxlen=MOST_UNTOLD)
 
     def note(self, part, tokens, upstream, now):
         """Take note of an own placement, to be told to others."""
@@ -43,10 +41,6 @@
         self._untold.clear()
         return untold
 
-    def tell_again(self, placements):
-        """Take back placements whose message was lost."""
-        self._untold.extendleft(reversed(placements))
-
     def _put(self, part, upstream, now):
         holders = self._holders.setdefault(part, {})
         self._holders.move_to_end(part)
@@ -57,37 +51,8 @@
             self._holders.popitem(last=False)
 
     def find(self, part, now):
-        """Return the upstreams that used a part of late, newest first."""
+        """Return the upstreams that used a part of late."""
         holders = self._holders.get(part, {})
-        recent = [
-            (at, name)
-            for name, at in holders.items()
-            if now - at < HOLD_SECONDS
+        return [
+            name for name, at in holders.items() if now - at < HOLD_SECONDS
         ]
-        recent.sort(reverse=True)
-        return [name for _, name in recent]
-
-
-class Board:
-    """Placements that a replica passes on between instances."""
-
-    def __init__(self):
-        self._entries = collections.deque(maxlen=BOARD_LENGTH)
-        self.position = 0
-
-    def post(self, sender, placements):
-        """Add the placements of an instance."""
-        for placement in placements:
-            self.position += 1
-            self._entries.append((self.position, sender, placement))
-
-    def read(self, sender, after):
-        """Return placements of others that came after a position."""
-        found = []
-        for position, author, placement in reversed(self._entries):
-            if position <= after or len(found) >= MOST_TOLD:
-                break
-            if author != sender:
-                found.append(placement)
-        found.reverse()
-        return found
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -14,7 +14,6 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
-from camphorhook_daemon.domain.routing import homes
 
 MS = 0.001
 LIVE = "live"
@@ -25,7 +24,7 @@
 RECENT_SECONDS = 5.0  # a watcher that was not heard for so long has left
 MISSED_BEATS = 3.4  # heartbeats missed until an upstream counts as lost
 SETTLE_SECONDS = 4.0  # a replica has heard every upstream so long after start
-WATCH_MS = 400  # half of the longest delay of a placement
+WATCH_MS = 800  # a fraction of the time after which a watcher has left
 RETRY_SECONDS = 0.25
 
 
@@ -81,7 +80,6 @@
         self._removed = {}
         self._position = 1
         self._watchers = {}
-        self._board = homes.Board()
         self.changed = trio.Event()
 
     def hear(self, registration):
@@ -169,7 +167,6 @@
     async def answer(self, request):
         """Answer WatchUpstreams, waiting for a change up to its wait_ms."""
         self._watchers[request.sender] = self._now()
-        self._board.post(request.sender, request.placements)
         if request.epoch == self._epoch:
             with trio.move_on_after(request.wait_ms * MS):
                 while self._position <= request.after:
@@ -194,18 +191,14 @@
             changed,
             removed,
             int((now - self._began_at) / MS),
-            self._count_watchers(now),
-            self._board.read(
-                request.sender, -1 if whole else request.placements_after
-            ),
-            self._board.position,
+            self._list_watchers(now),
         )
 
-    def _count_watchers(self, now):
+    def _list_watchers(self, now):
         for name, seen_at in list(self._watchers.items()):
             if now - seen_at > RECENT_SECONDS:
                 del self._watchers[name]
-        return len(self._watchers)
+        return sorted(self._watchers)
 
 
 def _age(held, now):
@@ -224,8 +217,7 @@
         self.registrations = {}
         self.answered_at = float("-inf")
         self.is_settled = False
-        self.watchers = 0
-        self.placements_position = 0
+        self.watchers = []
 
 
 class Roll:
@@ -244,23 +236,10 @@
         self.cold_until = {}
         self.changed = trio.Event()
 
-    def make_watch(self, name, replica, placements):
-        """Return the WatchUpstreams that asks a replica for news.
-
-        Args:
-            name: the own name.
-            replica: the replica's name.
-            placements: own placements to tell.
-        """
+    def get_view(self, replica):
+        """Return (epoch, position) that a replica's changes follow."""
         view = self._views.setdefault(replica, _View())
-        return wire.WatchUpstreams(
-            name,
-            view.epoch,
-            view.position,
-            WATCH_MS,
-            placements,
-            view.placements_position,
-        )
+        return view.epoch, view.position
 
     def adopt(self, replica, reply):
         """Take in a replica's UpstreamsReply."""
@@ -272,7 +251,6 @@
         view.answered_at = self._now()
         view.is_settled = reply.age_ms * MS > SETTLE_SECONDS
         view.watchers = reply.watchers
-        view.placements_position = reply.placements_position
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._note_cold(registration)
@@ -323,9 +301,18 @@
             for view in self._views.values()
         )
 
-    def count_watchers(self):
-        """Return how many instances watch the replicas; 1 at the least."""
-        counts = [view.watchers for view in self._views.values()]
+    def list_instances(self):
+        """Return the names of instances that watch a replica in touch."""
+        now = self._now()
+        names = set()
+        for view in self._views.values():
+            if now - view.answered_at < RECENT_SECONDS:
+                names.update(view.watchers)
+        return sorted(names)
+
+    def count_instances(self):
+        """Return how many instances share the upstreams; 1 at the least."""
+        counts = [len(view.watchers) for view in self._views.values()]
         return max(counts, default=1) or 1
 
     def list_service(self, service):
@@ -337,24 +324,22 @@
         ]
 
 
-async def follow_replica(name, replica, roll, book, transport):
+async def follow_replica(name, replica, roll, transport):
     """Keep a Roll up to date with one replica until cancelled.
 
     Args:
         name: the own name.
         replica: the replica to watch.
         roll: the Roll.
-        book: the HomeBook that placements come from and go to.
         transport: a Transport.
     """
     in_touch = None
     while True:
-        untold = book.take_untold()
-        request = roll.make_watch(name, replica, untold)
+        epoch, position = roll.get_view(replica)
+        request = wire.WatchUpstreams(name, epoch, position, WATCH_MS)
         try:
             reply = await transport.call(replica, request, 2 * WATCH_MS * MS)
         except errors.UnreachableError as error:
-            book.tell_again(untold)
             if in_touch is not False:
                 logs.log(
                     "warning",
@@ -374,4 +359,3 @@
             )
         in_touch = True
         roll.adopt(replica, reply)
-        book.adopt(reply.placements, trio.current_time())
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -114,6 +114,15 @@
             names.add(self.name)
         return sorted(names)
 
+    @property
+    def notices_listener(self):
+        """Where other instances subscribe to this one's notices."""
+        return self.locate_notices(self.name)
+
+    def locate_notices(self, name):
+        """Return where an instance publishes its notices."""
+        return settings_module.Listener(name, self.peers_listener.port + 1)
+
     def locate(self, name):
         """Return where an instance listens for others."""
         return settings_module.Listener(name, self.peers_listener.port)
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -12,12 +12,14 @@
 from camphorhook_daemon.adapters import channels
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.adapters import notices
 from camphorhook_daemon.adapters import peers
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import homes
+from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain import state
@@ -146,10 +148,18 @@
         )
         self.roll = registry.Roll()
         self.homes = homes.HomeBook()
+        self.loads = loads.FleetLoads(settings.name, trio.current_time)
+        self.notices = notices.NoticeExchange(
+            settings.name,
+            settings.notices_listener,
+            settings.locate_notices,
+            LINK_TIMING,
+        )
         self.pool = channels.ChannelPool()
         self.forwarder = forwarding.Forwarder(
             self.roll,
             self.homes,
+            self.loads,
             self.pool,
             protocol,
             self.rules,
@@ -180,6 +190,11 @@
     def _is_ready(self):
         return not self.is_stopping and self.rules.is_current()
 
+    def adopt_notice(self, notice):
+        """Take in what another instance told."""
+        self.loads.adopt(notice)
+        self.homes.adopt(notice.placements, trio.current_time())
+
     def count_active(self):
         """Return requests in flight."""
         return sum(listener.active for listener in self.listeners)
@@ -220,6 +235,8 @@
                 nursery.cancel_scope.cancel()
     finally:
         parts.transport.close()
+        if parts.forwarder is not None:
+            parts.notices.close()
     logs.log("info", "instance stopped", step="stop")
 
 
@@ -241,6 +258,9 @@
         nursery.start_soon(parts.watcher.run)
         nursery.start_soon(parts.rules.follow)
         nursery.start_soon(_follow_replicas, parts, nursery)
+        parts.notices.open()
+        nursery.start_soon(parts.notices.receive, parts.adopt_notice)
+        nursery.start_soon(_publish_notices, parts)
         nursery.start_soon(_sweep, parts.pool.close_idle)
 
 
@@ -263,12 +283,28 @@
                     parts.settings.name,
                     name,
                     parts.roll,
-                    parts.homes,
                     parts.transport,
                 )
         await trio.sleep(FOLLOW_SECONDS)
 
 
+async def _publish_notices(parts):
+    """Tell other instances of the own load, at once but not too often."""
+    forwarder = parts.forwarder
+    while True:
+        with trio.move_on_after(loads.QUIET_SECONDS):
+            await forwarder.changed.wait()
+        forwarder.changed = trio.Event()
+        names = parts.roll.list_instances()
+        parts.notices.follow(names)
+        placements = parts.homes.take_untold()
+        parts.notices.publish(parts.loads.make_notice(placements))
+        await trio.sleep(
+            loads.INTERVAL_SECONDS
+            + loads.INTERVAL_INSTANCE_SECONDS * len(names)
+        )
+
+
 async def _stop(parts):
     """End gracefully: not ready, serve what comes, close."""
     logs.log("info", "received SIGTERM", step="stop")
