--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -15,10 +15,14 @@
 from camphorhook_daemon.domain.routing import registry
 
 REPORT_DECAY_SECONDS = 1.5  # within it, half of the requests have ended
-LOAD_BOUND = 1.8  # times the mean load; below the multiple that is allowed
-LOAD_SLACK = 2.5  # requests above that bound, so that low loads don't bind
+LOAD_BOUND = 1.6  # times the mean load, for prompts that are soon read again
+LONG_LOAD_BOUND = 2.0  # for long ones; the multiple that is allowed
+LOAD_SLACK = 2.0  # requests above that bound, so that low loads don't bind
+LONG_TOKENS = 3000  # a part from this length on takes an engine 50 ms to read
 HOME_CHOICES = 3  # rendezvous places tried for a part that nobody holds
 LOAD_TOKENS = 400  # unread tokens that weigh as much as one running request
+WORK_STEP_TOKENS = 4000  # differences below it leave the order as it is, so
+# that prompts that come at the same moment don't all choose the same engine
 FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure average
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
 FAILING_SHARE = 0.35  # failure average from which others are preferred
@@ -190,17 +194,20 @@
     """
     by_name = {one.name: one for one in upstreams}
     mean = sum(loads[name].requests for name in by_name) / len(by_name)
-    bound = LOAD_BOUND * mean + LOAD_SLACK
+    key, tokens = find_shared_part(demand.parts)
+    is_long = tokens >= LONG_TOKENS
+    bound = (LONG_LOAD_BOUND if is_long else LOAD_BOUND) * mean + LOAD_SLACK
 
     def is_open(name):
         most = min(bound, by_name[name].capacity)
         return loads[name].requests + 1 <= most
 
     def measure_work(name):
-        return loads[name].unread_tokens + LOAD_TOKENS * loads[name].requests
+        load = loads[name]
+        work = load.unread_tokens + LOAD_TOKENS * load.requests
+        return work // WORK_STEP_TOKENS
 
-    key = find_shared_part(demand.parts)[0] or demand.request
-    ranked = hashing.rank(key, dict.fromkeys(by_name, 1.0))
+    ranked = hashing.rank(key or demand.request, dict.fromkeys(by_name, 1.0))
     held = [name for name in holders if name in by_name and is_open(name)]
     homes = [name for name in ranked if is_open(name)][:HOME_CHOICES]
     for names in (held, homes, ranked):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
@@ -11,8 +11,8 @@
 
 FRESH_SECONDS = 1.2  # three notices; an older one says too little
 QUIET_SECONDS = 0.4  # longest time between two notices
-INTERVAL_SECONDS = 0.03  # shortest time between two notices
-INTERVAL_INSTANCE_SECONDS = 0.004  # more per instance: bounds what one reads
+INTERVAL_SECONDS = 0.01  # shortest time between two notices
+INTERVAL_INSTANCE_SECONDS = 0.003  # more per instance: bounds what one reads
 
 
 class _Own:
