--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -230,6 +230,18 @@
     upstream: str
 
 
+class ReadPlacements(typing.NamedTuple):
+    """Asks an instance for the placements that it knows."""
+
+    sender: str
+
+
+class PlacementsReply(typing.NamedTuple):
+    """Answers ReadPlacements, the oldest first."""
+
+    placements: list[Placement]
+
+
 class UpstreamLoad(typing.NamedTuple):
     """What an instance has on an upstream.
 
@@ -563,6 +575,8 @@
     "wu": WatchUpstreams,
     "uu": UpstreamsReply,
     "no": Notice,
+    "rp": ReadPlacements,
+    "rr": PlacementsReply,
     "st": ShowStatus,
     "ty": StatusReply,
     "ex": Exchange,
--- a/packages/daemon/src/camphorhook_daemon/adapters/answering.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/answering.py
@@ -71,6 +71,10 @@
         self._get_replica()
         return await self._parts.registry.answer(message)
 
+    @answer.register
+    async def _(self, message: wire.ReadPlacements):
+        return wire.PlacementsReply(self._parts.homes.list_recent())
+
     @answer.register
     async def _(self, message: wire.Watch):
         self._get_replica()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -7,6 +7,10 @@
 
 import collections
 
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
 from camphorhook_common import wire
 
 MOST_PARTS = 4096  # bounds memory to under 2 MB
@@ -14,6 +18,43 @@
 HOLD_SECONDS = 40.0  # a part that nobody used for so long has often yielded
 LEAST_TOKENS = 64  # shorter parts are read again faster than told about
 MOST_UNTOLD = 256  # placements carried by one notice
+MOST_LISTED = 1024  # placements told to an instance that starts: 40 kB
+LEARN_SECONDS = 1.0  # wait for one instance's list
+LEARN_RETRY_SECONDS = 0.2
+
+
+async def learn(name, book, list_instances, transport):
+    """Take over the placements that another instance knows, once.
+
+    Args:
+        name: the own name.
+        book: the own HomeBook.
+        list_instances: returns the names of instances.
+        transport: a Transport.
+    """
+    asked = set()
+    while True:
+        names = [one for one in list_instances() if one not in asked]
+        for other in names:
+            if other == name:
+                continue
+            asked.add(other)
+            try:
+                reply = await transport.call(
+                    other, wire.ReadPlacements(name), LEARN_SECONDS
+                )
+            except errors.UnreachableError as error:
+                logs.log("info", error.format(), step="learn homes")
+                continue
+            book.adopt(reply.placements, trio.current_time())
+            logs.log(
+                "info",
+                f"learned {len(reply.placements)} placements",
+                step="learn homes",
+                peer=other,
+            )
+            return
+        await trio.sleep(LEARN_RETRY_SECONDS)
 
 
 class HomeBook:
@@ -50,6 +91,16 @@
         while len(self._holders) > MOST_PARTS:
             self._holders.popitem(last=False)
 
+    def list_recent(self):
+        """Return the newest placements, the oldest of them first."""
+        found = [
+            (at, wire.Placement(part, name))
+            for part, holders in self._holders.items()
+            for name, at in holders.items()
+        ]
+        found.sort(key=lambda entry: entry[0])
+        return [placement for _, placement in found[-MOST_LISTED:]]
+
     def find(self, part, now):
         """Return the upstreams that used a part of late."""
         holders = self._holders.get(part, {})
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -261,6 +261,13 @@
         parts.notices.open()
         nursery.start_soon(parts.notices.receive, parts.adopt_notice)
         nursery.start_soon(_publish_notices, parts)
+        nursery.start_soon(
+            homes.learn,
+            parts.settings.name,
+            parts.homes,
+            parts.roll.list_instances,
+            parts.transport,
+        )
         nursery.start_soon(_sweep, parts.pool.close_idle)
 
 
