--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -18,6 +18,7 @@
 LOAD_BOUND = 1.6  # times the mean load, for prompts that are soon read again
 LONG_LOAD_BOUND = 2.0  # for long ones; the multiple that is allowed
 LOAD_SLACK = 2.0  # requests above that bound, so that low loads don't bind
+LEAST_SLACK = 2.0  # requests above the least load that are always allowed
 LONG_TOKENS = 3000  # a part from this length on takes an engine 50 ms to read
 HOME_CHOICES = 3  # rendezvous places tried for a part that nobody holds
 LOAD_TOKENS = 400  # unread tokens that weigh as much as one running request
@@ -26,6 +27,7 @@
 FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure average
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
 FAILING_SHARE = 0.35  # failure average from which others are preferred
+FAILING_MARGIN = 0.25  # above the median, beyond what chance gives 10 outcomes
 FOREIGN_DOMAIN_COST = 0.15  # of an idle upstream; the way there takes longer
 AVOID_SECONDS = 0.5  # first avoidance of an upstream that broke off
 AVOID_MAX_SECONDS = 4.0  # above the heartbeat, which tells more
@@ -130,17 +132,17 @@
 
 
 def prefer_sound(upstreams, beliefs, now):
-    """Return those that don't fail, or all when all of them do."""
-    sound = [
-        one
-        for one in upstreams
-        if beliefs[one.name].avoid_until <= now
-        and beliefs[one.name].failure < FAILING_SHARE
-    ]
-    if sound:
-        return sound
+    """Return those that are up and fail no more than is usual now.
+
+    Where all of a service fail alike, leaving some out would only move
+    prompts off the engines that hold them.
+    """
     up = [one for one in upstreams if beliefs[one.name].avoid_until <= now]
-    return up or upstreams
+    up = up or upstreams
+    failures = sorted(beliefs[one.name].failure for one in up)
+    usual = failures[len(failures) // 2]
+    limit = max(FAILING_SHARE, usual + FAILING_MARGIN)
+    return [one for one in up if beliefs[one.name].failure < limit] or up
 
 
 def find_shared_part(parts):
@@ -177,7 +179,25 @@
     return Load(requests, unread)
 
 
-def choose_engine(demand, upstreams, loads, holders):
+def find_mean(loads, beliefs, now):
+    """Return the mean requests on a service's upstreams.
+
+    Those that seem to be down are left out.
+
+    Args:
+        loads: Load by name.
+        beliefs: Belief by name.
+        now: seconds.
+    """
+    counted = [
+        load.requests
+        for name, load in loads.items()
+        if load.requests or beliefs[name].avoid_until <= now
+    ]
+    return sum(counted) / max(1, len(counted))
+
+
+def choose_engine(demand, upstreams, loads, holders, mean):
     """Return the Choice for a prompt.
 
     Engines that hold the shared part come first, the least loaded of them
@@ -191,12 +211,15 @@
         upstreams: wire.Registrations, not empty.
         loads: Load by name.
         holders: names of upstreams that used the shared part of late.
+        mean: requests on an upstream of the service, those that get no new
+            work included; the bound on load counts these too.
     """
     by_name = {one.name: one for one in upstreams}
-    mean = sum(loads[name].requests for name in by_name) / len(by_name)
     key, tokens = find_shared_part(demand.parts)
     is_long = tokens >= LONG_TOKENS
     bound = (LONG_LOAD_BOUND if is_long else LOAD_BOUND) * mean + LOAD_SLACK
+    least = min(loads[name].requests for name in by_name)
+    bound = max(bound, least + LEAST_SLACK)
 
     def is_open(name):
         most = min(bound, by_name[name].capacity)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -330,11 +330,14 @@
         demand = choices.Demand(
             request.request, service, request.parts, frozenset(excluded)
         )
-        loads = self._estimate_loads(open_ones, instances, now)
+        loads = self._estimate_loads(known, instances, now)
+        mean = choices.find_mean(loads, self.beliefs, now)
         if spec.is_engine:
             part, tokens = choices.find_shared_part(request.parts)
             holders = self._book.find(part, now)
-            choice = choices.choose_engine(demand, open_ones, loads, holders)
+            choice = choices.choose_engine(
+                demand, open_ones, loads, holders, mean
+            )
             self._book.note(part, tokens, choice.upstream.name, now)
         else:
             choice = choices.choose_plain(
