--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -29,6 +29,7 @@
 FAILING_SHARE = 0.35  # failure average from which others are preferred
 FAILING_MARGIN = 0.25  # above the median, beyond what chance gives 10 outcomes
 FOREIGN_DOMAIN_COST = 0.15  # of an idle upstream; the way there takes longer
+BREAKS_IN_ROW = 3  # broken answers without a good one between: it is down
 AVOID_SECONDS = 0.5  # first avoidance of an upstream that broke off
 AVOID_MAX_SECONDS = 4.0  # above the heartbeat, which tells more
 SPREAD_COST = 0.02  # breaks ties, so that instances don't all choose one
@@ -65,18 +66,20 @@
         self._failures_in_row = 0
         self.avoid_until = 0.0
 
-    def note_failure(self, now, is_broken):
+    def note_failure(self, now, is_broken, is_down=False):
         """Take note of a failed attempt.
 
         Args:
             now: seconds.
-            is_broken: the connection failed, so that the upstream may be
-                down; it is avoided for a while that grows.
+            is_broken: the connection broke in the middle.
+            is_down: no connection could be made; the upstream is avoided
+                for a while that grows, as it is after a row of breaks.
         """
         self.failure += FAILURE_WEIGHT * (1 - self.failure)
-        if is_broken:
+        if is_broken or is_down:
             self._failures_in_row += 1
-            seconds = AVOID_SECONDS * 2 ** (self._failures_in_row - 1)
+        if is_down or self._failures_in_row >= BREAKS_IN_ROW:
+            seconds = AVOID_SECONDS * 2 ** min(self._failures_in_row - 1, 4)
             self.avoid_until = now + min(seconds, AVOID_MAX_SECONDS)
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -283,7 +283,6 @@
                 "left_ms": int((request.give_up_at - now) * 1000),
             },
         )
-        progress.excluded.add(target.name)
         progress.sends += 1
         unread = _Unread(self._loads, target.name, request, choice)
         self.changed.set()
@@ -381,7 +380,8 @@
 
     def _take_failure(self, request, progress, belief, error):
         """Learn from a failed attempt; return what comes next."""
-        belief.note_failure(self._now(), error.broken or not error.sent)
+        belief.note_failure(self._now(), error.broken, not error.sent)
+        progress.excluded.add(error.peer)
         self._pool.forget(error.peer)
         self._log(
             request,
@@ -410,7 +410,7 @@
                 belief.note_report(*verdict.load, self._now())
             if not verdict.has_run:
                 await _read_whole(answer)
-                return self._take_rejection(request, target, verdict)
+                return self._take_rejection(request, target, verdict, progress)
             status = answer.head.status
             if status < 300 and request.route.is_stream:
                 await self._relay_stream(request, answer, progress, reply)
@@ -438,6 +438,8 @@
         headers = self._protocol.pick_headers(head)
         progress.runs += 1
         if head.status >= SERVER_ERROR:
+            # It stays a candidate: it holds the prompt now, and whether it
+            # fails more than others shows in its belief.
             belief.note_failure(self._now(), is_broken=False)
             self._log(request, f"the upstream answered {head.status}")
             if request.route.is_idempotent and not progress.has_started:
@@ -450,7 +452,7 @@
         await reply.send_whole(head.status, headers, body)
         return None
 
-    def _take_rejection(self, request, target, verdict):
+    def _take_rejection(self, request, target, verdict, progress):
         """Learn from an upstream that did not run a request."""
         belief = self.beliefs[target.name]
         self._log(
@@ -460,7 +462,8 @@
             inputs={"other": verdict.is_other},
         )
         if verdict.is_other:
-            belief.note_failure(self._now(), is_broken=True)
+            belief.note_failure(self._now(), False, is_down=True)
+        progress.excluded.add(target.name)
         return ""
 
     def _make_call(self, request, target, progress):
