Begin each instance's cold allowance at a moment of its own; test placing

Found by the new test: 62 instances each sent their first request to a cold upstream in the same second, 62 where it bears 26. The decisions of placing, soundness and budgets have scenarios without a network.

--- a/packages/daemon/src/camphorhook_daemon/domain/hashing.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/hashing.py
@@ -20,9 +20,13 @@
         name: the candidate.
         weight: share of keys, relative to other candidates.
     """
+    return -weight / math.log(find_fraction(key, name))
+
+
+def find_fraction(key, name):
+    """Return a number between 0 and 1 that looks drawn by lot."""
     number = xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
-    fraction = (number + 0.5) / _RANGE
-    return -weight / math.log(fraction)
+    return (number + 0.5) / _RANGE
 
 
 def rank(key, weights):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/budgets.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/budgets.py
@@ -8,6 +8,8 @@
 
 import collections
 
+from camphorhook_daemon.domain import hashing
+
 SHARE_USED = 0.8  # of a budget, as instances may differ on their number
 
 
@@ -50,13 +52,23 @@
 
 
 class ColdAllowance:
-    """Bounds requests a second to one cold upstream."""
+    """Bounds requests a second to cold upstreams.
+
+    Each instance begins at a moment of its own in the interval, so that not
+    all of them send their first request at once.
+    """
+
+    def __init__(self, name):
+        """Create an allowance.
 
-    def __init__(self):
+        Args:
+            name: the instance; decides where in the interval it begins.
+        """
+        self._name = name
         self._next_at = {}
 
-    def spend(self, upstream, rate, instances, now):
-        """Take one request; return False when the share is used up.
+    def is_open(self, upstream, rate, instances, now):
+        """Tell whether the next request may be taken now.
 
         Args:
             upstream: name of the upstream.
@@ -64,11 +76,20 @@
             instances: how many share the rate.
             now: seconds.
         """
-        if self._next_at.get(upstream, 0.0) > now:
+        if upstream not in self._next_at:
+            phase = hashing.find_fraction(upstream, self._name)
+            interval = _find_interval(rate, instances)
+            self._next_at[upstream] = now + phase * interval
+        return self._next_at[upstream] <= now
+
+    def spend(self, upstream, rate, instances, now):
+        """Take one request; return False when none may be taken now."""
+        if not self.is_open(upstream, rate, instances, now):
             return False
-        self._next_at[upstream] = now + instances / (SHARE_USED * rate)
+        self._next_at[upstream] = now + _find_interval(rate, instances)
         return True
 
-    def is_open(self, upstream, now):
-        """Tell whether the next request may be taken now."""
-        return self._next_at.get(upstream, 0.0) <= now
+
+def _find_interval(rate, instances):
+    """Return seconds between two requests of one instance."""
+    return instances / (SHARE_USED * rate)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -194,7 +194,7 @@
         self._rules = rules
         self._failure_domain = place[1]
         self._now = now
-        self._cold = budgets.ColdAllowance()
+        self._cold = budgets.ColdAllowance(place[0])
         self._budgets = {}
         self.beliefs = collections.defaultdict(choices.Belief)
         self.changed = trio.Event()
@@ -371,7 +371,7 @@
         """Tell whether an upstream may get a request of this instance now."""
         name = upstream.name
         if self._is_cold(name, spec, now):
-            if not self._cold.is_open(name, now):
+            if not self._cold.is_open(name, spec.cold_rate, instances, now):
                 return False
         share = max(2, spec.most_connections // (2 * instances))
         return self._loads.get_own(name) < max(
--- /dev/null
+++ b/tests/features/placing.feature
@@ -0,0 +1,93 @@
+@no_fleet
+Feature: Prompts go where their shared part is, and no engine is crowded
+
+  Scenario: A prompt goes to the engine that holds its shared part
+    Given 6 engines with 10 requests each
+    And engine 4 holds the shared part of 10000 tokens
+    When a prompt with that part is placed
+    Then it goes to engine 4
+
+  Scenario: A crowded holder gets nothing beyond the bound on load
+    Given 6 engines with 10 requests each
+    And engine 4 holds the shared part of 10000 tokens
+    And engine 4 has 40 requests
+    When a prompt with that part is placed
+    Then it goes to another engine than 4
+
+  Scenario: Upstreams that are taken out count in the mean of the bound
+    Given 8 engines with 0 requests each
+    And only engines 1 to 4 take work
+    And engine 1 has 45 requests
+    And engine 2 has 45 requests
+    And engine 3 has 8 requests
+    And engine 4 has 8 requests
+    And engine 1 holds the shared part of 700 tokens
+    When a prompt with that part is placed
+    Then it goes to another engine than 1
+    And it goes to another engine than 2
+
+  Scenario: All engines alike over the bound are still used, and evenly
+    Given 8 engines with 0 requests each
+    And only engines 1 to 4 take work
+    And engines 1 to 4 have 30 requests
+    And engine 2 holds the shared part of 700 tokens
+    When a prompt with that part is placed
+    Then it goes to engine 2
+
+  Scenario: Long prompts that nobody holds don't meet on one engine
+    Given 6 engines with 4 requests each
+    When 6 new prompts of 20000 tokens are placed one after the other
+    Then no engine has more than 2 of them
+
+  Scenario: A hot prompt spreads before one engine has it all
+    Given 6 engines with 0 requests each
+    When 60 prompts with one part of 2000 tokens are placed and run on
+    Then no engine has more than 2 times the mean plus 3
+
+  Scenario: Engines that all fail alike keep their prompts
+    Given 6 engines with 5 requests each
+    And all engines failed 4 times of late
+    Then none of them is left out
+
+  Scenario: An engine that fails more than the others is left out
+    Given 6 engines with 5 requests each
+    And engine 3 failed 4 times of late
+    Then engine 3 is left out
+
+  Scenario: A single broken answer does not make an upstream avoided
+    Given 6 engines with 5 requests each
+    And an answer of engine 2 broke off
+    Then none of them is left out
+
+  Scenario: An upstream that refuses connections is avoided
+    Given 6 engines with 5 requests each
+    And engine 2 refused a connection
+    Then engine 2 is left out
+
+  Scenario: Plain requests go to the least loaded upstream
+    Given 3 plain upstreams with 6 places
+    And upstream 1 has 5 requests
+    And upstream 2 has 5 requests
+    When a plain request is placed
+    Then it goes to engine 3
+
+  Scenario Outline: The fleet's retries stay within the budget
+    Given <instances> instances share a budget of 0.2 and 56 in 10 s
+    When each of them has <requests> requests and retries all it may
+    Then all retries are at most the budget
+
+    Examples:
+      | instances | requests |
+      | 1         | 100      |
+      | 8         | 30       |
+      | 62        | 5        |
+
+  Scenario Outline: A cold upstream gets no more than it bears
+    Given <instances> instances send all they may to a cold upstream of 14 a second
+    Then it gets at most 26 in any second
+
+    Examples:
+      | instances |
+      | 1         |
+      | 8         |
+      | 62        |
--- /dev/null
+++ b/tests/features/steps/placing.py
@@ -0,0 +1,243 @@
+"""Steps of placing: decisions of routing, played without a network."""
+
+import collections
+
+import behave
+
+from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain.routing import choice
+
+PART = "51ab0c"
+COLD_RATE = 14.0
+SECONDS = 12
+
+
+def make_upstream(number, capacity=64):
+    """Return the registration of an upstream in one of three domains."""
+    return wire.Registration(
+        f"engine-{number}",
+        "service",
+        f"zone-{number % 3}",
+        "10.0.0.1",
+        8000 + number,
+        1,
+        1,
+        "live",
+        capacity,
+        0,
+    )
+
+
+def place(context, part, tokens):
+    """Place a prompt and return the chosen engine's name."""
+    demand = choice.Demand(
+        "request", "service", ((part, tokens), ("own", 100)), frozenset()
+    )
+    loads = dict(context.loads)
+    mean = choice.find_mean(loads, context.beliefs, 0.0)
+    open_ones = [
+        one for one in context.upstreams if one.name in context.open_names
+    ]
+    chosen = choice.choose_engine(
+        demand, open_ones, loads, context.holders.get(part, []), mean
+    )
+    return chosen.upstream.name
+
+
+@behave.given("{count:d} engines with {requests:d} requests each")
+def make_engines(context, count, requests):
+    context.upstreams = [make_upstream(n) for n in range(1, count + 1)]
+    names = [one.name for one in context.upstreams]
+    context.open_names = set(names)
+    context.loads = {name: choice.Load(requests) for name in names}
+    context.beliefs = collections.defaultdict(choice.Belief)
+    context.holders = {}
+    context.tokens = 0
+
+
+@behave.given("{count:d} plain upstreams with {places:d} places")
+def make_plain(context, count, places):
+    make_engines(context, count, 0)
+    context.upstreams = [make_upstream(n, places) for n in range(1, count + 1)]
+
+
+@behave.given("engine {number:d} holds the shared part of {tokens:d} tokens")
+def hold_part(context, number, tokens):
+    context.holders[PART] = [f"engine-{number}"]
+    context.tokens = tokens
+
+
+@behave.given("engine {number:d} has {requests:d} requests")
+@behave.given("upstream {number:d} has {requests:d} requests")
+def set_load(context, number, requests):
+    context.loads[f"engine-{number}"] = choice.Load(requests)
+
+
+@behave.given("engines {first:d} to {last:d} have {requests:d} requests")
+def set_loads(context, first, last, requests):
+    for number in range(first, last + 1):
+        set_load(context, number, requests)
+
+
+@behave.given("only engines {first:d} to {last:d} take work")
+def keep_open(context, first, last):
+    context.open_names = {f"engine-{n}" for n in range(first, last + 1)}
+
+
+@behave.given("engine {number:d} failed {count:d} times of late")
+def fail(context, number, count):
+    for _ in range(count):
+        context.beliefs[f"engine-{number}"].note_failure(0.0, False)
+
+
+@behave.given("all engines failed {count:d} times of late")
+def fail_all(context, count):
+    for number in range(1, len(context.upstreams) + 1):
+        fail(context, number, count)
+
+
+@behave.given("an answer of engine {number:d} broke off")
+def break_answer(context, number):
+    context.beliefs[f"engine-{number}"].note_failure(0.0, True)
+
+
+@behave.given("engine {number:d} refused a connection")
+def refuse_connection(context, number):
+    context.beliefs[f"engine-{number}"].note_failure(0.0, False, True)
+
+
+@behave.when("a prompt with that part is placed")
+def place_prompt(context):
+    context.chosen = place(context, PART, context.tokens)
+
+
+@behave.when("a plain request is placed")
+def place_plain(context):
+    demand = choice.Demand("request", "service", (), frozenset())
+    chosen = choice.choose_plain(
+        demand, context.upstreams, context.beliefs, context.loads, "zone-0"
+    )
+    context.chosen = chosen.upstream.name
+
+
+@behave.when(
+    "{count:d} new prompts of {tokens:d} tokens are placed one after the other"
+)
+def place_many(context, count, tokens):
+    context.counts = collections.Counter()
+    for number in range(count):
+        name = place(context, f"new-{number}", tokens)
+        context.counts[name] += 1
+        load = context.loads[name]
+        context.loads[name] = choice.Load(
+            load.requests + 1, load.unread_tokens + tokens
+        )
+
+
+@behave.when(
+    "{count:d} prompts with one part of {tokens:d} tokens are placed and "
+    "run on"
+)
+def place_hot(context, count, tokens):
+    context.worst = 0.0
+    for _ in range(count):
+        name = place(context, PART, tokens)
+        requests = context.loads[name].requests + 1
+        context.loads[name] = choice.Load(requests)
+        held = context.holders.setdefault(PART, [])
+        if name not in held:
+            held.append(name)
+        total = sum(load.requests for load in context.loads.values())
+        mean = total / len(context.loads)
+        context.worst = max(context.worst, requests - 2 * mean - 3)
+
+
+@behave.then("it goes to engine {number:d}")
+def check_chosen(context, number):
+    assert context.chosen == f"engine-{number}", context.chosen
+
+
+@behave.then("it goes to another engine than {number:d}")
+def check_other(context, number):
+    assert context.chosen != f"engine-{number}", context.chosen
+
+
+@behave.then("no engine has more than {most:d} of them")
+def check_counts(context, most):
+    assert max(context.counts.values()) <= most, context.counts
+
+
+@behave.then("no engine has more than 2 times the mean plus 3")
+def check_bound(context):
+    assert context.worst <= 0, context.worst
+
+
+def list_sound(context):
+    """Return the names that are preferred."""
+    sound = choice.prefer_sound(context.upstreams, context.beliefs, 0.1)
+    return {one.name for one in sound}
+
+
+@behave.then("none of them is left out")
+def check_all_sound(context):
+    assert len(list_sound(context)) == len(context.upstreams)
+
+
+@behave.then("engine {number:d} is left out")
+def check_left_out(context, number):
+    assert f"engine-{number}" not in list_sound(context)
+
+
+@behave.given(
+    "{instances:d} instances share a budget of {ratio:f} and {slack:d} in "
+    "10 s"
+)
+def share_budget(context, instances, ratio, slack):
+    context.limit = (ratio, slack)
+    context.budgets = [
+        budgets.RetryBudget(ratio, slack, 10.0) for _ in range(instances)
+    ]
+
+
+@behave.when("each of them has {requests:d} requests and retries all it may")
+def spend_budget(context, requests):
+    context.requests = requests * len(context.budgets)
+    context.retries = 0
+    for budget in context.budgets:
+        for _ in range(requests):
+            budget.note_request(0.0)
+        while budget.spend(0.0, len(context.budgets)):
+            context.retries += 1
+
+
+@behave.then("all retries are at most the budget")
+def check_budget(context):
+    ratio, slack = context.limit
+    most = ratio * context.requests + slack
+    assert 0 < context.retries <= most, (context.retries, most)
+
+
+@behave.given(
+    "{instances:d} instances send all they may to a cold upstream of 14 a "
+    "second"
+)
+def send_cold(context, instances):
+    allowances = [
+        budgets.ColdAllowance(f"instance-{n}") for n in range(instances)
+    ]
+    context.moments = []
+    for step in range(SECONDS * 100):
+        now = step / 100
+        for allowance in allowances:
+            while allowance.spend("engine", COLD_RATE, instances, now):
+                context.moments.append(now)
+
+
+@behave.then("it gets at most {most:d} in any second")
+def check_cold(context, most):
+    worst = max(
+        sum(1 for other in context.moments if moment <= other < moment + 1)
+        for moment in context.moments
+    )
+    assert worst <= most, worst
