--- /dev/null
+++ b/tests/features/registrations.feature
@@ -0,0 +1,86 @@
+@no_fleet
+Feature: What upstreams say of themselves, late, twice or wrong
+
+  Scenario Outline: Which of two registrations counts
+    Given an upstream registered with incarnation 100, sequence 5 and state <first>
+    When it registers with incarnation <incarnation>, sequence <sequence> and state <second>
+    Then the upstream is <result>
+
+    Examples:
+      | first   | incarnation | sequence | second  | result  |
+      | live    | 100         | 6        | leaving | leaving |
+      | leaving | 100         | 4        | live    | leaving |
+      | leaving | 100         | 7        | live    | leaving |
+      | live    | 90          | 9        | leaving | live    |
+      | leaving | 110         | 1        | live    | live    |
+
+  Scenario: A farewell is final for its incarnation
+    Given an upstream registered with incarnation 100, sequence 5 and state live
+    When it says farewell
+    And it registers with incarnation 100, sequence 9 and state live
+    Then no upstream is known
+    When it registers with incarnation 101, sequence 1 and state live
+    Then the upstream is live
+
+  Scenario: An older upstream can't come back at an address used again
+    Given an upstream registered with incarnation 100, sequence 5 and state live
+    When another upstream registers at its address with incarnation 200
+    And it registers with incarnation 100, sequence 6 and state live
+    Then only the other upstream is known
+
+  Scenario: A silent upstream is dropped, and comes back when heard
+    Given an upstream registered with incarnation 100, sequence 5 and state live
+    When the clock moves on by 5 seconds
+    Then no upstream is known
+    When it registers with incarnation 100, sequence 9 and state live
+    Then the upstream is live
+
+  Scenario: A replica that restarted forgets nothing for the fleet
+    Given an upstream registered with incarnation 100, sequence 5 and state live
+    When the replica restarts without having heard the upstream
+    Then the upstream is live
+    When the clock moves on by 6 seconds
+    Then no upstream is known
+
+  Scenario Outline: Registrations that name no upstream are refused
+    Then a registration of <body> is refused
+
+    Examples:
+      | body                                                                                    |
+      | {                                                                                       |
+      | []                                                                                      |
+      | {"Service":"s"}                                                                         |
+      | {"Service":1,"Address":"10.0.0.1:80","Zone":"z","State":"ready","Sequence":1}           |
+      | {"Service":"s","Address":"10.0.0.1","Zone":"z","State":"ready","Sequence":1}            |
+      | {"Service":"s","Address":"10.0.0.1:99999","Zone":"z","State":"ready","Sequence":1}      |
+      | {"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"sleeping","Sequence":1}      |
+      | {"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Sequence":"1"}       |
+
+  Scenario Outline: Documents that can't take effect are refused
+    Then a document with <fault> is refused
+
+    Examples:
+      | fault                |
+      | half of its bytes    |
+      | an unknown service   |
+      | a place twice        |
+      | weights of 0         |
+      | a timeout of 0       |
+      | a key twice          |
+      | an unknown kind      |
+      | a missing prefix     |
+      | no version           |
+
+  Scenario: Anything else that is sent as a document is refused with a reason
+    Then 300 mangled documents are each read or refused with a reason
+
+  Scenario: The longest prefix of the host wins
+    Given a document with the prefixes /, /a/ and /a/b/ of one host
+    Then /a/b/c goes to route /a/b/
+    And /a/b goes to route /a/
+    And /x goes to route /
+    And /a/b/c?q=/z/ goes to route /a/b/
+
+  Scenario: Requests are split by weight
+    Given a document with the prefixes /, /a/ and /a/b/ of one host
+    Then a split of 90 and 10 sends 900 of 1000 requests to the first
--- /dev/null
+++ b/tests/features/steps/registrations.py
@@ -0,0 +1,247 @@
+"""Steps of registrations and documents."""
+
+import types
+
+import behave
+import hypothesis
+from hypothesis import strategies
+import msgspec
+import trio
+
+from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import table as tables
+from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import registrations
+
+RECORDER = types.SimpleNamespace(record=lambda *args, **fields: None)
+HEARTBEAT_SECONDS = 1.2
+
+
+class World:
+    """A replica's registry and an instance's roll on a clock of the test."""
+
+    def __init__(self):
+        self.time = 1000.0
+        self.registry = None
+        self.roll = registry.Roll(self.read_time)
+        self.restart_replica()
+
+    def read_time(self):
+        """Return the test's time in seconds."""
+        return self.time
+
+    def restart_replica(self):
+        """Put a replica that heard nothing in the place of the first."""
+        self.registry = registry.Registry(
+            HEARTBEAT_SECONDS, RECORDER, self.read_time
+        )
+
+    def exchange(self):
+        """Let the instance watch the replica once."""
+        self.registry.drop_lost()
+
+        async def watch():
+            epoch, position = self.roll.get_view("replica")
+            request = wire.WatchUpstreams("entry", epoch, position, 0)
+            reply = await self.registry.answer(request)
+            self.roll.adopt("replica", reply)
+
+        trio.run(watch)
+
+
+def make_registration(name, incarnation, sequence, state):
+    """Return a registration at the address that all of them share."""
+    return wire.Registration(
+        name,
+        "service",
+        "zone-a",
+        "10.0.0.1",
+        80,
+        incarnation,
+        sequence,
+        state,
+        6,
+        0,
+    )
+
+
+@behave.given(
+    "an upstream registered with incarnation {incarnation:d}, sequence "
+    "{sequence:d} and state {state}"
+)
+def register_first(context, incarnation, sequence, state):
+    context.world = World()
+    register(context, incarnation, sequence, state)
+
+
+@behave.when(
+    "it registers with incarnation {incarnation:d}, sequence {sequence:d} "
+    "and state {state}"
+)
+def register(context, incarnation, sequence, state):
+    context.world.registry.hear(
+        make_registration("one", incarnation, sequence, state)
+    )
+    context.world.exchange()
+
+
+@behave.when("it says farewell")
+def say_farewell(context):
+    context.world.registry.retire("one", 0)
+    context.world.exchange()
+
+
+@behave.when(
+    "another upstream registers at its address with incarnation "
+    "{incarnation:d}"
+)
+def register_other(context, incarnation):
+    context.world.registry.hear(
+        make_registration("other", incarnation, 1, "live")
+    )
+    context.world.exchange()
+
+
+@behave.when("the clock moves on by {seconds:d} seconds")
+def pass_time(context, seconds):
+    context.world.time += seconds
+    context.world.exchange()
+
+
+@behave.when("the replica restarts without having heard the upstream")
+def restart_replica(context):
+    context.world.restart_replica()
+    context.world.exchange()
+
+
+@behave.then("the upstream is {state}")
+def check_state(context, state):
+    known = context.world.roll.registrations
+    assert known["one"].state == state, known
+
+
+@behave.then("no upstream is known")
+def check_none(context):
+    assert not context.world.roll.registrations
+
+
+@behave.then("only the other upstream is known")
+def check_other_only(context):
+    assert list(context.world.roll.registrations) == ["other"]
+
+
+@behave.then("a registration of {body} is refused")
+def check_registration_refused(context, body):
+    try:
+        registrations.read("one", body.encode())
+    except registrations.RegistrationError as error:
+        assert error.message
+        return
+    raise AssertionError("it was read")
+
+
+def make_document():
+    """Return a document that can take effect."""
+    route = {
+        "Name": "r1",
+        "Host": "h.example",
+        "PathPrefix": "/",
+        "Kind": "safe",
+        "TimeoutMs": 1000,
+        "Service": "one",
+    }
+    return {
+        "Version": 7,
+        "Routes": [
+            route,
+            {**route, "Name": "r2", "PathPrefix": "/a/"},
+            {**route, "Name": "r3", "PathPrefix": "/a/b/"},
+        ],
+        "Services": [{"Name": "one"}, {"Name": "two"}],
+        "Tenants": [
+            {"Name": "t1", "ApiKeys": ["k1", "k2"]},
+            {"Name": "t2", "ApiKeys": ["k3"], "Priority": 1},
+        ],
+    }
+
+
+def spoil_document(fault):
+    """Return a document's bytes with a fault."""
+    document = make_document()
+    route = document["Routes"][1]
+    if fault == "an unknown service":
+        route["Service"] = "three"
+    elif fault == "a place twice":
+        route["PathPrefix"] = "/"
+    elif fault == "weights of 0":
+        del route["Service"]
+        route["TrafficSplit"] = [{"Service": "one", "Weight": 0}]
+    elif fault == "a timeout of 0":
+        route["TimeoutMs"] = 0
+    elif fault == "a key twice":
+        document["Tenants"][1]["ApiKeys"].append("k1")
+    elif fault == "an unknown kind":
+        route["Kind"] = "sometimes"
+    elif fault == "a missing prefix":
+        del route["PathPrefix"]
+    elif fault == "no version":
+        del document["Version"]
+    body = msgspec.json.encode(document)
+    return body[: len(body) // 2] if fault == "half of its bytes" else body
+
+
+@behave.then("a document with {fault} is refused")
+def check_document_refused(context, fault):
+    assert documents.read(msgspec.json.encode(make_document()))
+    try:
+        documents.read(spoil_document(fault))
+    except documents.DocumentError as error:
+        assert error.message
+        return
+    raise AssertionError("it was read")
+
+
+@behave.then(
+    "{count:d} mangled documents are each read or refused with a reason"
+)
+def check_mangled(context, count):
+    body = msgspec.json.encode(make_document())
+
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.given(
+        strategies.integers(0, len(body) - 1),
+        strategies.binary(max_size=12),
+        strategies.integers(0, 12),
+    )
+    def read_mangled(start, piece, dropped):
+        mangled = body[:start] + piece + body[start + dropped :]
+        try:
+            documents.read(mangled)
+        except documents.DocumentError as error:
+            assert error.message
+
+    read_mangled()
+
+
+@behave.given("a document with the prefixes /, /a/ and /a/b/ of one host")
+def read_document(context):
+    context.routing = documents.read(msgspec.json.encode(make_document()))
+
+
+@behave.then("{target} goes to route {prefix}")
+def check_route(context, target, prefix):
+    path = target.partition("?")[0]
+    route = context.routing.find_route("H.example", path)
+    assert route.path_prefix == prefix, route
+
+
+@behave.then("a split of 90 and 10 sends 900 of 1000 requests to the first")
+def check_split(context):
+    route = context.routing.routes[0]._replace(
+        shares=(tables.Share("one", 90), tables.Share("two", 10))
+    )
+    chosen = [tables.choose_service(route, n / 1000) for n in range(1000)]
+    assert chosen.count("one") == 900
