Forget upstreams once a restarted replica has heard all there are

Found by the new scenario: an upstream that ended while the replica was down stayed in the roll, as nothing was merged when the replica had settled.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -249,14 +249,16 @@
         view.epoch = reply.epoch
         view.position = reply.position
         view.answered_at = self._now()
-        view.is_settled = reply.age_ms * MS > SETTLE_SECONDS
+        is_settled = reply.age_ms * MS > SETTLE_SECONDS
+        has_settled = is_settled and not view.is_settled
+        view.is_settled = is_settled
         view.watchers = reply.watchers
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._note_cold(registration)
         for name in reply.removed:
             view.registrations.pop(name, None)
-        if reply.changed or reply.removed or reply.whole:
+        if reply.changed or reply.removed or reply.whole or has_settled:
             self._merge()
 
     def _note_cold(self, registration):
