--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -160,6 +160,9 @@
             raise RequestError(408, "the request's head came too slowly")
         if not isinstance(event, h11.Request):
             return None
+        if _measure_head(event) > limits.header_bytes:
+            # h11 bounds heads only as long as they are incomplete.
+            raise RequestError(431, "the request's head is too large")
         exchange = Exchange(self, event)
         exchange.body = await self._read_body(limits)
         return exchange
@@ -226,6 +229,15 @@
                 continue
 
 
+def _measure_head(event):
+    """Return the bytes of a request's head, line ends included."""
+    size = len(event.method) + len(event.target) + len(b"  HTTP/1.1\r\n\r\n")
+    return size + sum(
+        len(name) + len(value) + len(b": \r\n")
+        for name, value in event.headers
+    )
+
+
 class Listener:
     """Accepts connections and hands each request to a function."""
 
--- /dev/null
+++ b/tests/features/connections.feature
@@ -0,0 +1,58 @@
+@no_fleet
+Feature: Connections to clients and upstreams that misbehave
+
+  Scenario Outline: An upstream's answer is whole and its own, or it is none
+    Given an upstream that answers with <script>
+    When two requests are sent to it one after the other
+    Then the first gives <first> and the second gives <second>
+    And it was connected to <connections> times
+
+    Examples:
+      | script                         | first  | second | connections |
+      | good answers                   | whole  | whole  | 1           |
+      | a second answer late           | whole  | whole  | 1           |
+      | a second answer at once        | whole  | whole  | 2           |
+      | bytes after the answer         | whole  | whole  | 2           |
+      | an answer without length       | whole  | whole  | 2           |
+      | an answer cut off              | broken | whole  | 2           |
+      | a chunked answer cut off       | broken | whole  | 2           |
+      | an answer reset without length | broken | whole  | 2           |
+      | no HTTP                        | broken | whole  | 2           |
+      | nothing but a close            | broken | whole  | 2           |
+      | a close while idle             | whole  | whole  | 2           |
+      | an answer before the body      | whole  | whole  | 2           |
+      | a word that it closes          | whole  | whole  | 2           |
+
+  Scenario Outline: What a client sends wrong gets an exact answer
+    Given a server whose heads may have 1000 bytes and bodies 100
+    When the client sends as bytes: <bytes>
+    Then it gets status <status> and <requests> requests are handled
+
+    Examples:
+      | bytes                          | status | requests |
+      | a good request                 | 200    | 1        |
+      | a chunked body                 | 200    | 1        |
+      | two requests at once           | 200    | 2        |
+      | a head of 2000 bytes           | 431    | 0        |
+      | a body of 200 bytes            | 413    | 0        |
+      | two lengths                    | 400    | 0        |
+      | a bad chunk                    | 400    | 0        |
+      | no HTTP                        | 400    | 0        |
+      | half a head and waits          | 408    | 0        |
+      | half a body and waits          | 408    | 0        |
+      | a body that ends early         | 400    | 0        |
+      | nothing                        | none   | 0        |
+
+  Scenario: A client that leaves cancels its request
+    Given a server whose heads may have 1000 bytes and bodies 100
+    When a client sends a slow request and leaves
+    Then its handling is cancelled within 0.5 seconds
+
+  Scenario: Closing leaves requests and takes idle connections
+    Given a server whose heads may have 1000 bytes and bodies 100
+    When it closes beside an idle connection and a slow request
+    Then the idle connection ends, the request gets its answer, and no new connection is taken
+
+  Scenario: Events are passed on whole, in order and once
+    Then events split at any byte come out whole and in order
+    And a stream taken up again leaves out events up to the last one passed on
--- /dev/null
+++ b/tests/features/steps/connections.py
@@ -0,0 +1,346 @@
+"""Steps of connections: scripted peers on loopback sockets."""
+
+import struct
+
+import behave
+import trio
+
+from camphorhook_common import settings as settings_module
+from camphorhook_daemon.adapters import channels
+from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.ports import upstreams as ports
+
+LIMITS = listeners.Limits(1000, 100, 0.3, 0.6)
+LONGEST_SECONDS = 5.0
+HTTP = b"HTTP/1.1 "
+
+
+class Target:
+    """Where a scripted upstream listens."""
+
+    def __init__(self, port):
+        self.name = "upstream"
+        self.address = "127.0.0.1"
+        self.port = port
+
+
+def make_answer(number, extra=b"", body=None):
+    """Return a good answer to request `number`."""
+    body = body if body is not None else b"body %d" % number
+    return (
+        HTTP
+        + b"200 OK\r\nX-Request-Id: %d\r\n" % number
+        + extra
+        + b"Content-Length: %d\r\n\r\n" % len(body)
+        + body
+    )
+
+
+OPEN_HEAD = HTTP + b"200 OK\r\nX-Request-Id: 1\r\n"
+SPOILED = {
+    "an answer cut off": OPEN_HEAD + b"Content-Length: 9\r\n\r\nhalf",
+    "a chunked answer cut off": OPEN_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    "no HTTP": b"\x00\x01\x02 garbage\r\n\r\n",
+    "nothing but a close": b"",
+}
+
+
+async def play(stream, script, count):
+    """Answer requests on one connection by a script.
+
+    Args:
+        stream: the connection.
+        script: what is done to the first request.
+        count: list whose length is the number of requests seen.
+    """
+    while True:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            piece = await stream.receive_some()
+            if not piece:
+                return
+            data += piece
+        count.append(data)
+        number = len(count)
+        if number > 1:
+            late = make_answer(1) if script == "a second answer late" else b""
+            await stream.send_all(late + make_answer(number))
+            continue
+        if script in SPOILED:
+            await stream.send_all(SPOILED[script])
+            return
+        if script == "an answer without length":
+            await stream.send_all(OPEN_HEAD + b"\r\nbody 1")
+            return
+        if script == "an answer reset without length":
+            await stream.send_all(OPEN_HEAD + b"\r\nbody 1")
+            await trio.sleep(0.1)
+            stream.setsockopt(1, 13, struct.pack("ii", 1, 0))  # SO_LINGER
+            return
+        extra = b""
+        if script == "a word that it closes":
+            extra = b"Connection: close\r\n"
+        answer = make_answer(1, extra)
+        if script == "a second answer at once":
+            answer += make_answer(1)
+        if script == "bytes after the answer":
+            answer += b"leftover"
+        await stream.send_all(answer)
+        if script == "a close while idle":
+            return
+
+
+async def fetch(pool, target, number, body):
+    """Return whole or broken."""
+    call = ports.Call(
+        "POST",
+        "/",
+        [("x-request-id", str(number))],
+        body,
+        2.0,
+        request=str(number),
+    )
+    data = b""
+    try:
+        async with pool.open(target, call) as answer:
+            while piece := await answer.read_piece():
+                data += piece
+    except ports.AttemptError as error:
+        assert error.sent
+        return "broken"
+    assert data == b"body %d" % number, data
+    return "whole"
+
+
+@behave.given("an upstream that answers with {script}")
+def set_script(context, script):
+    context.script = script
+
+
+@behave.when("two requests are sent to it one after the other")
+def send_two(context):
+    script = context.script
+    body = b"x" * 4_000_000 if script == "an answer before the body" else b"x"
+
+    async def run():
+        pool = channels.ChannelPool()
+        count = []
+
+        async def serve(stream):
+            async with stream:
+                await play(stream, script, count)
+
+        with trio.fail_after(LONGEST_SECONDS):
+            async with trio.open_nursery() as nursery:
+                opened = await nursery.start(trio.serve_tcp, serve, 0)
+                port = opened[0].socket.getsockname()[1]
+                target = Target(port)
+                first = await fetch(pool, target, 1, body)
+                await trio.sleep(0.05)
+                second = await fetch(pool, target, 2, b"x")
+                nursery.cancel_scope.cancel()
+        context.results = (first, second, pool.opened)
+
+    trio.run(run)
+
+
+@behave.then("the first gives {first} and the second gives {second}")
+def check_results(context, first, second):
+    assert context.results[:2] == (first, second), context.results
+
+
+@behave.then("it was connected to {count:d} times")
+def check_connections(context, count):
+    assert context.results[2] == count, context.results
+
+
+GOOD = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+SENT = {
+    "a good request": GOOD,
+    "a chunked body": b"POST /a HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    "two requests at once": GOOD + GOOD,
+    "a head of 2000 bytes": b"GET / HTTP/1.1\r\nHost: h\r\nX: "
+    + b"x" * 2000
+    + b"\r\n\r\n",
+    "a body of 200 bytes": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 200\r\n\r\n" + b"x" * 200,
+    "two lengths": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+    b"Content-Length: 3\r\n\r\nabc",
+    "a bad chunk": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+    "no HTTP": b"\x16\x03\x01 hello\r\n\r\n",
+    "half a head and waits": b"GET / HTTP/1.1\r\nHo",
+    "half a body and waits": GOOD[:-1],
+    "a body that ends early": GOOD[:-1],
+    "nothing": b"",
+    "a slow request": b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n",
+}
+
+
+class Server:
+    """A Listener that counts what it handles."""
+
+    def __init__(self):
+        self.handled = 0
+        self.cancelled_at = None
+        self.listener = None
+        self.port = 0
+
+    async def handle(self, exchange):
+        """Answer a request, slowly where its path says so."""
+        self.handled += 1
+        if exchange.target == "/slow":
+            try:
+                await trio.sleep(1.0)
+            except trio.Cancelled:
+                self.cancelled_at = trio.current_time()
+                raise
+        else:
+            assert exchange.body == b"ab", exchange.body
+        await exchange.send_whole(200, [], b"done")
+
+    async def start(self, nursery):
+        """Open a free port and serve it."""
+        with trio.socket.socket() as probe:
+            await probe.bind(("127.0.0.1", 0))
+            self.port = probe.getsockname()[1]
+        self.listener = listeners.Listener(
+            settings_module.Listener("127.0.0.1", self.port),
+            self.handle,
+            lambda: LIMITS,
+            lambda: False,
+        )
+        await nursery.start(self.listener.run)
+
+    async def connect(self, sent):
+        """Return a connection on which bytes were sent."""
+        stream = await trio.open_tcp_stream("127.0.0.1", self.port)
+        if sent:
+            await stream.send_all(sent)
+        return stream
+
+
+def run_with_server(context, act):
+    """Run an async function of a Server and keep what it returns."""
+
+    async def run():
+        with trio.fail_after(LONGEST_SECONDS):
+            async with trio.open_nursery() as nursery:
+                server = Server()
+                await server.start(nursery)
+                context.outcome = await act(server)
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+async def read_all(stream):
+    """Return everything until the connection ends or is quiet."""
+    data = b""
+    try:
+        with trio.move_on_after(1.5):
+            while piece := await stream.receive_some():
+                data += piece
+    except trio.BrokenResourceError:
+        return data
+    return data
+
+
+@behave.given("a server whose heads may have 1000 bytes and bodies 100")
+def note_server(context):
+    context.outcome = None
+
+
+@behave.when("the client sends as bytes: {what}")
+def send_bytes(context, what):
+    async def act(server):
+        stream = await server.connect(SENT[what])
+        if what in ("a body that ends early", "nothing"):
+            await stream.send_eof()
+        data = await read_all(stream)
+        words = data.split(b" ")
+        status = words[1].decode() if len(words) > 1 else "none"
+        return status, server.handled
+
+    run_with_server(context, act)
+
+
+@behave.then("it gets status {status} and {count:d} requests are handled")
+def check_status(context, status, count):
+    assert context.outcome == (status, count), context.outcome
+
+
+@behave.when("a client sends a slow request and leaves")
+def send_and_leave(context):
+    async def act(server):
+        stream = await server.connect(SENT["a slow request"])
+        while not server.handled:
+            await trio.sleep(0.01)
+        left_at = trio.current_time()
+        await stream.aclose()
+        while server.cancelled_at is None:
+            await trio.sleep(0.01)
+        return server.cancelled_at - left_at
+
+    run_with_server(context, act)
+
+
+@behave.then("its handling is cancelled within {seconds:f} seconds")
+def check_cancelled(context, seconds):
+    assert context.outcome < seconds, context.outcome
+
+
+@behave.when("it closes beside an idle connection and a slow request")
+def close_server(context):
+    async def act(server):
+        idle = await server.connect(b"")
+        slow = await server.connect(SENT["a slow request"])
+        while not server.handled:
+            await trio.sleep(0.01)
+        server.listener.close()
+        idle_end = await read_all(idle)
+        answer = await slow.receive_some()
+        try:
+            await server.connect(b"")
+        except OSError:
+            return idle_end, answer[:12], "refused"
+        return idle_end, answer[:12], "taken"
+
+    run_with_server(context, act)
+
+
+@behave.then(
+    "the idle connection ends, the request gets its answer, and no new "
+    "connection is taken"
+)
+def check_closed(context):
+    assert context.outcome == (b"", b"HTTP/1.1 200", "refused")
+
+
+def make_events(first, last):
+    """Return events with the ids from first to last."""
+    return b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(first, last + 1)
+    )
+
+
+@behave.then("events split at any byte come out whole and in order")
+def check_split(context):
+    data = make_events(1, 3)
+    for cut in range(len(data) + 1):
+        whole, rest = forwarding.split_events(data[:cut])
+        assert not whole or whole.endswith(b"\n\n"), whole
+        more, left = forwarding.split_events(rest + data[cut:])
+        assert whole + more == data and not left, cut
+
+
+@behave.then(
+    "a stream taken up again leaves out events up to the last one passed on"
+)
+def check_resumed(context):
+    kept = forwarding.drop_known_events(make_events(2, 5), "3")
+    assert kept == make_events(4, 5), kept
+    assert forwarding.find_last_id(kept, "") == "5"
