--- a/packages/daemon/src/camphorhook_daemon/domain/joining.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/joining.py
@@ -22,8 +22,13 @@
     """
     known = {*settings.list_replicas()}
     message = wire.Introduce(settings.name, identity)
+    did_vote = None
     while True:
         await trio.sleep(INTERVAL_SECONDS)
+        if replica.is_voter != did_vote:
+            did_vote = replica.is_voter
+            text = "votes in the log" if did_vote else "only follows the log"
+            logs.log("info", text, step="join", inputs={"term": replica.term})
         age = replica.measure_age()
         if age is not None and age < SILENCE_SECONDS:
             continue
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,72 @@
+@no_fleet
+Feature: The whole path on the platform, as real processes
+
+  Background:
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
+
+  Scenario: Requests of every kind are served, and wrong ones refused
+    Then a safe request is answered 200 by a server
+    And an unsafe request is answered 200 by a server
+    And a stream of 10 events is whole
+    And a request without a key is answered 401
+    And a request with an unknown key is answered 401
+    And a request to an unknown place is answered 404
+    And an open request without a key is answered 200 by a server
+    And no server ever saw a key
+
+  Scenario: A document is in force everywhere, and never an older one
+    When document 20 sends requests to the other service
+    Then within 2 seconds both entry instances use the other service
+    When document 10 is sent again to each replica
+    Then each replica answers it 200 and reads back document 20
+    And both entry instances use the other service
+    When a document with a fault is sent
+    Then it is refused with 400 and each replica reads back document 20
+
+  Scenario: A key that was taken away is refused, also by a paused instance
+    When process entry-1 is paused
+    And document 20 takes key-2 away
+    And 3.2 seconds after its acknowledgement entry-1 goes on
+    Then a request with key-2 to entry-1 does not run
+
+  Scenario: The leader is killed, and orders and requests go on
+    When the leading replica is killed
+    Then within 5 seconds document 30 is acknowledged
+    And a safe request is answered 200 by a server
+
+  Scenario: All replicas are killed and nothing acknowledged is lost
+    When document 40 is acknowledged and zone-b is taken out
+    And all replicas are killed and started again
+    Then within 8 seconds each replica reads back document 40
+    And within 5 seconds no request reaches zone-b
+
+  Scenario: A replica that lost its disk takes part again
+    When document 50 is acknowledged
+    And replica-1 loses its disk and starts again
+    And within 8 seconds it votes again
+    And process replica-2 is killed
+    Then within 5 seconds document 51 is acknowledged
+
+  Scenario: A replica is replaced by one at another address
+    When process replica-3 is killed
+    And replica-4 starts with an empty disk
+    And within 12 seconds it votes again
+    And process replica-2 is killed
+    Then within 5 seconds document 61 is acknowledged
+
+  Scenario: A leaving server gets nothing more after its acknowledgement
+    When server-1 drains while requests go on
+    Then no request was cut, and none reached it after 2 seconds
+
+  Scenario: A stopping instance answers what it has read
+    When entry-1 gets SIGTERM beside a slow request
+    Then the slow request is answered 200
+    And entry-1 says at once that it is not ready
+
+  Scenario: A crashed server costs no idempotent request
+    When process server-2 is killed
+    Then 20 safe requests are answered 200
+
+  Scenario: A request that is not idempotent runs once at most
+    When a server crashes in an unsafe request
+    Then it is answered 502 and ran once
--- /dev/null
+++ b/tests/harness/platforms.py
@@ -0,0 +1,217 @@
+"""A small platform: replicas, entry instances and servers as processes."""
+
+import contextlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import urllib.error
+import urllib.request
+
+from tests.harness import processes
+
+PEERS_PORT, CONTROL_PORT, FRONT_PORT, READY_PORT = 30340, 30400, 30401, 30402
+SERVER_PORT = 30500
+DOMAINS = ("zone-a", "zone-b", "zone-c")
+CALL_SECONDS = 8.0
+
+
+class Answer:
+    """Status, headers and body of an HTTP answer; 0 without one."""
+
+    def __init__(self, status, headers=(), body=b""):
+        self.status = status
+        self.headers = {name.lower(): value for name, value in headers}
+        self.body = body
+
+
+def call(method, url, body=None, headers=None, timeout=CALL_SECONDS):
+    """Send a request and return its Answer."""
+    request = urllib.request.Request(
+        url, data=body, method=method, headers=headers or {}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as reply:
+            return Answer(reply.status, reply.getheaders(), reply.read())
+    except urllib.error.HTTPError as error:
+        return Answer(error.code, error.headers.items(), error.read())
+    except (OSError, ValueError, EOFError):
+        return Answer(0)
+    except Exception as error:  # noqa: B902 - http.client's own errors
+        return Answer(0, (), str(error).encode())
+
+
+class Platform:
+    """Starts and ends processes on loopback addresses of their own."""
+
+    def __init__(self, folder, slot):
+        """Create an empty platform.
+
+        Args:
+            folder: for settings, data and logs; emptied first.
+            slot: number that keeps addresses of running features apart.
+        """
+        self.folder = pathlib.Path(folder) / "platform"
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        self._net = f"127.0.{slot + 10}"
+        self.running = {}
+        self.effects = self.folder / "effects"
+        self.effects.touch()
+        self.seeds = [self.find_address(f"replica-{n}") for n in (1, 2, 3)]
+
+    def find_address(self, name):
+        """Return the IP number of an instance or server."""
+        kind, _, number = name.rpartition("-")
+        base = {"replica": 10, "entry": 30, "server": 50}[kind]
+        return f"{self._net}.{base + int(number)}"
+
+    def start(self, name, first=True):
+        """Start replica-N or entry-N.
+
+        Args:
+            name: its name.
+            first: the whole system starts for the first time.
+        """
+        kind, _, number = name.rpartition("-")
+        address = self.find_address(name)
+        is_replica = kind == "replica"
+        listen = {"Control": f"{address}:{CONTROL_PORT}"}
+        if not is_replica:
+            listen = {
+                "FrontendAddr": f"{address}:{FRONT_PORT}",
+                "ReadinessAddr": f"{address}:{READY_PORT}",
+            }
+        data = self.folder / name
+        settings = {
+            "NodeName": name,
+            "Ip": address,
+            "Zone": DOMAINS[(int(number) - 1) % len(DOMAINS)],
+            "Zones": dict.fromkeys(DOMAINS, "region"),
+            "Listen": listen,
+            "InternalPorts": [PEERS_PORT, PEERS_PORT + 15],
+            "Seeds": [f"{seed}:{CONTROL_PORT}" for seed in self.seeds],
+            "Bootstrap": first,
+            "DataDir": str(data) if is_replica else None,
+            "HeartbeatMs": 400,
+            "FaultTolerance": {"Machines": 1},
+            "Bounds": {"RevokeMs": 3000, "GraceS": 8, "RetrySlack": 50},
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        os.environ["CAMPHORHOOK_BOOT"] = str(path)
+        self.running[name] = processes.Process(
+            name,
+            processes.run_program("camphorhookd", "--platform"),
+            self.folder / f"{name}.log",
+        )
+
+    def start_server(self, name, service, domain="zone-a"):
+        """Start a server of a service."""
+        controls = [f"{seed}:{CONTROL_PORT}" for seed in self.seeds]
+        self.running[name] = processes.Process(
+            name,
+            processes.run_module(
+                "tests.standins.platform_server",
+                f"--name={name}",
+                f"--zone={domain}",
+                f"--service={service}",
+                f"--address={self.find_address(name)}:{SERVER_PORT}",
+                f"--control={','.join(controls)}",
+                f"--effects={self.effects}",
+            ),
+            self.folder / f"{name}.log",
+        )
+
+    def kill(self, name):
+        """End a process at once."""
+        self.running.pop(name).kill()
+
+    def lose_disk(self, name):
+        """Remove a replica's data folder."""
+        shutil.rmtree(self.folder / name)
+
+    def pause(self, name):
+        """Suspend a process."""
+        self.running[name].send(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Let a suspended process go on."""
+        self.running[name].send(signal.SIGCONT)
+
+    def close(self):
+        """End every process that was started here."""
+        for process in self.running.values():
+            process.kill()
+        self.running = {}
+
+    def order(self, method, path, body=None, replicas=(1, 2, 3)):
+        """Call the control API of one replica after another.
+
+        Returns:
+            The first Answer that is neither missing nor a 5xx, else the
+            last one.
+        """
+        for number in replicas:
+            address = self.find_address(f"replica-{number}")
+            answer = call(
+                method, f"http://{address}:{CONTROL_PORT}{path}", body
+            )
+            if 0 < answer.status < 500:
+                break
+        return answer
+
+    def request(self, entry, target, key="", request="", **extra):
+        """Send a client's request to an entry instance."""
+        headers = {
+            "Host": "h.example",
+            "X-Request-Id": request or os.urandom(6).hex(),
+            "X-Deadline-Ms": "5000",
+            **extra.pop("headers", {}),
+        }
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        url = f"http://{self.find_address(entry)}:{FRONT_PORT}{target}"
+        return call(extra.pop("method", "POST"), url, b"body", headers)
+
+    def is_ready(self, entry):
+        """Tell whether an entry instance says that it is ready."""
+        address = self.find_address(entry)
+        url = f"http://{address}:{READY_PORT}/-/ready"
+        return call("GET", url, timeout=1.0).status == 200
+
+    def list_effects(self):
+        """Return what the servers ran, as dictionaries."""
+        lines = self.effects.read_text().splitlines()
+        with contextlib.suppress(ValueError):
+            return [json.loads(line) for line in lines]
+        return []
+
+
+def make_document(version, keys=("key-1", "key-2"), service="plain"):
+    """Return a document with a safe, an unsafe and a streaming route."""
+    common = {"Host": "h.example", "TimeoutMs": 5000, "Attempts": 2}
+
+    def make_route(name, kind, target, **more):
+        prefix = f"/{name}/"
+        route = {"Name": name, "PathPrefix": prefix, "Kind": kind}
+        return {**common, **route, "Service": target, **more}
+
+    return json.dumps(
+        {
+            "Version": version,
+            "Routes": [
+                make_route("safe", "safe", service),
+                make_route("unsafe", "unsafe", service),
+                make_route("open", "safe", service, Public=True),
+                make_route("tokens", "streaming", "engine", Resumable=True),
+            ],
+            "Services": [
+                {"Name": "plain", "MaxConnections": 50},
+                {"Name": "other", "MaxConnections": 50},
+                {"Name": "engine", "MaxConnections": 50, "Engine": {}},
+            ],
+            "Tenants": [{"Name": "account-1", "ApiKeys": list(keys)}],
+        }
+    ).encode()
--- /dev/null
+++ b/tests/standins/platform_server.py
@@ -0,0 +1,178 @@
+"""A stand-in for a server of the platform, plain or streaming.
+
+Usage:
+    platform_server --name=NAME --zone=ZONE --service=SERVICE
+                    --address=ADDRESS --control=LIST --effects=FILE
+
+It registers with the control addresses by turns and appends a line to the
+effects file for each request that it runs. The path decides what a request
+does: `slow` takes a second, `stream` sends ten events over a second, `fail`
+answers 500, `crash` ends the process. SIGTERM has it drain and leave.
+"""
+
+import itertools
+import json
+import os
+import signal
+import time
+
+import docopt
+import h11
+import trio
+
+BEAT_SECONDS = 0.3
+DRAIN_SECONDS = 1.0
+EVENTS = 10
+EVENT_SECONDS = 0.1
+
+
+class Server:
+    """The stand-in's state."""
+
+    def __init__(self, arguments):
+        self.name = arguments["--name"]
+        self.zone = arguments["--zone"]
+        self.service = arguments["--service"]
+        self.address = arguments["--address"]
+        self.control = arguments["--control"].split(",")
+        self.effects = arguments["--effects"]
+        self.state = "ready"
+        self.born = time.time_ns() // 1000000
+        self.sequence = itertools.count(1)
+        self.acknowledged = trio.Event()
+
+    async def register(self):
+        """Register again and again, at one control address after another."""
+        for control in itertools.cycle(self.control):
+            body = {
+                "Service": self.service,
+                "Address": self.address,
+                "Zone": self.zone,
+                "Version": "v1",
+                "Slots": 64,
+                "State": self.state,
+                "ColdRemainingMs": 0,
+                "Sequence": next(self.sequence),
+                "born": self.born,
+            }
+            state = self.state
+            if await self._call(control, "PUT", body) and state != "ready":
+                self.acknowledged.set()
+            await trio.sleep(BEAT_SECONDS)
+
+    async def _call(self, control, method, body):
+        """Call a control address; return whether it answered 200."""
+        host, _, port = control.rpartition(":")
+        data = json.dumps(body).encode()
+        request = (
+            f"{method} /-/instances/{self.name} HTTP/1.1\r\nHost: {control}"
+            f"\r\nContent-Length: {len(data)}\r\n\r\n"
+        )
+        try:
+            with trio.fail_after(1.0):
+                stream = await trio.open_tcp_stream(host, int(port))
+                async with stream:
+                    await stream.send_all(request.encode() + data)
+                    return (await stream.receive_some())[9:12] == b"200"
+        except (OSError, trio.BrokenResourceError, trio.TooSlowError):
+            return False
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        async with stream:
+            try:
+                http = h11.Connection(h11.SERVER)
+                while await self._serve_request(stream, http):
+                    http.start_next_cycle()
+            except (trio.BrokenResourceError, h11.RemoteProtocolError):
+                return
+
+    async def _serve_request(self, stream, http):
+        request = None
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                return False
+        headers = {
+            name.decode(): value.decode() for name, value in request.headers
+        }
+        await self._answer(stream, http, request, headers)
+        return http.our_state is h11.DONE
+
+    async def _answer(self, stream, http, request, headers):
+        async def send(*events):
+            await stream.send_all(b"".join(http.send(one) for one in events))
+
+        def make_head(status, *more):
+            pairs = [("X-Request-Id", headers.get("x-request-id", ""))]
+            pairs += [("X-Response-Seal", f"seal-{self.name}"), *more]
+            return h11.Response(status_code=status, headers=pairs)
+
+        if headers.get("x-expect-instance") not in (None, self.name):
+            length = ("Content-Length", "0")
+            await send(make_head(421, length), h11.EndOfMessage())
+            return
+        target = request.target.decode()
+        self._note_run(request, headers)
+        if "crash" in target:
+            os._exit(1)
+        if "slow" in target:
+            await trio.sleep(1.0)
+        if "stream" in target:
+            first = int(headers.get("last-event-id", "0")) + 1
+            await send(make_head(200, ("Content-Type", "text/event-stream")))
+            for number in range(first, EVENTS + 1):
+                await trio.sleep(EVENT_SECONDS)
+                event = f"id: {number}\ndata: piece {number}\n\n"
+                await send(h11.Data(data=event.encode()))
+            await send(h11.EndOfMessage())
+            return
+        status = 500 if "fail" in target else 200
+        body = f"{self.name} {target}".encode()
+        length = ("Content-Length", str(len(body)))
+        await send(
+            make_head(status, length), h11.Data(data=body), h11.EndOfMessage()
+        )
+
+    def _note_run(self, request, headers):
+        effect = {
+            "server": self.name,
+            "service": self.service,
+            "request": headers.get("x-request-id"),
+            "tenant": headers.get("x-tenant"),
+            "key": headers.get("authorization"),
+            "target": request.target.decode(),
+            "at": time.time(),
+        }
+        with open(self.effects, "a") as effects:
+            effects.write(json.dumps(effect) + "\n")
+
+
+async def run(arguments):
+    """Serve and register until SIGTERM; then drain and leave."""
+    server = Server(arguments)
+    host, _, port = server.address.rpartition(":")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            lambda task_status: trio.serve_tcp(
+                server.serve, int(port), host=host, task_status=task_status
+            )
+        )
+        nursery.start_soon(server.register)
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            async for _ in signals:
+                break
+        server.state = "draining"
+        await server.acknowledged.wait()
+        await trio.sleep(DRAIN_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    trio.run(run, docopt.docopt(__doc__))
