Tell outcomes to all instances and let them fade

Cause of 857k tokens read again in an incident: an instance that saw two failures left an engine alone for good, since without requests its average never changed.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -256,6 +256,14 @@
     unread_tokens: int
 
 
+class UpstreamOutcomes(typing.NamedTuple):
+    """How many requests to an upstream went well and how many failed."""
+
+    upstream: str
+    good: int
+    bad: int
+
+
 class Notice(typing.NamedTuple):
     """Told by an instance to all others of its kind; needs no answer.
 
@@ -263,11 +271,13 @@
         sender: the instance.
         loads: all upstreams on which it has requests.
         placements: since its last notice.
+        outcomes: since its last notice.
     """
 
     sender: str
     loads: list[UpstreamLoad]
     placements: list[Placement]
+    outcomes: list[UpstreamOutcomes]
 
 
 class WatchUpstreams(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -24,10 +24,9 @@
 LOAD_TOKENS = 400  # unread tokens that weigh as much as one running request
 WORK_STEP_TOKENS = 4000  # differences below it leave the order as it is, so
 # that prompts that come at the same moment don't all choose the same engine
-FAILURE_WEIGHT = 0.2  # of the newest outcome in the failure average
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
-FAILING_SHARE = 0.35  # failure average from which others are preferred
-FAILING_MARGIN = 0.25  # above the median, beyond what chance gives 10 outcomes
+FAILING_SHARE = 0.25  # share of failures from which others are preferred
+FAILING_MARGIN = 0.15  # above the median, beyond what chance gives 30 outcomes
 FOREIGN_DOMAIN_COST = 0.15  # of an idle upstream; the way there takes longer
 BREAKS_IN_ROW = 3  # broken answers without a good one between: it is down
 AVOID_SECONDS = 0.5  # first avoidance of an upstream that broke off
@@ -40,13 +39,11 @@
 
     Attributes:
         avoid_until: seconds; until then others are preferred.
-        failure: moving average of failed outcomes, 0 to 1.
     """
 
     def __init__(self):
         self.avoid_until = 0.0
-        self.failure = 0.0
-        self._failures_in_row = 0
+        self._breaks_in_row = 0
         self._reported = 0.0
         self._reported_at = float("-inf")
 
@@ -62,24 +59,20 @@
 
     def note_success(self):
         """Take note of an answer."""
-        self.failure *= 1 - FAILURE_WEIGHT
-        self._failures_in_row = 0
+        self._breaks_in_row = 0
         self.avoid_until = 0.0
 
-    def note_failure(self, now, is_broken, is_down=False):
-        """Take note of a failed attempt.
+    def note_break(self, now, is_down=False):
+        """Take note that a connection broke, or could not be made.
 
         Args:
             now: seconds.
-            is_broken: the connection broke in the middle.
-            is_down: no connection could be made; the upstream is avoided
-                for a while that grows, as it is after a row of breaks.
+            is_down: none could be made; the upstream is avoided for a while
+                that grows, as it is after a row of breaks.
         """
-        self.failure += FAILURE_WEIGHT * (1 - self.failure)
-        if is_broken or is_down:
-            self._failures_in_row += 1
-        if is_down or self._failures_in_row >= BREAKS_IN_ROW:
-            seconds = AVOID_SECONDS * 2 ** min(self._failures_in_row - 1, 4)
+        self._breaks_in_row += 1
+        if is_down or self._breaks_in_row >= BREAKS_IN_ROW:
+            seconds = AVOID_SECONDS * 2 ** min(self._breaks_in_row - 1, 4)
             self.avoid_until = now + min(seconds, AVOID_MAX_SECONDS)
 
 
@@ -134,18 +127,24 @@
     ]
 
 
-def prefer_sound(upstreams, beliefs, now):
+def prefer_sound(upstreams, beliefs, failures, now):
     """Return those that are up and fail no more than is usual now.
 
     Where all of a service fail alike, leaving some out would only move
     prompts off the engines that hold them.
+
+    Args:
+        upstreams: wire.Registrations, not empty.
+        beliefs: Belief by name.
+        failures: share of failures by name.
+        now: seconds.
     """
     up = [one for one in upstreams if beliefs[one.name].avoid_until <= now]
     up = up or upstreams
-    failures = sorted(beliefs[one.name].failure for one in up)
-    usual = failures[len(failures) // 2]
+    shares = sorted(failures[one.name] for one in up)
+    usual = shares[len(shares) // 2]
     limit = max(FAILING_SHARE, usual + FAILING_MARGIN)
-    return [one for one in up if beliefs[one.name].failure < limit] or up
+    return [one for one in up if failures[one.name] < limit] or up
 
 
 def find_shared_part(parts):
@@ -249,13 +248,13 @@
     )
 
 
-def choose_plain(demand, upstreams, beliefs, loads, failure_domain):
+def choose_plain(demand, upstreams, failures, loads, failure_domain):
     """Return the Choice for a plain service: the least loaded, near by.
 
     Args:
         demand: the Demand.
         upstreams: wire.Registrations, not empty.
-        beliefs: Belief by name.
+        failures: share of failures by name.
         loads: Load by name.
         failure_domain: the instance's own.
     """
@@ -263,7 +262,7 @@
 
     def measure_cost(one):
         cost = loads[one.name].requests / max(1, one.capacity)
-        cost += FAILURE_COST * beliefs[one.name].failure
+        cost += FAILURE_COST * failures[one.name]
         if one.failure_domain != failure_domain:
             cost += FOREIGN_DOMAIN_COST
         tie = hashing.score(demand.request, one.name)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -170,13 +170,16 @@
         changed: set when own loads or placements changed.
     """
 
-    def __init__(self, roll, book, loads, pool, protocol, rules, place, now):
+    def __init__(
+        self, roll, book, loads, outcomes, pool, protocol, rules, place, now
+    ):
         """Create a forwarder.
 
         Args:
             roll: the registry.Roll of upstreams.
             book: the homes.HomeBook of shared parts.
             loads: the loads.FleetLoads.
+            outcomes: the outcomes.Outcomes of requests to upstreams.
             pool: opens requests: `open(target, call)` gives an answer with
                 `head` and `read_piece`.
             protocol: writes and reads what the platform's messages say:
@@ -189,6 +192,7 @@
         self._roll = roll
         self._book = book
         self._loads = loads
+        self._outcomes = outcomes
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
@@ -325,7 +329,12 @@
         if not open_ones:
             text = f"every upstream of {service} is full or cold"
             return Failure(503, text, BUSY_SECONDS)
-        open_ones = choices.prefer_sound(open_ones, self.beliefs, now)
+        failures = {
+            one.name: self._outcomes.find_share(one.name) for one in open_ones
+        }
+        open_ones = choices.prefer_sound(
+            open_ones, self.beliefs, failures, now
+        )
         demand = choices.Demand(
             request.request, service, request.parts, frozenset(excluded)
         )
@@ -342,7 +351,7 @@
             choice = choices.choose_plain(
                 demand,
                 open_ones,
-                self.beliefs,
+                failures,
                 loads,
                 self._failure_domain,
             )
@@ -380,7 +389,9 @@
 
     def _take_failure(self, request, progress, belief, error):
         """Learn from a failed attempt; return what comes next."""
-        belief.note_failure(self._now(), error.broken, not error.sent)
+        self._outcomes.note(error.peer, False)
+        if error.broken or not error.sent:
+            belief.note_break(self._now(), is_down=not error.sent)
         progress.excluded.add(error.peer)
         self._pool.forget(error.peer)
         self._log(
@@ -425,33 +436,34 @@
                         sent=True,
                     )
         if status < 300 and request.route.is_stream:
-            belief.note_success()
+            self._note_success(target.name)
             return None
-        return await self._answer_whole(
-            request, answer.head, body, progress, reply, belief
-        )
+        return await self._answer_whole(request, answer, body, progress, reply)
 
-    async def _answer_whole(
-        self, request, head, body, progress, reply, belief
-    ):
+    async def _answer_whole(self, request, answer, body, progress, reply):
         """Pass on an answer that was read whole, or keep it for later."""
+        head = answer.head
         headers = self._protocol.pick_headers(head)
         progress.runs += 1
         if head.status >= SERVER_ERROR:
             # It stays a candidate: it holds the prompt now, and whether it
             # fails more than others shows in its belief.
-            belief.note_failure(self._now(), is_broken=False)
+            self._outcomes.note(answer.upstream, False)
             self._log(request, f"the upstream answered {head.status}")
             if request.route.is_idempotent and not progress.has_started:
                 progress.kept_answer = (head.status, headers, body)
                 return ""
         else:
-            belief.note_success()
+            self._note_success(answer.upstream)
         if progress.has_started:
             return Failure(502, f"the upstream answered {head.status}")
         await reply.send_whole(head.status, headers, body)
         return None
 
+    def _note_success(self, upstream):
+        self._outcomes.note(upstream, True)
+        self.beliefs[upstream].note_success()
+
     def _take_rejection(self, request, target, verdict, progress):
         """Learn from an upstream that did not run a request."""
         belief = self.beliefs[target.name]
@@ -462,7 +474,7 @@
             inputs={"other": verdict.is_other},
         )
         if verdict.is_other:
-            belief.note_failure(self._now(), False, is_down=True)
+            belief.note_break(self._now(), is_down=True)
         progress.excluded.add(target.name)
         return ""
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
@@ -61,13 +61,13 @@
         own = self._own.get(upstream)
         return own.in_flight if own else 0
 
-    def make_notice(self, placements):
+    def make_notice(self, placements, outcomes):
         """Return the Notice that tells others of the own requests."""
         loads = [
             wire.UpstreamLoad(name, own.in_flight, own.unread_tokens)
             for name, own in self._own.items()
         ]
-        return wire.Notice(self._name, loads, placements)
+        return wire.Notice(self._name, loads, placements, outcomes)
 
     def adopt(self, notice):
         """Take in another instance's Notice."""
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -20,6 +20,7 @@
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import loads
+from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain import state
@@ -149,6 +150,7 @@
         self.roll = registry.Roll()
         self.homes = homes.HomeBook()
         self.loads = loads.FleetLoads(settings.name, trio.current_time)
+        self.outcomes = outcomes.Outcomes(trio.current_time)
         self.notices = notices.NoticeExchange(
             settings.name,
             settings.notices_listener,
@@ -160,6 +162,7 @@
             self.roll,
             self.homes,
             self.loads,
+            self.outcomes,
             self.pool,
             protocol,
             self.rules,
@@ -194,6 +197,7 @@
         """Take in what another instance told."""
         self.loads.adopt(notice)
         self.homes.adopt(notice.placements, trio.current_time())
+        self.outcomes.adopt(notice.outcomes)
 
     def count_active(self):
         """Return requests in flight."""
@@ -304,8 +308,10 @@
         forwarder.changed = trio.Event()
         names = parts.roll.list_instances()
         parts.notices.follow(names)
-        placements = parts.homes.take_untold()
-        parts.notices.publish(parts.loads.make_notice(placements))
+        notice = parts.loads.make_notice(
+            parts.homes.take_untold(), parts.outcomes.take_untold()
+        )
+        parts.notices.publish(notice)
         await trio.sleep(
             loads.INTERVAL_SECONDS
             + loads.INTERVAL_INSTANCE_SECONDS * len(names)
--- a/tests/features/placing.feature
+++ b/tests/features/placing.feature
@@ -54,6 +54,12 @@
     And engine 3 failed 4 times of late
     Then engine 3 is left out
 
+  Scenario: An engine that is left out gets another chance
+    Given 6 engines with 5 requests each
+    And engine 3 failed 4 times of late
+    When 3 seconds go by on the clock of outcomes
+    Then none of them is left out
+
   Scenario: A single broken answer does not make an upstream avoided
     Given 6 engines with 5 requests each
     And an answer of engine 2 broke off
--- a/tests/features/steps/placing.py
+++ b/tests/features/steps/placing.py
@@ -7,6 +7,7 @@
 from camphorhook_common import wire
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice
+from camphorhook_daemon.domain.routing import outcomes
 
 PART = "51ab0c"
 COLD_RATE = 14.0
@@ -54,6 +55,8 @@
     context.beliefs = collections.defaultdict(choice.Belief)
     context.holders = {}
     context.tokens = 0
+    context.time = 0.0
+    context.outcomes = outcomes.Outcomes(lambda: context.time)
 
 
 @behave.given("{count:d} plain upstreams with {places:d} places")
@@ -88,7 +91,7 @@
 @behave.given("engine {number:d} failed {count:d} times of late")
 def fail(context, number, count):
     for _ in range(count):
-        context.beliefs[f"engine-{number}"].note_failure(0.0, False)
+        context.outcomes.note(f"engine-{number}", False)
 
 
 @behave.given("all engines failed {count:d} times of late")
@@ -99,12 +102,17 @@
 
 @behave.given("an answer of engine {number:d} broke off")
 def break_answer(context, number):
-    context.beliefs[f"engine-{number}"].note_failure(0.0, True)
+    context.beliefs[f"engine-{number}"].note_break(0.0)
 
 
 @behave.given("engine {number:d} refused a connection")
 def refuse_connection(context, number):
-    context.beliefs[f"engine-{number}"].note_failure(0.0, False, True)
+    context.beliefs[f"engine-{number}"].note_break(0.0, True)
+
+
+@behave.when("{seconds:d} seconds go by on the clock of outcomes")
+def let_fade(context, seconds):
+    context.time += seconds
 
 
 @behave.when("a prompt with that part is placed")
@@ -115,8 +123,9 @@
 @behave.when("a plain request is placed")
 def place_plain(context):
     demand = choice.Demand("request", "service", (), frozenset())
+    failures = dict.fromkeys(context.loads, 0.0)
     chosen = choice.choose_plain(
-        demand, context.upstreams, context.beliefs, context.loads, "zone-0"
+        demand, context.upstreams, failures, context.loads, "zone-0"
     )
     context.chosen = chosen.upstream.name
 
@@ -175,7 +184,13 @@
 
 def list_sound(context):
     """Return the names that are preferred."""
-    sound = choice.prefer_sound(context.upstreams, context.beliefs, 0.1)
+    failures = {
+        one.name: context.outcomes.find_share(one.name)
+        for one in context.upstreams
+    }
+    sound = choice.prefer_sound(
+        context.upstreams, context.beliefs, failures, 0.1
+    )
     return {one.name for one in sound}
 
 
