--- a/packages/common/src/camphorhook_common/logs.py
+++ b/packages/common/src/camphorhook_common/logs.py
@@ -3,10 +3,14 @@
 import datetime
 import json
 import logging
+import os
 import sys
+import time
 
 from absl import logging as absl_logging
 
+LINES_PER_SECOND = 400  # four lines a request at five times the usual load
+BURST_LINES = 800  # two seconds of it
 FIELDS = ("request", "operation", "step", "peer", "account", "inputs")
 
 
@@ -37,6 +41,73 @@
         return json.dumps(line, ensure_ascii=False)
 
 
+class BoundedStream:
+    """Writes lines without ever waiting for their reader.
+
+    Lines beyond a rate, and those that the reader has no room for, are
+    dropped and counted; a later line tells how many.
+    """
+
+    def __init__(self, stream, now=time.monotonic):
+        """Take over a stream's descriptor.
+
+        Args:
+            stream: a file with a descriptor; it is made non-blocking.
+            now: returns seconds.
+        """
+        self._descriptor = stream.fileno()
+        os.set_blocking(self._descriptor, False)
+        self._now = now
+        self._allowed = float(BURST_LINES)
+        self._counted_at = now()
+        self._rest = b""
+        self.dropped = 0
+
+    def write(self, text):
+        """Write a line, or drop it."""
+        if not text.strip():
+            return
+        if not self._take_allowance() or not self._flush_rest():
+            self.dropped += 1
+            return
+        data = text.rstrip("\n").encode() + b"\n"
+        if self.dropped:
+            told = {"level": "warning", "message": "log lines were dropped"}
+            told["inputs"] = {"count": self.dropped}
+            data = json.dumps(told).encode() + b"\n" + data
+            self.dropped = 0
+        self._rest = data
+        self._flush_rest()
+
+    def _take_allowance(self):
+        now = self._now()
+        grown = (now - self._counted_at) * LINES_PER_SECOND
+        self._allowed = min(BURST_LINES, self._allowed + grown)
+        self._counted_at = now
+        if self._allowed < 1:
+            return False
+        self._allowed -= 1
+        return True
+
+    def _flush_rest(self):
+        """Write what is left of the last line; return whether all went."""
+        while self._rest:
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return False
+            except OSError:
+                # The reader has gone; there is nobody to tell.
+                self._rest = b""
+                return False
+            self._rest = self._rest[written:]
+        return True
+
+    def flush(self):
+        """Write what can be written now."""
+        self._flush_rest()
+
+
 def configure(instance, level="info", stream=None):
     """Send the program's logs to a stream as JSON lines.
 
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/counts.py
@@ -0,0 +1,80 @@
+"""Counters, gauges and latency histograms, rendered as text.
+
+OpenTelemetry's SDK and exporter would add half to an instance's memory; the
+text has the same exposition format.
+"""
+
+import collections
+
+BOUNDS_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0)
+MOST_SERIES = 500  # label sets of one counter; the rest counts as "other"
+PREFIX = "camphorhook_"
+
+
+class Counts:
+    """The numbers of one process."""
+
+    def __init__(self):
+        self._counters = collections.defaultdict(collections.Counter)
+        self._histograms = {}
+        self._gauges = {}
+
+    def add(self, name, amount=1, **labels):
+        """Add to a counter."""
+        series = self._counters[name]
+        key = tuple(sorted(labels.items()))
+        if key not in series and len(series) >= MOST_SERIES:
+            key = (("other", "yes"),)
+        series[key] += amount
+
+    def observe(self, name, seconds, **labels):
+        """Count a duration in a histogram."""
+        key = (name, tuple(sorted(labels.items())))
+        found = self._histograms.get(key)
+        if found is None:
+            buckets = [0] * (len(BOUNDS_SECONDS) + 1)
+            found = self._histograms[key] = [buckets, 0.0]
+        place = sum(seconds > bound for bound in BOUNDS_SECONDS)
+        found[0][place] += 1
+        found[1] += seconds
+
+    def watch(self, name, read):
+        """Show a number that a function returns whenever metrics are read."""
+        self._gauges[name] = read
+
+    def count_control(self, kind, direction, size):
+        """Count a message between instances and its bytes."""
+        self.add("control_bytes_total", size, kind=kind, direction=direction)
+
+    def render(self):
+        """Return all numbers in the text exposition format."""
+        lines = []
+        for name, series in sorted(self._counters.items()):
+            lines.append(f"# TYPE {PREFIX}{name} counter")
+            for key, value in sorted(series.items()):
+                lines.append(f"{PREFIX}{name}{_format_labels(key)} {value}")
+        for name, read in sorted(self._gauges.items()):
+            lines.append(f"# TYPE {PREFIX}{name} gauge")
+            lines.append(f"{PREFIX}{name} {int(read())}")
+        for (name, key), (buckets, total) in sorted(self._histograms.items()):
+            lines += _render_histogram(name, key, buckets, total)
+        return "\n".join(lines) + "\n"
+
+
+def _render_histogram(name, key, buckets, total):
+    lines = [f"# TYPE {PREFIX}{name} histogram"]
+    count = 0
+    for bound, number in zip((*BOUNDS_SECONDS, "+Inf"), buckets):
+        count += number
+        labels = _format_labels((*key, ("le", bound)))
+        lines.append(f"{PREFIX}{name}_bucket{labels} {count}")
+    labels = _format_labels(key)
+    lines.append(f"{PREFIX}{name}_sum{labels} {total:.6f}")
+    lines.append(f"{PREFIX}{name}_count{labels} {count}")
+    return lines
+
+
+def _format_labels(key):
+    if not key:
+        return ""
+    return "{" + ",".join(f'{name}="{value}"' for name, value in key) + "}"
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/exposition.py
@@ -0,0 +1,21 @@
+"""Serves an instance's metrics as text."""
+
+PATH = "/metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4"
+
+
+class MetricsApp:
+    """Answers readers of metrics."""
+
+    def __init__(self, counts):
+        """Create the application of a counts.Counts."""
+        self._counts = counts
+
+    async def handle(self, exchange):
+        """Answer one request."""
+        if exchange.target.partition("?")[0] != PATH:
+            await exchange.send_whole(404, [], b"metrics are at /metrics\n")
+            return
+        body = self._counts.render().encode()
+        headers = [("content-type", CONTENT_TYPE)]
+        await exchange.send_whole(200, headers, body)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import random
 import typing
 
 import trio
@@ -44,7 +45,6 @@
         resume_after: id of the last event that the client has; or empty.
         received_at: seconds.
         give_up_at: seconds; the client's deadline or the route's timeout.
-        draw: a number from 0 up to 1 that decides among weighted services.
     """
 
     request: str
@@ -60,7 +60,6 @@
     resume_after: str
     received_at: float
     give_up_at: float
-    draw: float
 
 
 class Verdict(typing.NamedTuple):
@@ -171,7 +170,17 @@
     """
 
     def __init__(
-        self, roll, book, loads, outcomes, pool, protocol, rules, place, now
+        self,
+        roll,
+        book,
+        loads,
+        outcomes,
+        pool,
+        protocol,
+        rules,
+        counts,
+        place,
+        now,
     ):
         """Create a forwarder.
 
@@ -186,6 +195,7 @@
                 `make_headers`, `read_verdict`, `pick_headers`.
             rules: answers what is in force: `get_table`, `list_domains_out`,
                 `is_current`.
+            counts: takes metrics: `add` and `observe`.
             place: (name, failure domain) of this instance.
             now: returns seconds.
         """
@@ -196,6 +206,7 @@
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
+        self._counts = counts
         self._failure_domain = place[1]
         self._now = now
         self._cold = budgets.ColdAllowance(place[0])
@@ -223,7 +234,7 @@
         Raises:
             StreamBroken: the client's connection must break off.
         """
-        service = tables.choose_service(request.route, request.draw)
+        service = tables.choose_service(request.route, random.random())
         budget = self._get_budget(service)
         budget.note_request(self._now())
         progress = _Progress(request.resume_after)
@@ -390,6 +401,7 @@
     def _take_failure(self, request, progress, belief, error):
         """Learn from a failed attempt; return what comes next."""
         self._outcomes.note(error.peer, False)
+        self._counts.add("attempts_total", outcome=error.step)
         if error.broken or not error.sent:
             belief.note_break(self._now(), is_down=not error.sent)
         progress.excluded.add(error.peer)
@@ -416,6 +428,11 @@
         belief = self.beliefs[target.name]
         async with self._pool.open(target, call) as answer:
             unread.settle()
+            self._counts.observe(
+                "first_byte_seconds",
+                self._now() - request.received_at,
+                route=request.route.name,
+            )
             verdict = self._protocol.read_verdict(answer.head)
             if verdict.load is not None:
                 belief.note_report(*verdict.load, self._now())
@@ -449,6 +466,7 @@
             # It stays a candidate: it holds the prompt now, and whether it
             # fails more than others shows in its belief.
             self._outcomes.note(answer.upstream, False)
+            self._counts.add("attempts_total", outcome="server error")
             self._log(request, f"the upstream answered {head.status}")
             if request.route.is_idempotent and not progress.has_started:
                 progress.kept_answer = (head.status, headers, body)
@@ -462,6 +480,7 @@
 
     def _note_success(self, upstream):
         self._outcomes.note(upstream, True)
+        self._counts.add("attempts_total", outcome="good")
         self.beliefs[upstream].note_success()
 
     def _take_rejection(self, request, target, verdict, progress):
@@ -473,6 +492,7 @@
             peer=target.name,
             inputs={"other": verdict.is_other},
         )
+        self._counts.add("attempts_total", outcome="not run")
         if verdict.is_other:
             belief.note_break(self._now(), is_down=True)
         progress.excluded.add(target.name)
--- a/packages/daemon/src/camphorhook_daemon/main.py
+++ b/packages/daemon/src/camphorhook_daemon/main.py
@@ -69,11 +69,11 @@
     from camphorhook_daemon.platform import settings as platform_settings
     from camphorhook_daemon import router
 
-    settings = platform_settings.load(platform_settings.find_file())
+    settings = platform_settings.LiveSettings(platform_settings.find_file())
     if only_check:
         print(f"{platform_settings.find_file()}: settings are right")
         return
-    logs.configure(settings.label, "info", sys.stdout)
+    logs.configure(settings.label, "info", logs.BoundedStream(sys.stdout))
     trio.run(router.run, settings, BEGAN_AT)
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -1,7 +1,5 @@
 """What clients and the balancer ask of an entry instance."""
 
-import random
-
 import trio
 
 from camphorhook_common import logs
@@ -18,16 +16,17 @@
 class EntryApp:
     """Serves clients' requests."""
 
-    def __init__(self, forwarder, rules):
+    def __init__(self, forwarder, rules, counts):
         """Create the application.
 
         Args:
             forwarder: the forwarding.Forwarder.
             rules: the rules.Rules in force.
+            counts: the Counts of the process.
         """
+        self._counts = counts
         self._forwarder = forwarder
         self._rules = rules
-        self._random = random.Random()
 
     async def handle(self, exchange):
         """Answer one request."""
@@ -105,10 +104,10 @@
             exchange.get_header(protocol.LAST_EVENT_ID),
             now,
             exchange.received_at + patience,
-            self._random.random(),
         )
 
     async def _refuse(self, exchange, failure):
+        self._counts.add("requests_refused_total", status=failure.status)
         logs.log(
             "info",
             f"answered {failure.status}: {failure.reason}",
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import logs
 from camphorhook_common import settings as settings_module
 
+METRICS_PORT = 9464  # stands in deploy/system.toml too
 FILE_VARIABLE = "CAMPHORHOOK_BOOT"
 MS = 0.001
 
@@ -114,6 +116,11 @@
             names.add(self.name)
         return sorted(names)
 
+    @property
+    def metrics(self):
+        """Where metrics are read."""
+        return settings_module.Listener(self.name, METRICS_PORT)
+
     @property
     def notices_listener(self):
         """Where other instances subscribe to this one's notices."""
@@ -196,3 +203,58 @@
         retry_window=bounds.retry_window_s,
         stop_seconds=bounds.grace_s * STOP_SHARE,
     )
+
+
+class LiveSettings:
+    """The settings in force; they change when the file does.
+
+    Fields are those of Settings. Addresses hold for the life of the
+    process; what else changes holds from the next use on.
+    """
+
+    def __init__(self, path):
+        """Read the file.
+
+        Raises:
+            errors.SettingsError: the file is missing or wrong.
+        """
+        self._path = pathlib.Path(path)
+        self._current = load(path)
+        self._read_at = self._path.stat().st_mtime_ns
+
+    def __getattr__(self, name):
+        return getattr(self._current, name)
+
+    def has_changed(self):
+        """Tell whether the file was written since it was read."""
+        try:
+            return self._path.stat().st_mtime_ns != self._read_at
+        except OSError as error:
+            logs.log("warning", str(error), step="reload", peer=self._path)
+            return False
+
+    def reload(self):
+        """Read the file again; a wrong one leaves the settings as they are."""
+        try:
+            written_at = self._path.stat().st_mtime_ns
+            fresh = load(self._path)
+        except (OSError, errors.SettingsError) as error:
+            logs.log(
+                "error",
+                f"can't use the settings file, keeps the old one: {error}",
+                step="reload",
+            )
+            return
+        changed = [
+            name
+            for name in Settings._fields
+            if getattr(fresh, name) != getattr(self._current, name)
+        ]
+        self._current = fresh
+        self._read_at = written_at
+        logs.log(
+            "info",
+            "settings reloaded",
+            step="reload",
+            inputs={"changed": changed},
+        )
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -10,6 +10,8 @@
 from camphorhook_common import timeline
 from camphorhook_daemon.adapters import answering
 from camphorhook_daemon.adapters import channels
+from camphorhook_daemon.adapters import counts
+from camphorhook_daemon.adapters import exposition
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.adapters import notices
@@ -38,13 +40,6 @@
 DRAIN_POLL_SECONDS = 0.05
 
 
-class NoMeter:
-    """Counts nothing."""
-
-    def count_control(self, kind, direction, size):
-        """Ignore a message."""
-
-
 class _OwnLog:
     """What the own replica knows of the log, for a Submitter."""
 
@@ -80,13 +75,14 @@
         self.is_stopping = False
         self.listeners = []
         clock = clocks.HybridClock()
+        self.counts = counts.Counts()
         self.recorder = timeline.Recorder(settings.label, clock)
         self.transport = peers.PeerTransport(
             settings.name,
             settings.peers_listener,
             peers.OpenGuard(),
             clock,
-            NoMeter(),
+            self.counts,
             LINK_TIMING,
             settings.locate,
         )
@@ -94,6 +90,11 @@
         self.watch_server = None
         self.registry = None
         self.forwarder = None
+        self._listen(
+            settings.metrics,
+            exposition.MetricsApp(self.counts).handle,
+            listeners.Limits,
+        )
 
     def build_replica(self):
         """Build what keeps the log, registrations and the control API."""
@@ -125,6 +126,12 @@
         self.registry = registry.Registry(
             settings.heartbeat_seconds, self.recorder
         )
+        watch = self.counts.watch
+        watch("log_term", lambda: self.replica.term)
+        watch("log_commit", lambda: self.replica.commit)
+        watch("log_leads", lambda: self.replica.role == "leader")
+        watch("log_votes", lambda: self.replica.is_voter)
+        watch("upstreams_heard", lambda: len(self.registry.list_addresses()))
         app = control.ControlApp(
             settings,
             self.registry,
@@ -166,10 +173,18 @@
             self.pool,
             protocol,
             self.rules,
+            self.counts,
             (settings.name, settings.failure_domain),
             trio.current_time,
         )
-        app = entry.EntryApp(self.forwarder, self.rules)
+        app = entry.EntryApp(self.forwarder, self.rules, self.counts)
+        watch = self.counts.watch
+        watch("document_version", self.rules.get_version)
+        watch("document_age_ms", self.rules.measure_age_ms)
+        watch("instances_heard", self.loads.count_heard)
+        watch("upstreams_known", lambda: len(self.roll.registrations))
+        watch("connections_opened", lambda: self.pool.opened)
+        watch("requests_active", self.count_active)
         self._listen(settings.callers, app.handle, self._read_limits)
         self._listen(
             settings.readiness,
@@ -215,7 +230,7 @@
     """Run an instance until SIGTERM ends it gracefully.
 
     Args:
-        settings: the platform's Settings.
+        settings: the platform's LiveSettings.
         began_at: start of the process on `clock.read_boottime`.
     """
     parts = Parts(settings, began_at)
@@ -234,7 +249,7 @@
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
-                    logs.log("info", "received SIGHUP", step="reload")
+                    settings.reload()
                 await _stop(parts)
                 nursery.cancel_scope.cancel()
     finally:
@@ -246,6 +261,7 @@
 
 def _start(parts, nursery):
     nursery.start_soon(parts.transport.run)
+    nursery.start_soon(_sweep, lambda: _reload_changed(parts.settings))
     for listener in parts.listeners:
         nursery.start_soon(listener.run)
     if parts.replica is not None:
@@ -275,6 +291,12 @@
         nursery.start_soon(_sweep, parts.pool.close_idle)
 
 
+def _reload_changed(settings):
+    """Take up a settings file that changed without a signal."""
+    if settings.has_changed():
+        settings.reload()
+
+
 async def _sweep(clean):
     while True:
         await trio.sleep(SWEEP_SECONDS)
--- /dev/null
+++ b/tests/features/boundary.feature
@@ -0,0 +1,25 @@
+@no_fleet
+Feature: The platform's folder translates, and the rest stays apart
+
+  Scenario: Nothing outside the folder knows a name of the platform's wire
+    Then no module outside platform/ holds a wire name
+
+  Scenario: The folder stays small and decides nothing
+    Then platform/ has under 1100 lines and no random, hash or timer of its own
+
+  Scenario: A lean instance imports no heavy library
+    Then an instance on the platform imports neither asyncio, hypercorn, OpenTelemetry nor expression
+
+  Scenario: Logs never wait for their reader
+    When 5000 lines are logged to a pipe that nobody reads
+    Then it takes under 2 seconds of processor time and lines are counted as dropped
+
+  Scenario: A settings file that changes is read again, a wrong one is not used
+    Given a settings file of the platform
+    When its seeds change
+    Then the new seeds hold
+    When it is cut in half
+    Then the new seeds hold
+
+  Scenario: Metrics are rendered as counters, gauges and histograms
+    Then a count, a gauge and a latency appear in the text
--- /dev/null
+++ b/tests/features/steps/boundary.py
@@ -0,0 +1,165 @@
+"""Steps of the boundary between the daemon and the platform."""
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import time
+
+import behave
+
+from camphorhook_common import logs
+from camphorhook_daemon.adapters import counts
+from camphorhook_daemon.platform import settings as platform_settings
+from tests.harness import platforms
+
+DAEMON = pathlib.Path(platform_settings.__file__).parents[1]
+# Names that only the platform's pages use; the product has its own ones.
+WIRE_NAMES = re.compile(
+    r"""x-(deadline-ms|prompt-prefix|tenant|expect-instance|server-load"""
+    r"""|not-executed|request-priority|response-seal|model|token-usage)"""
+    r"""|kv-(from|fetch|backup|move|list|events)|/-/|HeartbeatUrl"""
+    r"""|TargetLatencyMs|TrafficSplit|ApiKeys|PathPrefix|CAMPHORHOOK_BOOT"""
+    r"""|RevokeMs|RetryBudgetRatio|InternalPorts|FrontendAddr""",
+    re.IGNORECASE,
+)
+DECISIONS = re.compile(
+    r"\b(random|hashing|xxhash|trio\.sleep|move_on_after)\b"
+)
+HEAVY = ("asyncio", "hypercorn", "httpcore", "opentelemetry", "expression")
+
+
+def list_modules(inside):
+    """Return the daemon's modules inside or outside platform/."""
+    return [
+        path
+        for path in DAEMON.rglob("*.py")
+        if ("platform" in path.relative_to(DAEMON).parts) == inside
+    ]
+
+
+@behave.then("no module outside platform/ holds a wire name")
+def check_names(context):
+    # The command line's help names the variable for its reader.
+    outside = [path for path in list_modules(False) if path.name != "main.py"]
+    found = [
+        (path.name, match.group())
+        for path in outside
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert outside and not found, found
+
+
+@behave.then(
+    "platform/ has under {most:d} lines and no random, hash or timer of its "
+    "own"
+)
+def check_size(context, most):
+    texts = [path.read_text() for path in list_modules(True)]
+    lines = sum(len(text.splitlines()) for text in texts)
+    assert 0 < lines < most, lines
+    found = [m.group() for text in texts for m in DECISIONS.finditer(text)]
+    assert not found, found
+
+
+@behave.then(
+    "an instance on the platform imports neither asyncio, hypercorn, "
+    "OpenTelemetry nor expression"
+)
+def check_imports(context):
+    program = (
+        "import sys, camphorhook_daemon.main, camphorhook_daemon.router;"
+        "print(*(name.partition('.')[0] for name in sys.modules))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", program],
+        env={"PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    loaded = set(done.stdout.split())
+    assert not loaded.intersection(HEAVY), loaded.intersection(HEAVY)
+
+
+@behave.when("{count:d} lines are logged to a pipe that nobody reads")
+def log_unread(context, count):
+    _, writer = os.pipe()
+    with open(writer, "w") as stream:
+        bounded = logs.BoundedStream(stream)
+        began = time.process_time()
+        for number in range(count):
+            bounded.write(json.dumps({"message": "x" * 200, "n": number}))
+        context.spent = time.process_time() - began
+        context.dropped = bounded.dropped
+
+
+@behave.then(
+    "it takes under {seconds:d} seconds of processor time and lines are "
+    "counted as dropped"
+)
+def check_unread(context, seconds):
+    assert context.spent < seconds, context.spent
+    assert context.dropped > 0
+
+
+@behave.given("a settings file of the platform")
+def write_settings(context):
+    path = pathlib.Path(context.folder) / "boundary.json"
+    context.path = path
+    context.fields = {
+        "NodeName": "entry-1",
+        "Ip": "127.0.0.1",
+        "Zone": "zone-a",
+        "Zones": dict.fromkeys(platforms.DOMAINS, "region"),
+        "Listen": {},
+        "InternalPorts": [7000, 7015],
+        "Seeds": ["127.0.0.2:80"],
+    }
+    path.write_text(json.dumps(context.fields))
+    context.settings = platform_settings.LiveSettings(path)
+    assert context.settings.seeds == ("127.0.0.2",)
+
+
+def rewrite(context, text):
+    """Write the settings file anew and let it be read again."""
+    time.sleep(0.01)
+    context.path.write_text(text)
+    assert context.settings.has_changed()
+    context.settings.reload()
+
+
+@behave.when("its seeds change")
+def change_seeds(context):
+    context.fields["Seeds"] = ["127.0.0.3:80", "127.0.0.4:80"]
+    rewrite(context, json.dumps(context.fields))
+
+
+@behave.when("it is cut in half")
+def cut_settings(context):
+    text = json.dumps(context.fields)
+    rewrite(context, text[: len(text) // 2])
+
+
+@behave.then("the new seeds hold")
+def check_seeds(context):
+    assert context.settings.seeds == ("127.0.0.3", "127.0.0.4")
+
+
+@behave.then("a count, a gauge and a latency appear in the text")
+def check_metrics(context):
+    numbers = counts.Counts()
+    numbers.add("requests_total", status=200)
+    numbers.watch("age_ms", lambda: 7)
+    numbers.observe("first_byte_seconds", 0.03, route="r1")
+    text = numbers.render()
+    for line in (
+        'camphorhook_requests_total{status="200"} 1',
+        "camphorhook_age_ms 7",
+        'camphorhook_first_byte_seconds_bucket{route="r1",le="0.05"} 1',
+        'camphorhook_first_byte_seconds_bucket{route="r1",le="0.02"} 0',
+        'camphorhook_first_byte_seconds_count{route="r1"} 1',
+    ):
+        assert line in text.splitlines(), (line, text)
