Split forwarding: selection of an upstream, events; name what an attempt led to

Reading as a newcomer: one module held the attempts, the choice and the event parsing, and told outcomes by None, a string or a Failure. A service that went away between routing and choosing is refused instead of raising KeyError.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -7,15 +7,16 @@
 upstream after the last event that was passed on.
 """
 
-import collections
+import enum
 import random
 import typing
 
 import trio
 
 from camphorhook_common import logs
-from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import events
+from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import table as tables
 from camphorhook_daemon.ports import upstreams as ports
 
@@ -76,6 +77,13 @@
     load: tuple[int, int] | None
 
 
+class Next(enum.Enum):
+    """What comes after an attempt that did not fail for good."""
+
+    ANSWERED = "answered"
+    AGAIN = "again"
+
+
 class Failure(typing.NamedTuple):
     """Why a request got no answer of an upstream.
 
@@ -103,42 +111,6 @@
         self.kept_answer = None
 
 
-class _Pace:
-    """How a stream's events came and went, in seconds."""
-
-    def __init__(self, received_at, now):
-        self._received_at = received_at
-        self._now = now
-        self._last = None
-        self._first = 0.0
-        self._pause = 0.0
-        self._send = 0.0
-        self._events = 0
-
-    def note_arrival(self):
-        """Take note that events came from the upstream."""
-        now = self._now()
-        if self._last is None:
-            self._first = now - self._received_at
-        else:
-            self._pause = max(self._pause, now - self._last)
-        self._events += 1
-        self._last = now
-
-    def note_sent(self):
-        """Take note that they were taken by the client's connection."""
-        self._send = max(self._send, self._now() - self._last)
-
-    def describe(self):
-        """Return the figures of a log line, in milliseconds."""
-        return {
-            "first_ms": int(self._first * 1000),
-            "pause_ms": int(self._pause * 1000),
-            "send_ms": int(self._send * 1000),
-            "pieces": self._events,
-        }
-
-
 class _Unread:
     """Tokens of a prompt that an upstream has probably yet to read."""
 
@@ -165,53 +137,32 @@
     """Chooses upstreams for requests and relays the answers.
 
     Attributes:
-        beliefs: Belief by upstream.
         changed: set when own loads or placements changed.
     """
 
-    def __init__(
-        self,
-        roll,
-        book,
-        loads,
-        outcomes,
-        pool,
-        protocol,
-        rules,
-        counts,
-        place,
-        now,
-    ):
+    def __init__(self, selector, pool, protocol, rules, counts, now):
         """Create a forwarder.
 
         Args:
-            roll: the registry.Roll of upstreams.
-            book: the homes.HomeBook of shared parts.
-            loads: the loads.FleetLoads.
-            outcomes: the outcomes.Outcomes of requests to upstreams.
+            selector: the selection.Selector of upstreams.
             pool: opens requests: `open(target, call)` gives an answer with
                 `head` and `read_piece`.
             protocol: writes and reads what the platform's messages say:
                 `make_headers`, `read_verdict`, `pick_headers`.
-            rules: answers what is in force: `get_table`, `list_domains_out`,
-                `is_current`.
+            rules: answers what is in force: `get_table`, `is_current`,
+                `make_retry_budget`.
             counts: takes metrics: `add` and `observe`.
-            place: (name, failure domain) of this instance.
             now: returns seconds.
         """
-        self._roll = roll
-        self._book = book
-        self._loads = loads
-        self._outcomes = outcomes
+        self._selector = selector
+        self._loads = selector.loads
+        self._outcomes = selector.outcomes
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
         self._counts = counts
-        self._failure_domain = place[1]
         self._now = now
-        self._cold = budgets.ColdAllowance(place[0])
         self._budgets = {}
-        self.beliefs = collections.defaultdict(choices.Belief)
         self.changed = trio.Event()
 
     def _get_budget(self, service):
@@ -242,7 +193,7 @@
             failure = await self._attempt(
                 request, service, budget, progress, reply
             )
-            if failure is None:
+            if failure is Next.ANSWERED:
                 return None
             if isinstance(failure, Failure):
                 break
@@ -260,8 +211,7 @@
         """Send a request once.
 
         Returns:
-            None when it was answered, a Failure when it can't be, and ""
-            when it may be sent again.
+            A Next, or a Failure when the request can't be served.
         """
         now = self._now()
         if now >= request.give_up_at:
@@ -275,12 +225,14 @@
                 return Failure(503, "every upstream rejects", BUSY_SECONDS)
             if progress.runs >= max(1, request.route.attempts):
                 return Failure(502, "the attempts are used up")
-            if not budget.spend(now, self._roll.count_instances()):
+            if not budget.spend(now, self._selector.count_instances()):
                 self._log(request, "no retry left in the budget", "warning")
                 return Failure(503, "upstreams are busy", BUSY_SECONDS)
-        choice = self._choose(request, service, progress.excluded, now)
-        if isinstance(choice, Failure):
-            return choice
+        choice = self._selector.choose(
+            request, service, progress.excluded, now
+        )
+        if isinstance(choice, selection.Refusal):
+            return Failure(503, choice.reason, BUSY_SECONDS)
         target = choice.upstream
         self._log(
             request,
@@ -306,7 +258,7 @@
                 request, target, progress, reply, unread
             )
         except ports.AttemptError as error:
-            belief = self.beliefs[target.name]
+            belief = self._selector.beliefs[target.name]
             return self._take_failure(request, progress, belief, error)
         finally:
             unread.settle()
@@ -321,83 +273,6 @@
             return False
         return self._rules.get_table().find_account(request.key) is not None
 
-    def _choose(self, request, service, excluded, now):
-        """Return a Choice, or the Failure to answer with."""
-        known = self._roll.list_service(service)
-        upstreams = choices.list_open(
-            known, excluded, self._rules.list_domains_out()
-        )
-        if not upstreams:
-            text = f"service {service} has no upstream that takes requests"
-            return Failure(503, text, BUSY_SECONDS)
-        spec = self._rules.get_table().services[service]
-        instances = self._roll.count_instances()
-        open_ones = [
-            one
-            for one in upstreams
-            if self._has_room(one, spec, instances, now)
-        ]
-        if not open_ones:
-            text = f"every upstream of {service} is full or cold"
-            return Failure(503, text, BUSY_SECONDS)
-        failures = {
-            one.name: self._outcomes.find_share(one.name) for one in open_ones
-        }
-        open_ones = choices.prefer_sound(
-            open_ones, self.beliefs, failures, now
-        )
-        demand = choices.Demand(
-            request.request, service, request.parts, frozenset(excluded)
-        )
-        loads = self._estimate_loads(known, instances, now)
-        mean = choices.find_mean(loads, self.beliefs, now)
-        if spec.is_engine:
-            part, tokens = choices.find_shared_part(request.parts)
-            holders = self._book.find(part, now)
-            choice = choices.choose_engine(
-                demand, open_ones, loads, holders, mean
-            )
-            self._book.note(part, tokens, choice.upstream.name, now)
-        else:
-            choice = choices.choose_plain(
-                demand,
-                open_ones,
-                failures,
-                loads,
-                self._failure_domain,
-            )
-        name = choice.upstream.name
-        if self._is_cold(name, spec, now):
-            self._cold.spend(name, spec.cold_rate, instances, now)
-        return choice
-
-    def _estimate_loads(self, upstreams, instances, now):
-        hears_all = self._loads.count_heard() >= instances - 1
-        return {
-            one.name: choices.estimate_load(
-                self._loads.sum_load(one.name),
-                self.beliefs[one.name],
-                self._loads.get_own(one.name),
-                hears_all,
-                now,
-            )
-            for one in upstreams
-        }
-
-    def _is_cold(self, name, spec, now):
-        return spec.cold_rate > 0 and self._roll.cold_until.get(name, 0) > now
-
-    def _has_room(self, upstream, spec, instances, now):
-        """Tell whether an upstream may get a request of this instance now."""
-        name = upstream.name
-        if self._is_cold(name, spec, now):
-            if not self._cold.is_open(name, spec.cold_rate, instances, now):
-                return False
-        share = max(2, spec.most_connections // (2 * instances))
-        return self._loads.get_own(name) < max(
-            share, spec.most_connections // instances
-        )
-
     def _take_failure(self, request, progress, belief, error):
         """Learn from a failed attempt; return what comes next."""
         self._outcomes.note(error.peer, False)
@@ -416,16 +291,16 @@
             progress.sends -= 1
             if len(progress.excluded) >= MOST_SENDS:
                 return Failure(503, "no upstream can be reached", 0.5)
-            return ""
+            return Next.AGAIN
         progress.runs += 1
         if request.route.is_idempotent:
-            return ""
+            return Next.AGAIN
         return Failure(502, error.message)
 
     async def _exchange(self, request, target, progress, reply, unread):
         """Send a request to an upstream and relay its answer."""
         call = self._make_call(request, target, progress)
-        belief = self.beliefs[target.name]
+        belief = self._selector.beliefs[target.name]
         async with self._pool.open(target, call) as answer:
             unread.settle()
             self._counts.observe(
@@ -454,7 +329,7 @@
                     )
         if status < 300 and request.route.is_stream:
             self._note_success(target.name)
-            return None
+            return Next.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
     async def _answer_whole(self, request, answer, body, progress, reply):
@@ -470,22 +345,28 @@
             self._log(request, f"the upstream answered {head.status}")
             if request.route.is_idempotent and not progress.has_started:
                 progress.kept_answer = (head.status, headers, body)
-                return ""
+                return Next.AGAIN
         else:
             self._note_success(answer.upstream)
         if progress.has_started:
             return Failure(502, f"the upstream answered {head.status}")
         await reply.send_whole(head.status, headers, body)
-        return None
+        self._log(
+            request,
+            f"answered {head.status} by the upstream",
+            peer=answer.upstream,
+            inputs={"ms": int((self._now() - request.received_at) * 1000)},
+        )
+        return Next.ANSWERED
 
     def _note_success(self, upstream):
         self._outcomes.note(upstream, True)
         self._counts.add("attempts_total", outcome="good")
-        self.beliefs[upstream].note_success()
+        self._selector.beliefs[upstream].note_success()
 
     def _take_rejection(self, request, target, verdict, progress):
         """Learn from an upstream that did not run a request."""
-        belief = self.beliefs[target.name]
+        belief = self._selector.beliefs[target.name]
         self._log(
             request,
             "the upstream did not run it",
@@ -496,7 +377,7 @@
         if verdict.is_other:
             belief.note_break(self._now(), is_down=True)
         progress.excluded.add(target.name)
-        return ""
+        return Next.AGAIN
 
     def _make_call(self, request, target, progress):
         now = self._now()
@@ -529,7 +410,7 @@
             progress.has_started = True
         first = True
         buffer = b""
-        pace = _Pace(request.received_at, self._now)
+        pace = events.Pace(request.received_at, self._now)
         with trio.move_on_at(request.give_up_at):
             while True:
                 with trio.move_on_after(EVENT_SILENCE_SECONDS) as silence:
@@ -545,12 +426,14 @@
                     continue
                 if not piece:
                     break
-                whole, buffer = split_events(buffer + piece)
+                whole, buffer = events.split_events(buffer + piece)
                 if whole:
                     if first:
-                        whole = drop_known_events(whole, progress.last_event)
+                        whole = events.drop_known_events(
+                            whole, progress.last_event
+                        )
                         first = not whole
-                    progress.last_event = find_last_id(
+                    progress.last_event = events.find_last_id(
                         whole, progress.last_event
                     )
                     if whole:
@@ -588,50 +471,3 @@
         size += len(piece)
         pieces.append(piece)
     return b"".join(pieces)
-
-
-def split_events(data):
-    """Return (complete events, the beginning of the next one)."""
-    end = max(data.rfind(b"\n\n") + 2, data.rfind(b"\r\n\r\n") + 4)
-    if end < 4 and not data.startswith(b"\n\n"):
-        end = 0
-    return data[:end], data[end:]
-
-
-def _read_id(block):
-    for line in block.splitlines():
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-    return ""
-
-
-def _split_blocks(data):
-    normal = data.replace(b"\r\n", b"\n")
-    return [block for block in normal.split(b"\n\n") if block]
-
-
-def find_last_id(data, default):
-    """Return the id of the last event that has one."""
-    for block in reversed(_split_blocks(data)):
-        event_id = _read_id(block)
-        if event_id:
-            return event_id
-    return default
-
-
-def drop_known_events(data, last):
-    """Return complete events without those up to an id.
-
-    Args:
-        data: complete events.
-        last: id of the last event that the client has; empty for none.
-    """
-    if not last.isdigit():
-        return data
-    kept = []
-    for block in _split_blocks(data):
-        event_id = _read_id(block)
-        if event_id.isdigit() and int(event_id) <= int(last):
-            continue
-        kept.append(block + b"\n\n")
-    return b"".join(kept)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -0,0 +1,134 @@
+"""Selects an upstream for a request by what is in force and believed."""
+
+import collections
+import typing
+
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain.routing import choice as choices
+
+
+class Refusal(typing.NamedTuple):
+    """Why no upstream may get a request now."""
+
+    reason: str
+
+
+class Selector:
+    """Knows the upstreams, their load and health, and picks one.
+
+    Attributes:
+        beliefs: Belief by upstream.
+        loads: the loads.FleetLoads.
+        outcomes: the outcomes.Outcomes of requests to upstreams.
+    """
+
+    def __init__(self, roll, book, loads, outcomes, rules, place):
+        """Create a selector.
+
+        Args:
+            roll: the registry.Roll of upstreams.
+            book: the homes.HomeBook of shared parts.
+            loads: the loads.FleetLoads.
+            outcomes: the outcomes.Outcomes.
+            rules: answers what is in force: `get_table`,
+                `list_domains_out`.
+            place: (name, failure domain) of this instance.
+        """
+        self._roll = roll
+        self._book = book
+        self.loads = loads
+        self.outcomes = outcomes
+        self._rules = rules
+        self._failure_domain = place[1]
+        self._cold = budgets.ColdAllowance(place[0])
+        self.beliefs = collections.defaultdict(choices.Belief)
+
+    def count_instances(self):
+        """Return how many instances share the upstreams."""
+        return self._roll.count_instances()
+
+    def choose(self, request, service, excluded, now):
+        """Return a Choice, or the Refusal that says why there is none.
+
+        Args:
+            request: with request and parts.
+            service: name of the service.
+            excluded: names of upstreams that are left out.
+            now: seconds.
+        """
+        known = self._roll.list_service(service)
+        upstreams = choices.list_open(
+            known, excluded, self._rules.list_domains_out()
+        )
+        if not upstreams:
+            text = f"service {service} has no upstream that takes requests"
+            return Refusal(text)
+        spec = self._rules.get_table().services.get(service)
+        if spec is None:
+            return Refusal(f"service {service} is no longer configured")
+        instances = self._roll.count_instances()
+        open_ones = [
+            one
+            for one in upstreams
+            if self._has_room(one, spec, instances, now)
+        ]
+        if not open_ones:
+            text = f"every upstream of {service} is full or cold"
+            return Refusal(text)
+        failures = {
+            one.name: self.outcomes.find_share(one.name) for one in open_ones
+        }
+        open_ones = choices.prefer_sound(
+            open_ones, self.beliefs, failures, now
+        )
+        demand = choices.Demand(
+            request.request, service, request.parts, frozenset(excluded)
+        )
+        loads = self._estimate_loads(known, instances, now)
+        mean = choices.find_mean(loads, self.beliefs, now)
+        if spec.is_engine:
+            part, tokens = choices.find_shared_part(request.parts)
+            holders = self._book.find(part, now)
+            choice = choices.choose_engine(
+                demand, open_ones, loads, holders, mean
+            )
+            self._book.note(part, tokens, choice.upstream.name, now)
+        else:
+            choice = choices.choose_plain(
+                demand,
+                open_ones,
+                failures,
+                loads,
+                self._failure_domain,
+            )
+        name = choice.upstream.name
+        if self._is_cold(name, spec, now):
+            self._cold.spend(name, spec.cold_rate, instances, now)
+        return choice
+
+    def _estimate_loads(self, upstreams, instances, now):
+        hears_all = self.loads.count_heard() >= instances - 1
+        return {
+            one.name: choices.estimate_load(
+                self.loads.sum_load(one.name),
+                self.beliefs[one.name],
+                self.loads.get_own(one.name),
+                hears_all,
+                now,
+            )
+            for one in upstreams
+        }
+
+    def _is_cold(self, name, spec, now):
+        return spec.cold_rate > 0 and self._roll.cold_until.get(name, 0) > now
+
+    def _has_room(self, upstream, spec, instances, now):
+        """Tell whether an upstream may get a request of this instance now."""
+        name = upstream.name
+        if self._is_cold(name, spec, now):
+            if not self._cold.is_open(name, spec.cold_rate, instances, now):
+                return False
+        share = max(2, spec.most_connections // (2 * instances))
+        return self.loads.get_own(name) < max(
+            share, spec.most_connections // instances
+        )
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -25,6 +25,7 @@
 from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
+from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.platform import control
 from camphorhook_daemon.platform import documents
@@ -165,16 +166,20 @@
             LINK_TIMING,
         )
         self.pool = channels.ChannelPool()
-        self.forwarder = forwarding.Forwarder(
+        selector = selection.Selector(
             self.roll,
             self.homes,
             self.loads,
             self.outcomes,
+            self.rules,
+            (settings.name, settings.failure_domain),
+        )
+        self.forwarder = forwarding.Forwarder(
+            selector,
             self.pool,
             protocol,
             self.rules,
             self.counts,
-            (settings.name, settings.failure_domain),
             trio.current_time,
         )
         app = entry.EntryApp(self.forwarder, self.rules, self.counts)
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -8,7 +8,7 @@
 from camphorhook_common import settings as settings_module
 from camphorhook_daemon.adapters import channels
 from camphorhook_daemon.adapters import listeners
-from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.ports import upstreams as ports
 
 LIMITS = listeners.Limits(1000, 100, 0.3, 0.6)
@@ -331,9 +331,9 @@
 def check_split(context):
     data = make_events(1, 3)
     for cut in range(len(data) + 1):
-        whole, rest = forwarding.split_events(data[:cut])
+        whole, rest = events.split_events(data[:cut])
         assert not whole or whole.endswith(b"\n\n"), whole
-        more, left = forwarding.split_events(rest + data[cut:])
+        more, left = events.split_events(rest + data[cut:])
         assert whole + more == data and not left, cut
 
 
@@ -341,6 +341,6 @@
     "a stream taken up again leaves out events up to the last one passed on"
 )
 def check_resumed(context):
-    kept = forwarding.drop_known_events(make_events(2, 5), "3")
+    kept = events.drop_known_events(make_events(2, 5), "3")
     assert kept == make_events(4, 5), kept
-    assert forwarding.find_last_id(kept, "") == "5"
+    assert events.find_last_id(kept, "") == "5"
