Read whole numbers of headers and registrations safely

Found by drawn headers: '\u00b2'.isdigit() is true and int() of it raises, so a client's malformed prompt header ended its connection without an answer.

--- a/packages/daemon/src/camphorhook_daemon/adapters/channels.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/channels.py
@@ -12,6 +12,7 @@
 import h11
 import trio
 
+from camphorhook_common import numerals
 from camphorhook_daemon.ports import upstreams as ports
 
 CONNECT_SECONDS = 0.5  # many times the round trip inside a region
@@ -179,8 +180,8 @@
         seconds = KEEP_SECONDS
         for part in head.get("keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                seconds = int(value)
+            if name == "timeout":
+                seconds = numerals.read_whole(value) or KEEP_SECONDS
         if head.get("connection").lower() == "close":
             return False
         if len(self._idle.get(channel.upstream, [])) >= MOST_IDLE:
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -1,5 +1,7 @@
 """Server-sent events as bytes: whole ones, their ids, their pace."""
 
+from camphorhook_common import numerals
+
 
 class Pace:
     """How a stream's events came and went, in seconds."""
@@ -73,12 +75,13 @@
         data: complete events.
         last: id of the last event that the client has; empty for none.
     """
-    if not last.isdigit():
+    known = numerals.read_whole(last)
+    if known is None:
         return data
     kept = []
     for block in _split_blocks(data):
-        event_id = _read_id(block)
-        if event_id.isdigit() and int(event_id) <= int(last):
+        number = numerals.read_whole(_read_id(block))
+        if number is not None and number <= known:
             continue
         kept.append(block + b"\n\n")
     return b"".join(kept)
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -1,5 +1,6 @@
 """The platform's headers: of clients, towards and from upstreams."""
 
+from camphorhook_common import numerals
 from camphorhook_daemon.domain.routing import forwarding
 
 REQUEST_ID = "x-request-id"
@@ -73,9 +74,10 @@
     """
     parts = []
     for entry in text.split(","):
-        part, _, tokens = entry.strip().partition(":")
-        if part and tokens.isdigit():
-            parts.append((part, int(tokens)))
+        part, _, text = entry.strip().partition(":")
+        tokens = numerals.read_whole(text)
+        if part and tokens is not None:
+            parts.append((part, tokens))
     return tuple(parts)
 
 
@@ -116,8 +118,9 @@
     """Return the forwarding.Verdict of an upstream's answer head."""
     load = None
     words = head.get(SERVER_LOAD).split(",")
-    if len(words) == 3 and all(word.strip().isdigit() for word in words):
-        load = (int(words[0]), int(words[1]))
+    numbers = [numerals.read_whole(word) for word in words]
+    if len(numbers) == 3 and None not in numbers:
+        load = (numbers[0], numbers[1])
     is_other = head.status == 421
     has_run = not is_other and not head.get(NOT_EXECUTED)
     return forwarding.Verdict(has_run, is_other, load)
--- a/packages/daemon/src/camphorhook_daemon/platform/registrations.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/registrations.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import numerals
 from camphorhook_common import wire
 from camphorhook_daemon.domain.routing import registry
 
@@ -47,8 +48,9 @@
         one = msgspec.json.decode(body, type=_Body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise _refuse(str(error)) from error
-    address, _, port = one.address.rpartition(":")
-    if not address or not port.isdigit() or int(port) > LARGEST_PORT:
+    address, _, text = one.address.rpartition(":")
+    port = numerals.read_whole(text)
+    if not address or port is None or port > LARGEST_PORT:
         raise _refuse(f"{one.address!r} is no address with a port")
     if one.state not in _STATES:
         raise _refuse(f"unknown state {one.state!r}")
@@ -57,7 +59,7 @@
         one.service,
         one.zone,
         address,
-        int(port),
+        port,
         one.born,
         one.sequence,
         _STATES[one.state],
--- a/tests/features/registrations.feature
+++ b/tests/features/registrations.feature
@@ -74,6 +74,10 @@
   Scenario: Anything else that is sent as a document is refused with a reason
     Then 300 mangled documents are each read or refused with a reason
 
+  Scenario: Any bytes in a registration or a header are read or refused
+    Then 300 mangled registrations are each read or refused with a reason
+    And 300 drawn headers are each read or left out
+
   Scenario: The longest prefix of the host wins
     Given a document with the prefixes /, /a/ and /a/b/ of one host
     Then /a/b/c goes to route /a/b/
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -9,9 +9,12 @@
 import trio
 
 from camphorhook_common import wire
+from camphorhook_daemon.adapters import channels
+from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import table as tables
 from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import protocol
 from camphorhook_daemon.platform import registrations
 
 RECORDER = types.SimpleNamespace(record=lambda *args, **fields: None)
@@ -226,6 +229,63 @@
     read_mangled()
 
 
+REGISTRATION = (
+    b'{"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready",'
+    b'"Sequence":1,"Slots":6,"ColdRemainingMs":0,"born":1767225600000}'
+)
+
+
+@behave.then(
+    "{count:d} mangled registrations are each read or refused with a reason"
+)
+def check_mangled_registrations(context, count):
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.example(30, "\u00b2".encode(), 0)
+    @hypothesis.given(
+        strategies.integers(0, len(REGISTRATION) - 1),
+        strategies.one_of(
+            strategies.binary(max_size=8),
+            strategies.text(max_size=4).map(str.encode),
+        ),
+        strategies.integers(0, 8),
+    )
+    def read_mangled(start, piece, dropped):
+        mangled = (
+            REGISTRATION[:start] + piece + REGISTRATION[start + dropped :]
+        )
+        try:
+            registrations.read("one", mangled)
+        except registrations.RegistrationError as error:
+            assert error.message
+
+    read_mangled()
+
+
+@behave.then("{count:d} drawn headers are each read or left out")
+def check_headers(context, count):
+    header = strategies.text(
+        strategies.characters(max_codepoint=255), max_size=20
+    )
+
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.example("a:\u00b2")
+    @hypothesis.example("\u00b2,1,6")
+    @hypothesis.example("nan")
+    @hypothesis.given(header)
+    def read_header(text):
+        protocol.read_parts(text)
+        protocol.read_seconds(text)
+        head = channels.Head(200, [("x-server-load", text)])
+        protocol.read_verdict(head)
+        events.drop_known_events(b"id: 1\n\n", text)
+
+    read_header()
+
+
 @behave.given("a document with the prefixes /, /a/ and /a/b/ of one host")
 def read_document(context):
     context.routing = documents.read(msgspec.json.encode(make_document()))
