Share one socket maker; drop what nothing reads

Found on a last reading: notices and peers set up their sockets twice, a demand carried two fields that no decision reads, and a body's size was summed for nothing. Behaviour is the same.

--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -32,15 +32,9 @@
         self._followed = set()
 
     def _make_socket(self, kind):
-        socket = self._context.socket(kind)
-        socket.linger = 0
-        socket.sndhwm = QUEUE_LENGTH
-        socket.rcvhwm = QUEUE_LENGTH
-        socket.heartbeat_ivl = self._timing.ping_ms
-        socket.heartbeat_timeout = self._timing.silence_ms
-        socket.reconnect_ivl = self._timing.reconnect_ms
-        socket.reconnect_ivl_max = self._timing.reconnect_max_ms
-        return socket
+        return peers.make_socket(
+            self._context, kind, QUEUE_LENGTH, self._timing
+        )
 
     def open(self):
         """Bind the own socket.
--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -100,6 +100,26 @@
     reconnect_max_ms: int = 1000
 
 
+def make_socket(context, kind, queue_length, timing):
+    """Return a ZeroMQ socket that finds dead connections by itself.
+
+    Args:
+        context: the zmq.Context.
+        kind: a socket type of ZeroMQ.
+        queue_length: messages kept for a slow peer, each way.
+        timing: a LinkTiming.
+    """
+    socket = context.socket(kind)
+    socket.linger = 0
+    socket.sndhwm = queue_length
+    socket.rcvhwm = queue_length
+    socket.heartbeat_ivl = timing.ping_ms
+    socket.heartbeat_timeout = timing.silence_ms
+    socket.reconnect_ivl = timing.reconnect_ms
+    socket.reconnect_ivl_max = timing.reconnect_max_ms
+    return socket
+
+
 class PeerTransport:
     """Sends messages to peers and answers theirs."""
 
@@ -164,13 +184,7 @@
             ) from error
 
     def _make_socket(self, kind):
-        socket = self._context.socket(kind)
-        socket.linger = 0
-        socket.sndhwm = _QUEUE_LENGTH
-        socket.rcvhwm = _QUEUE_LENGTH
-        socket.heartbeat_ivl = self._timing.ping_ms
-        socket.heartbeat_timeout = self._timing.silence_ms
-        return socket
+        return make_socket(self._context, kind, _QUEUE_LENGTH, self._timing)
 
     def _bind(self):
         socket = self._make_socket(zmq.ROUTER)
@@ -182,8 +196,6 @@
         socket = self._make_socket(zmq.DEALER)
         self._guard.secure_client(socket, name)
         socket.immediate = True
-        socket.reconnect_ivl = self._timing.reconnect_ms
-        socket.reconnect_ivl_max = self._timing.reconnect_max_ms
         socket.connect_timeout = _CONNECT_MS
         socket.handshake_ivl = _CONNECT_MS
         socket.connect(f"tcp://{listener.format()}")
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -81,15 +81,11 @@
 
     Attributes:
         request: its id.
-        service: name of the service.
         parts: (id, tokens) of the parts of its prompt, in order.
-        excluded: names of upstreams that were tried already.
     """
 
     request: str
-    service: str
     parts: tuple[tuple[str, int], ...]
-    excluded: frozenset[str]
 
 
 class Choice(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -466,8 +466,6 @@
 async def _read_whole(answer):
     """Return the whole body of an answer."""
     pieces = []
-    size = 0
     while piece := await answer.read_piece():
-        size += len(piece)
         pieces.append(piece)
     return b"".join(pieces)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -81,9 +81,7 @@
         open_ones = choices.prefer_sound(
             open_ones, self.beliefs, failures, now
         )
-        demand = choices.Demand(
-            request.request, service, request.parts, frozenset(excluded)
-        )
+        demand = choices.Demand(request.request, request.parts)
         loads = self._estimate_loads(known, instances, now)
         mean = choices.find_mean(loads, self.beliefs, now)
         if spec.is_engine:
--- a/tests/features/steps/placing.py
+++ b/tests/features/steps/placing.py
@@ -32,9 +32,7 @@
 
 def place(context, part, tokens):
     """Place a prompt and return the chosen engine's name."""
-    demand = choice.Demand(
-        "request", "service", ((part, tokens), ("own", 100)), frozenset()
-    )
+    demand = choice.Demand("request", ((part, tokens), ("own", 100)))
     loads = dict(context.loads)
     mean = choice.find_mean(loads, context.beliefs, 0.0)
     open_ones = [
@@ -122,7 +120,7 @@
 
 @behave.when("a plain request is placed")
 def place_plain(context):
-    demand = choice.Demand("request", "service", (), frozenset())
+    demand = choice.Demand("request", ())
     failures = dict.fromkeys(context.loads, 0.0)
     chosen = choice.choose_plain(
         demand, context.upstreams, failures, context.loads, "zone-0"
