Tell followers of a commit at once, not with the next heartbeat

Cause: the commit index travelled with the next append, so an instance that watches a follower saw an acknowledged change up to one heartbeat late; a client that read the row there and set it with that version got a conflict (KNOWN-RED, configuration.feature). Ruled out: the watch itself, which wakes as soon as the follower applies. Change: an advance of the commit wakes the tasks that feed the followers.

--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -446,6 +446,8 @@
         if index > self.commit and self._log.term_at(index) == self.term:
             self._set_commit(index)
             self._confirmed_at = self._now()
+            # Followers answer reads of what was just acknowledged.
+            self._announce_growth()
 
     def _set_commit(self, index):
         if index > self.commit:
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -10,3 +10,7 @@
       | 1     | 6    |
       | 7     | 12   |
       | 21    | 22   |
+
+  Scenario: A follower answers reads of what was just acknowledged
+    When 20 changes are acknowledged by a calm group
+    Then every replica applied each of them before the next heartbeat
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -21,3 +21,15 @@
     for counts in context.counts:
         print(dict(counts))
         assert counts["acknowledged"] > 0, context.counts
+
+
+@behave.when("{count:d} changes are acknowledged by a calm group")
+def change_calm_group(context, count):
+    context.waits = replicas.run_repeatably(
+        1, replicas.measure_following, count
+    )
+
+
+@behave.then("every replica applied each of them before the next heartbeat")
+def check_following(context):
+    assert max(context.waits) < replicas.TIMING.heartbeat_ms / 1000 / 2
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -293,6 +293,35 @@
             assert row in rows, f"{row}, acknowledged at {index}, is lost"
 
 
+async def measure_following(changes):
+    """Return seconds until every replica applied each acknowledged change.
+
+    Nothing is lost or delayed, so what remains is the leader's own pace.
+    """
+    group = Group(1)
+    group.calm = True
+    waits = []
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(CALM_SECONDS)
+        replicas = list(group.running.values())
+        (leader,) = (one for one in replicas if one.role == "leader")
+        for number in range(changes):
+            await trio.sleep(group.chance.random())
+            command = commands.SetCells(
+                f"op-{number}", "upstreams", "row", -1, {"weight": 1}, 0
+            )
+            reply = await leader.submit(command)
+            since = trio.current_time()
+            for one in replicas:
+                while one.state.index < reply.outcome.index:
+                    await one.applied.wait()
+            waits.append(trio.current_time() - since)
+        nursery.cancel_scope.cancel()
+    return waits
+
+
 async def _run_inline(function, *arguments):
     """Run what would go to a thread at once, for a repeatable order."""
     await trio.lowlevel.checkpoint()
@@ -300,7 +329,12 @@
 
 
 def run_seed(seed, seconds):
-    """Run a group with a mock clock; return its counts.
+    """Run a group with a mock clock; return its counts."""
+    return run_repeatably(seed, run_group, seed, seconds)
+
+
+def run_repeatably(seed, function, *arguments):
+    """Run an async function with a mock clock; return its result.
 
     Tasks are scheduled in an order that follows from the seed alone, so
     that a seed gives the same run each time.
@@ -312,4 +346,4 @@
         mock.patch.object(scheduler, "_ALLOW_DETERMINISTIC_SCHEDULING", True),
         mock.patch.object(scheduler, "_r", random.Random(seed)),
     ):
-        return trio.run(run_group, seed, seconds, clock=mock_clock)
+        return trio.run(function, *arguments, clock=mock_clock)
