Bound a restarted holder's forgotten permits by its lowest report

Change: what is left from before a restart never grows, so the lowest report so far bounds it, and new permits come on top.

--- a/packages/daemon/src/camphorhook_daemon/domain/permits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/permits.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.held = {}
         self.completed = 0
+        self.forgotten = None
         self.used_at = trio.current_time()
 
     def drop_expired(self):
@@ -211,29 +212,34 @@
         is_warm = self._name in record.warm
         row = self._configuration.get_or_default("services", record.service)
         share = self._find_share(record, self._name, row["cold_allowance"])
-        taken = max(len(ledger.held), self._count_forgotten(record, row))
+        taken = self._count_taken(record, row, ledger)
         granted = taken < share or not self.is_cold(record)
         if granted:
             self._hold(ledger, message)
         return wire.PermitReply(granted, is_warm)
 
-    def _count_forgotten(self, record, row):
-        """Return how many permits from before a restart may be out.
+    def _count_taken(self, record, row, ledger):
+        """Return how many of the own permits may be out, at most.
 
-        A holder that has restarted forgot them. Until the upstream's next
-        report, all may be out; then the report counts them, until the
-        longest attempt from before is over.
+        A holder that has restarted forgot those from before. Until the
+        upstream's next report, all may be out. From then on, no more of
+        them than the lowest report so far, as they only ever get less; and
+        none once the longest attempt from before is over.
         """
+        held = len(ledger.held)
         if self._directory.is_known_from_start(record.name):
             if not record.cold_spell:
-                return 0
+                return held
         running = trio.current_time() - self._started_at
         if running > row["attempt_seconds"]:
-            return 0
+            return held
         reported = record.ttl_ms * MS / REPORTS_PER_TTL + REPORT_LAG_SECONDS
         if running < reported:
-            return row["cold_allowance"]
-        return record.active
+            return max(held, row["cold_allowance"])
+        if ledger.forgotten is None:
+            ledger.forgotten = record.active
+        ledger.forgotten = min(ledger.forgotten, record.active)
+        return held + ledger.forgotten
 
     def take_back(self, message):
         """Answer ReturnPermit."""
