Relays of notices; watchers spread over all replicas; learners are known

Causes, on 64 entry instances: every notice went to every other instance, 20,000 a second; all instances watched the three seeds, so that a large document left over three links of 6 Mbit/s; instances that watch a follower never heard of replicas that only learn.

Instances order replicas by a hash of their own and avoid a failed one in proportion to what its failure took. Appends carry the names of all replicas when they change.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -51,7 +51,12 @@
 
 
 class Append(typing.NamedTuple):
-    """Carries entries, or none as a heartbeat, from the leader."""
+    """Carries entries, or none as a heartbeat, from the leader.
+
+    Attributes:
+        members: names of all replicas that the leader feeds, with its own;
+            empty where they are as last told.
+    """
 
     term: int
     leader: str
@@ -59,6 +64,7 @@
     previous_term: int
     entries: list[commands.Entry]
     commit: int
+    members: tuple[str, ...] = ()
 
 
 class AppendReply(typing.NamedTuple):
@@ -280,19 +286,43 @@
     outcomes: list[UpstreamOutcomes]
 
 
+class Digest(typing.NamedTuple):
+    """Sums up the notices of several instances; needs no answer.
+
+    Attributes:
+        sender: the relay that made it.
+        group: the group of instances that it relays for.
+        scope: group or whole, what is summed up.
+        instances: how many were heard.
+        sums: loads and outcomes by upstream, as `digests` packs them.
+        placements: since its last digest.
+    """
+
+    sender: str
+    group: str
+    scope: str
+    instances: int
+    sums: bytes
+    placements: list[Placement]
+
+
 class WatchUpstreams(typing.NamedTuple):
     """Asks a replica for registrations that changed.
 
     Attributes:
         sender: the instance that asks.
+        failure_domain: where it runs.
         epoch: start of the replica's process as last seen; empty for none.
         after: position up to which the sender knows the changes.
+        watchers_after: version of the list of watchers that it knows.
         wait_ms: how long to wait for a change.
     """
 
     sender: str
+    failure_domain: str
     epoch: str
     after: int
+    watchers_after: int
     wait_ms: int
 
 
@@ -306,7 +336,9 @@
         changed: registrations, removed ones left out.
         removed: names of upstreams that no longer register here.
         age_ms: how long the replica's process has been running.
-        watchers: instances that watched this replica of late.
+        watchers: failure domain by name of the instances that watched
+            this replica of late; None when it is as the sender knows it.
+        watchers_version: of that list.
     """
 
     epoch: str
@@ -315,7 +347,8 @@
     changed: list[Registration]
     removed: list[str]
     age_ms: int
-    watchers: list[str]
+    watchers: dict[str, str] | None
+    watchers_version: int
 
 
 class ShowStatus(typing.NamedTuple):
@@ -585,6 +618,7 @@
     "wu": WatchUpstreams,
     "uu": UpstreamsReply,
     "no": Notice,
+    "di": Digest,
     "rp": ReadPlacements,
     "rr": PlacementsReply,
     "st": ShowStatus,
--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -1,5 +1,11 @@
-"""Notices between instances by ZeroMQ's publish and subscribe sockets."""
+"""Notices between instances by ZeroMQ's publish and subscribe sockets.
 
+A message is two frames: its topic, by which readers choose what they get,
+and the body. Each topic has a subscribing socket of its own, as a socket's
+topics hold for all that it is connected to.
+"""
+
+import trio
 import zmq
 
 from camphorhook_common import errors
@@ -10,6 +16,10 @@
 QUEUE_LENGTH = 200  # notices kept for a slow reader; the newest says all
 
 
+NOTICE, GROUP_DIGEST, WHOLE_DIGEST = b"n", b"g", b"w"
+_KINDS = {NOTICE: "no", GROUP_DIGEST: "di", WHOLE_DIGEST: "di"}
+
+
 class NoticeExchange:
     """Publishes own notices and receives those of other instances."""
 
@@ -28,8 +38,8 @@
         self._timing = timing
         self._context = None
         self._publisher = None
-        self._subscriber = None
-        self._followed = set()
+        self._subscribers = {}
+        self._followed = {topic: set() for topic in _KINDS}
 
     def _make_socket(self, kind):
         return peers.make_socket(
@@ -50,38 +60,47 @@
             raise errors.SettingsError(
                 str(error), step="open", peer=self._listener.format()
             ) from error
-        self._subscriber = self._make_socket(zmq.SUB)
-        self._subscriber.subscribe(b"")
+        for topic in _KINDS:
+            socket = self._make_socket(zmq.SUB)
+            socket.subscribe(topic)
+            self._subscribers[topic] = socket
 
     def close(self):
         """Close all sockets at once."""
         if self._context is not None:
             self._context.destroy(linger=0)
 
-    def follow(self, names):
-        """Subscribe at exactly these instances, the own one left out."""
+    def follow(self, topic, names):
+        """Subscribe to a topic at exactly these instances, not the own."""
         wanted = {name for name in names if name != self._name}
-        for name in wanted - self._followed:
-            self._subscriber.connect(self._make_url(name))
-        for name in self._followed - wanted:
-            self._subscriber.disconnect(self._make_url(name))
-        self._followed = wanted
+        followed = self._followed[topic]
+        for name in wanted - followed:
+            self._subscribers[topic].connect(self._make_url(name))
+        for name in followed - wanted:
+            self._subscribers[topic].disconnect(self._make_url(name))
+        self._followed[topic] = wanted
 
     def _make_url(self, name):
         return f"tcp://{self._locate(name).format()}"
 
-    def publish(self, notice):
-        """Send a notice to whoever subscribed."""
-        self._publisher.send(wire.encode(notice)[1], zmq.NOBLOCK)
+    def publish(self, topic, message):
+        """Send a message to whoever subscribed to its topic."""
+        body = wire.encode(message)[1]
+        self._publisher.send_multipart([topic, body], zmq.NOBLOCK)
 
     async def receive(self, adopt):
-        """Hand every Notice that arrives to a function, until cancelled."""
-        socket = peers.TrioSocket(self._subscriber)
+        """Hand every message that arrives to a function, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for topic in _KINDS:
+                nursery.start_soon(self._receive, topic, adopt)
+
+    async def _receive(self, topic, adopt):
+        socket = peers.TrioSocket(self._subscribers[topic])
         while True:
             frames = await socket.receive()
             try:
-                notice = wire.decode("no", frames[-1])
+                message = wire.decode(_KINDS[topic], frames[-1])
             except errors.ProtocolError as error:
                 logs.log("warning", error.format(), step="receive notice")
                 continue
-            adopt(notice)
+            adopt(message)
--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -5,7 +5,6 @@
 restart can't take it back to an older one.
 """
 
-import random
 import types
 
 import trio
@@ -15,11 +14,14 @@
 from camphorhook_common import logs
 from camphorhook_common import tables
 from camphorhook_common import wire
+from camphorhook_daemon.domain import hashing
 
 MS = 0.001
 FRESH_SECONDS = 5.0
 CALL_SLACK_SECONDS = 1.5
 RETRY_SECONDS = 0.15
+AVOID_SECONDS = 2.0  # for a replica that failed at once; above an election
+AVOID_RATIO = 30.0  # times what its failure took, as nothing is heard then
 _DEFAULTS = {
     table: types.MappingProxyType(tables.default_row(table))
     for table in tables.TABLES
@@ -209,39 +211,45 @@
         self._configuration = configuration
         self._transport = transport
         self._recorder = recorder
-        self._replicas = self._order_replicas()
+        self._avoided_until = {}
 
-    def _order_replicas(self):
-        """Return replicas: this instance, its failure domain, others."""
+    def choose_replica(self, now):
+        """Return this instance, a replica near by, or any other.
+
+        Among others each instance has an order of its own, so that all
+        replicas get about as many watchers.
+        """
         domains = {
             peer.name: peer.failure_domain for peer in self._settings.peers
         }
+        own = self._settings.name
 
         def rank(name):
-            if name == self._settings.name:
-                return 0
-            near = domains.get(name) == self._settings.failure_domain
-            return 1 if near else 2
+            place = 2
+            if name == own:
+                place = 0
+            elif domains.get(name) == self._settings.failure_domain:
+                place = 1
+            until = self._avoided_until.get(name, now)
+            return max(now, until), place, hashing.find_fraction(own, name)
 
-        names = self._settings.list_replicas()
-        random.Random(self._settings.name).shuffle(names)
-        return sorted(names, key=rank)
+        known = self._settings.list_replicas()
+        return min({*known, *self._configuration.replicas}, key=rank)
 
     async def run(self):
         """Watch until cancelled, changing replicas on failures."""
-        position = 0
         while True:
-            for name in self._configuration.replicas:
-                if name not in self._replicas:
-                    self._replicas.append(name)
-            replica = self._replicas[position % len(self._replicas)]
+            asked_at = trio.current_time()
+            replica = self.choose_replica(asked_at)
             try:
                 stale = not await self._watch_once(replica)
             except errors.UnreachableError:
                 stale = True
                 await trio.sleep(RETRY_SECONDS)
             if stale:
-                position += 1
+                now = trio.current_time()
+                avoid = max(AVOID_SECONDS, AVOID_RATIO * (now - asked_at))
+                self._avoided_until[replica] = now + avoid
 
     async def _watch_once(self, replica):
         """Watch once; return whether the replica is in touch."""
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -25,6 +25,7 @@
 BATCH_ENTRIES = 512
 SNAPSHOT_PIECE_BYTES = 256 * 1024
 ADMISSION_SECONDS = 1.0
+MEMBERS_SECONDS = 3.0  # until a follower that restarted hears of all again
 MS = 0.001
 
 
@@ -101,6 +102,7 @@
         self._pending = []
         self._waiting = {}
         self._followers = None
+        self._fed = ()
         self._leading = None
         self._heard_at = float("-inf")
         self._confirmed_at = float("-inf")
@@ -145,9 +147,11 @@
         return self._name
 
     def list_members(self):
-        """Return names of the voters and of those that learn from here."""
-        learners = self._followers.list_peers() if self._followers else []
-        return tuple({**self.voters, **dict.fromkeys(learners)})
+        """Return names of the voters and of those that learn the log."""
+        fed = self._fed
+        if self.role == "leader":
+            fed = self._followers.list_peers()
+        return tuple({**self.voters, **dict.fromkeys(fed)})
 
     def measure_age(self):
         """Return seconds since a leader was surely in contact, or None."""
@@ -259,6 +263,7 @@
         self.leader = self._name
         known = {
             **dict.fromkeys(self._settings.list_replicas()),
+            **dict.fromkeys(self._fed),
             **self.voters,
         }
         peers = [name for name in known if name != self._name]
@@ -358,13 +363,22 @@
     async def _replicate(self, peer, term):
         """Keep one replica's log equal to the leader's."""
         following = self.last_index + 1
+        told, told_at = (), float("-inf")
         while self.role == "leader" and self.term == term:
             if following <= self._log.base_index:
                 following = await self._send_snapshot(peer, term, following)
                 continue
             grown = self._grown
+            members = (self._name, *self._followers.list_peers())
+            now = self._now()
+            is_due = members != told or now - told_at > MEMBERS_SECONDS
+            news = members if is_due else ()
             try:
-                following = await self._send_entries(peer, term, following)
+                following = await self._send_entries(
+                    peer, term, following, news
+                )
+                if is_due:
+                    told, told_at = members, now
             except errors.UnreachableError:
                 await trio.sleep(self._timing.heartbeat_ms * MS)
                 continue
@@ -372,7 +386,7 @@
                 with trio.move_on_after(self._timing.heartbeat_ms * MS):
                     await grown.wait()
 
-    async def _send_entries(self, peer, term, following):
+    async def _send_entries(self, peer, term, following, members):
         """Send entries from `following`; return the next to send."""
         previous = following - 1
         batch = self._log.read_from(following, BATCH_ENTRIES)
@@ -383,6 +397,7 @@
             self._log.term_at(previous),
             batch,
             self.commit,
+            members,
         )
         sent_at = self._now()
         wait = self._timing.election_ms * MS
@@ -538,6 +553,7 @@
                 if message.term < self.term:
                     return self._reply_append(False, 0)
                 await self._follow(message.term, message.leader)
+                self._fed = message.members or self._fed
                 if not self._matches(message):
                     return self._reply_append(False, self._hint(message))
                 await self._store(message.entries)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -0,0 +1,216 @@
+"""What instances tell each other of loads, outcomes and placements.
+
+Each instance publishes a Notice of its own. In a small fleet all read it; in
+a large one the relays of `relays` do, which publish Digests.
+"""
+
+import collections
+
+from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import digests
+from camphorhook_daemon.domain.routing import relays
+
+QUIET_SECONDS = 0.4  # longest time between two notices or digests
+INTERVAL_SECONDS = 0.01  # shortest time between two
+NOTICE_SECONDS = 0.003  # more for each instance that a reader reads
+DIGEST_SECONDS = 0.008  # more for each reader: 1 kB each, 1 Mbit/s in all
+GROUP, WHOLE = "group", "whole"  # whose sum a digest is
+MOST_PLACEMENTS = 256  # carried by one digest: 8 kB
+_ALL = "all"  # source of the load that a relay told of the whole fleet
+
+
+class _Pending:
+    """Placements and outcomes for the next digest."""
+
+    def __init__(self):
+        self.placements = collections.OrderedDict()
+        self.good = collections.Counter()
+        self.bad = collections.Counter()
+
+    def add(self, placements, outcomes):
+        """Take up what was told, an outcome as (upstream, good, bad)."""
+        for placement in placements:
+            self.placements[placement] = None
+        while len(self.placements) > MOST_PLACEMENTS:
+            self.placements.popitem(last=False)
+        for upstream, good, bad in outcomes:
+            self.good[upstream] += good
+            self.bad[upstream] += bad
+
+
+class Dissemination:
+    """Makes and takes in the messages of one instance.
+
+    Attributes:
+        plan: the relays.Plan that holds now.
+    """
+
+    def __init__(self, name, loads, homes, outcomes, now):
+        """Create it without other instances.
+
+        Args:
+            name: the own name.
+            loads: the loads.FleetLoads.
+            homes: the homes.HomeBook.
+            outcomes: the outcomes.Outcomes.
+            now: returns seconds.
+        """
+        self._name = name
+        self._loads = loads
+        self._homes = homes
+        self._outcomes = outcomes
+        self._now = now
+        self._watch = relays.RelayWatch()
+        self._told_outcomes = {}
+        self._pending = {}
+        self._instances = {}
+        self.plan = relays.plan(name, {})
+
+    def follow(self, instances):
+        """Plan anew for the instances, failure domain by name."""
+        if instances == self._instances:
+            return
+        self._instances = dict(instances)
+        new = relays.plan(self._name, instances)
+        if new == self.plan:
+            return
+        self.plan = new
+        sources = {*new.members, *new.relays}
+        if not new.is_relay:
+            sources.add(_ALL)
+            self._pending = {}
+        elif not self._pending:
+            self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
+        for ranked in new.relays.values():
+            self._watch.expect(ranked, self._now())
+        self._loads.retain(sources)
+        self._told_outcomes = {}
+
+    def measure_notice_seconds(self):
+        """Return the shortest time between two notices."""
+        return INTERVAL_SECONDS + NOTICE_SECONDS * (self.plan.size - 1)
+
+    def measure_digest_seconds(self):
+        """Return the shortest time between two digests."""
+        plan = self.plan
+        readers = len(plan.members) + len(plan.list_peer_relays(self._name))
+        return INTERVAL_SECONDS + DIGEST_SECONDS * readers
+
+    # --- notices ---------------------------------------------------------
+
+    def make_notice(self):
+        """Return the Notice of what changed here since the last one."""
+        placements = self._homes.take_untold()
+        outcomes = self._outcomes.take_untold()
+        for pending in self._pending.values():
+            pending.add(placements, outcomes)
+        if self.plan.group and not self.plan.is_relay:
+            for upstream, good, bad in outcomes:
+                known = self._told_outcomes.get(upstream, (0, 0))
+                self._told_outcomes[upstream] = known[0] + good, known[1] + bad
+        own = self._loads.list_own()
+        told = [wire.UpstreamLoad(name, *load) for name, load in own.items()]
+        self._loads.note_told()
+        return wire.Notice(self._name, told, placements, outcomes)
+
+    def adopt_notice(self, notice):
+        """Take in a Notice of an instance that is followed."""
+        if notice.sender not in self.plan.members:
+            return
+        loads = {name: tuple(load) for name, *load in notice.loads}
+        self._loads.adopt(notice.sender, loads)
+        self._homes.adopt(notice.placements, self._now())
+        self._outcomes.adopt(notice.outcomes)
+        for pending in self._pending.values():
+            pending.add(notice.placements, notice.outcomes)
+
+    # --- digests ---------------------------------------------------------
+
+    def make_digests(self):
+        """Return the Digests that this relay owes; none while not first.
+
+        A relay that another one comes before publishes nothing, but keeps
+        its sums ready.
+        """
+        plan = self.plan
+        if not plan.is_relay or not self._pending:
+            return []
+        ranked = plan.relays[plan.group]
+        before = ranked[: ranked.index(self._name)]
+        if self._watch.find_current(before, self._now()):
+            # What is pending here has been told by the other relay.
+            self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
+            return []
+        sums = {
+            GROUP: self._loads.sum_sources(plan.members),
+            WHOLE: self._loads.sum_sources(),
+        }
+        made = [
+            self._make_digest(scope, *sums[scope], self._pending[scope])
+            for scope in (GROUP, WHOLE)
+        ]
+        self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
+        return made
+
+    def _make_digest(self, scope, instances, loads, pending):
+        names = {*loads, *pending.good, *pending.bad}
+        sums = {
+            name: digests.Sum(
+                *loads.get(name, (0, 0)), pending.good[name], pending.bad[name]
+            )
+            for name in names
+        }
+        return wire.Digest(
+            self._name,
+            self.plan.group,
+            scope,
+            instances,
+            digests.pack(sums),
+            list(pending.placements),
+        )
+
+    def adopt_digest(self, digest, upstreams):
+        """Take in a Digest, unless a relay before its sender is heard.
+
+        Args:
+            digest: the wire.Digest.
+            upstreams: names of the upstreams that are known here.
+
+        Raises:
+            struct.error: its sums can't be read.
+        """
+        now = self._now()
+        self._watch.note(digest.sender, now)
+        ranked = self.plan.relays.get(digest.group, ())
+        if self._watch.find_current(ranked, now) != digest.sender:
+            return
+        is_own = digest.group == self.plan.group
+        if is_own == (digest.scope == GROUP):
+            return
+        sums = digests.unpack(digest.sums, upstreams)
+        outcomes = [
+            wire.UpstreamOutcomes(name, one.good, one.bad)
+            for name, one in sums.items()
+            if one.good or one.bad
+        ]
+        if is_own:
+            outcomes = self._leave_out_told(outcomes)
+            loads = self._loads.subtract_told(sums)
+            self._loads.adopt(_ALL, loads, digest.instances - 1)
+        else:
+            loads = {name: one[:2] for name, one in sums.items()}
+            self._loads.adopt(digest.group, loads, digest.instances)
+        self._homes.adopt(digest.placements, now)
+        self._outcomes.adopt(outcomes)
+        if self.plan.is_relay:
+            self._pending[WHOLE].add(digest.placements, outcomes)
+
+    def _leave_out_told(self, outcomes):
+        """Return outcomes without own ones that have come back."""
+        rest = []
+        for upstream, good, bad in outcomes:
+            own_good, own_bad = self._told_outcomes.pop(upstream, (0, 0))
+            others = max(0, good - own_good), max(0, bad - own_bad)
+            if any(others):
+                rest.append(wire.UpstreamOutcomes(upstream, *others))
+        return rest
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -16,6 +16,7 @@
 MOST_PARTS = 4096  # bounds memory to under 2 MB
 MOST_HOLDERS = 3  # engines remembered for one part
 HOLD_SECONDS = 40.0  # a part that nobody used for so long has often yielded
+RETELL_SECONDS = 8.0  # a fifth of it; a use is told again once so long ago
 LEAST_TOKENS = 64  # shorter parts are read again faster than told about
 MOST_UNTOLD = 256  # placements carried by one notice
 MOST_LISTED = 1024  # placements told to an instance that starts: 40 kB
@@ -23,18 +24,18 @@
 LEARN_RETRY_SECONDS = 0.2
 
 
-async def learn(name, book, list_instances, transport):
+async def learn(name, book, map_instances, transport):
     """Take over the placements that another instance knows, once.
 
     Args:
         name: the own name.
         book: the own HomeBook.
-        list_instances: returns the names of instances.
+        map_instances: returns failure domains by name of instances.
         transport: a Transport.
     """
     asked = set()
     while True:
-        names = [one for one in list_instances() if one not in asked]
+        names = [one for one in map_instances() if one not in asked]
         for other in names:
             if other == name:
                 continue
@@ -57,6 +58,14 @@
         await trio.sleep(LEARN_RETRY_SECONDS)
 
 
+class _Use:
+    """When an upstream was last known to use a part, and told to do so."""
+
+    def __init__(self):
+        self.used_at = float("-inf")
+        self.told_at = float("-inf")
+
+
 class HomeBook:
     """Placements of shared parts, own ones and those that others told."""
 
@@ -68,13 +77,16 @@
         """Take note of an own placement, to be told to others."""
         if tokens < LEAST_TOKENS:
             return
-        self._put(part, upstream, now)
-        self._untold.append(wire.Placement(part, upstream))
+        use = self._put(part, upstream, now)
+        if now - use.told_at >= RETELL_SECONDS:
+            use.told_at = now
+            self._untold.append(wire.Placement(part, upstream))
 
     def adopt(self, placements, now):
         """Take in placements that others told."""
         for placement in placements:
-            self._put(placement.part, placement.upstream, now)
+            use = self._put(placement.part, placement.upstream, now)
+            use.told_at = now
 
     def take_untold(self):
         """Return the own placements that were not told yet."""
@@ -85,18 +97,20 @@
     def _put(self, part, upstream, now):
         holders = self._holders.setdefault(part, {})
         self._holders.move_to_end(part)
-        holders[upstream] = now
+        use = holders.setdefault(upstream, _Use())
+        use.used_at = now
         if len(holders) > MOST_HOLDERS:
-            del holders[min(holders, key=holders.get)]
+            del holders[min(holders, key=lambda one: holders[one].used_at)]
         while len(self._holders) > MOST_PARTS:
             self._holders.popitem(last=False)
+        return use
 
     def list_recent(self):
         """Return the newest placements, the oldest of them first."""
         found = [
-            (at, wire.Placement(part, name))
+            (use.used_at, wire.Placement(part, name))
             for part, holders in self._holders.items()
-            for name, at in holders.items()
+            for name, use in holders.items()
         ]
         found.sort(key=lambda entry: entry[0])
         return [placement for _, placement in found[-MOST_LISTED:]]
@@ -105,5 +119,7 @@
         """Return the upstreams that used a part of late."""
         holders = self._holders.get(part, {})
         return [
-            name for name, at in holders.items() if now - at < HOLD_SECONDS
+            name
+            for name, use in holders.items()
+            if now - use.used_at < HOLD_SECONDS
         ]
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/loads.py
@@ -7,12 +7,7 @@
 
 import collections
 
-from camphorhook_common import wire
-
 FRESH_SECONDS = 1.2  # three notices; an older one says too little
-QUIET_SECONDS = 0.4  # longest time between two notices
-INTERVAL_SECONDS = 0.01  # shortest time between two notices
-INTERVAL_INSTANCE_SECONDS = 0.003  # more per instance: bounds what one reads
 
 
 class _Own:
@@ -23,8 +18,20 @@
         self.unread_tokens = 0
 
 
+class _Told:
+    """What one source told, of one instance or of several together."""
+
+    def __init__(self, at, instances, loads):
+        self.at = at
+        self.instances = instances
+        self.loads = loads
+
+
 class FleetLoads:
-    """Own requests in flight and those that other instances told of."""
+    """Own requests in flight and those that other instances told of.
+
+    A load is a pair of requests and of prompt tokens yet to be read.
+    """
 
     def __init__(self, name, now):
         """Create a record without requests.
@@ -36,8 +43,10 @@
         self._name = name
         self._now = now
         self._own = collections.defaultdict(_Own)
-        self._others = {}
-        self._totals = {}
+        self._own_told = {}
+        self._told = {}
+        self._requests = collections.Counter()
+        self._unread = collections.Counter()
 
     def begin(self, upstream, unread_tokens):
         """Count a request that is being sent."""
@@ -61,37 +70,94 @@
         own = self._own.get(upstream)
         return own.in_flight if own else 0
 
-    def make_notice(self, placements, outcomes):
-        """Return the Notice that tells others of the own requests."""
-        loads = [
-            wire.UpstreamLoad(name, own.in_flight, own.unread_tokens)
+    def list_own(self):
+        """Return own loads by upstream."""
+        return {
+            name: (own.in_flight, own.unread_tokens)
             for name, own in self._own.items()
-        ]
-        return wire.Notice(self._name, loads, placements, outcomes)
+        }
+
+    def note_told(self):
+        """Take note that the own loads are being told to others."""
+        self._own_told = self.list_own()
+
+    def subtract_told(self, loads):
+        """Return told loads without the own part that they contain.
+
+        That part is as old as the last notice, not as it is now.
+        """
+        rest = {}
+        for name, (in_flight, unread, *_) in loads.items():
+            own_in_flight, own_unread = self._own_told.get(name, (0, 0))
+            rest[name] = (
+                max(0, in_flight - own_in_flight),
+                max(0, unread - own_unread),
+            )
+        return rest
+
+    def adopt(self, source, loads, instances=1):
+        """Take in loads in the place of what the source told before.
 
-    def adopt(self, notice):
-        """Take in another instance's Notice."""
-        if notice.sender == self._name:
+        Args:
+            source: names who told.
+            loads: load by upstream.
+            instances: how many instances' loads these are.
+        """
+        if source == self._name:
             return
-        loads = {one.upstream: one for one in notice.loads}
-        self._others[notice.sender] = (self._now(), loads)
+        self._drop(source)
+        self._told[source] = _Told(self._now(), instances, loads)
+        for name, (in_flight, unread) in loads.items():
+            self._requests[name] += in_flight
+            self._unread[name] += unread
+
+    def _drop(self, source):
+        told = self._told.pop(source, None)
+        if told is None:
+            return
+        for name, (in_flight, unread) in told.loads.items():
+            self._requests[name] -= in_flight
+            self._unread[name] -= unread
+            if not self._requests[name] and not self._unread[name]:
+                del self._requests[name], self._unread[name]
+
+    def retain(self, sources):
+        """Forget what any other source told."""
+        for source in [one for one in self._told if one not in sources]:
+            self._drop(source)
 
     def count_heard(self):
-        """Return how many other instances told of their load just now."""
+        """Return how many other instances' loads are known just now."""
         now = self._now()
-        for sender, (told_at, _) in list(self._others.items()):
-            if now - told_at > FRESH_SECONDS:
-                del self._others[sender]
-        return len(self._others)
+        for source, told in list(self._told.items()):
+            if now - told.at > FRESH_SECONDS:
+                self._drop(source)
+        return sum(told.instances for told in self._told.values())
 
     def sum_load(self, upstream):
         """Return (requests, unread tokens) of all instances heard."""
         own = self._own.get(upstream)
-        in_flight = own.in_flight if own else 0
-        unread = own.unread_tokens if own else 0
-        for _, loads in self._others.values():
-            told = loads.get(upstream)
-            if told is not None:
-                in_flight += told.in_flight
-                unread += told.unread_tokens
+        in_flight = self._requests[upstream]
+        unread = self._unread[upstream]
+        if own is not None:
+            in_flight += own.in_flight
+            unread += own.unread_tokens
         return in_flight, unread
+
+    def sum_sources(self, sources=None):
+        """Return (instances, load by upstream) of sources and oneself.
+
+        Args:
+            sources: their names; None for all that are heard.
+        """
+        instances = 1 + self.count_heard() if sources is None else 1
+        loads = self.list_own()
+        for source, told in self._told.items():
+            if sources is not None:
+                if source not in sources:
+                    continue
+                instances += told.instances
+            for name, (in_flight, unread) in told.loads.items():
+                known = loads.get(name, (0, 0))
+                loads[name] = known[0] + in_flight, known[1] + unread
+        return instances, loads
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/outcomes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/outcomes.py
@@ -71,12 +71,17 @@
         tally.good += good
         tally.bad += bad
 
-    def find_share(self, upstream):
-        """Return the share of failures; 0 where they are too few."""
+    def count(self, upstream):
+        """Return (good, bad) outcomes of an upstream, faded."""
         tally = self._tallies.get(upstream)
         if tally is None:
-            return 0.0
+            return 0.0, 0.0
         tally.fade(self._now())
-        if tally.bad < LEAST_FAILURES:
+        return tally.good, tally.bad
+
+    def find_share(self, upstream):
+        """Return the share of failures; 0 where they are too few."""
+        good, bad = self.count(upstream)
+        if bad < LEAST_FAILURES:
             return 0.0
-        return tally.bad / (tally.good + tally.bad + PRIOR_GOOD)
+        return bad / (good + bad + PRIOR_GOOD)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -26,6 +26,7 @@
 SETTLE_SECONDS = 4.0  # a replica has heard every upstream so long after start
 WATCH_MS = 800  # a fraction of the time after which a watcher has left
 RETRY_SECONDS = 0.25
+GATHER_SECONDS = 0.0005  # for each watcher: the time it takes to answer them
 
 
 def is_newer(one, other):
@@ -80,6 +81,8 @@
         self._removed = {}
         self._position = 1
         self._watchers = {}
+        self._watchers_seen = {}
+        self._watchers_version = 0
         self.changed = trio.Event()
 
     def hear(self, registration):
@@ -166,11 +169,13 @@
 
     async def answer(self, request):
         """Answer WatchUpstreams, waiting for a change up to its wait_ms."""
-        self._watchers[request.sender] = self._now()
+        self._note_watcher(request.sender, request.failure_domain)
         if request.epoch == self._epoch:
             with trio.move_on_after(request.wait_ms * MS):
                 while self._position <= request.after:
                     await self.changed.wait()
+                # Changes often come together; one reply carries them all.
+                await trio.sleep(GATHER_SECONDS * len(self._watchers))
         whole = request.epoch != self._epoch
         after = -1 if whole else request.after
         now = self._now()
@@ -184,6 +189,8 @@
             for name, position in self._removed.items()
             if position > after and not whole
         ]
+        self._drop_watchers(now)
+        is_known = request.watchers_after == self._watchers_version
         return wire.UpstreamsReply(
             self._epoch,
             self._position,
@@ -191,14 +198,22 @@
             changed,
             removed,
             int((now - self._began_at) / MS),
-            self._list_watchers(now),
+            None if is_known and not whole else self._watchers,
+            self._watchers_version,
         )
 
-    def _list_watchers(self, now):
-        for name, seen_at in list(self._watchers.items()):
+    def _note_watcher(self, name, failure_domain):
+        self._watchers_seen[name] = self._now()
+        if name not in self._watchers:
+            self._watchers[name] = failure_domain
+            self._watchers_version += 1
+
+    def _drop_watchers(self, now):
+        for name, seen_at in list(self._watchers_seen.items()):
             if now - seen_at > RECENT_SECONDS:
+                del self._watchers_seen[name]
                 del self._watchers[name]
-        return sorted(self._watchers)
+                self._watchers_version += 1
 
 
 def _age(held, now):
@@ -217,7 +232,8 @@
         self.registrations = {}
         self.answered_at = float("-inf")
         self.is_settled = False
-        self.watchers = []
+        self.watchers = {}
+        self.watchers_version = -1
 
 
 class Roll:
@@ -237,9 +253,14 @@
         self.changed = trio.Event()
 
     def get_view(self, replica):
-        """Return (epoch, position) that a replica's changes follow."""
+        """Return what is known of a replica's view.
+
+        Returns:
+            (epoch, position, version of the watchers) that its changes
+            follow.
+        """
         view = self._views.setdefault(replica, _View())
-        return view.epoch, view.position
+        return view.epoch, view.position, view.watchers_version
 
     def adopt(self, replica, reply):
         """Take in a replica's UpstreamsReply."""
@@ -252,7 +273,9 @@
         is_settled = reply.age_ms * MS > SETTLE_SECONDS
         has_settled = is_settled and not view.is_settled
         view.is_settled = is_settled
-        view.watchers = reply.watchers
+        if reply.watchers is not None:
+            view.watchers = reply.watchers
+            view.watchers_version = reply.watchers_version
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._note_cold(registration)
@@ -303,14 +326,18 @@
             for view in self._views.values()
         )
 
-    def list_instances(self):
-        """Return the names of instances that watch a replica in touch."""
+    def map_instances(self):
+        """Return instances that watch a replica in touch.
+
+        Returns:
+            Failure domain by name.
+        """
         now = self._now()
-        names = set()
+        found = {}
         for view in self._views.values():
             if now - view.answered_at < RECENT_SECONDS:
-                names.update(view.watchers)
-        return sorted(names)
+                found.update(view.watchers)
+        return found
 
     def count_instances(self):
         """Return how many instances share the upstreams; 1 at the least."""
@@ -326,19 +353,19 @@
         ]
 
 
-async def follow_replica(name, replica, roll, transport):
+async def follow_replica(place, replica, roll, transport):
     """Keep a Roll up to date with one replica until cancelled.
 
     Args:
-        name: the own name.
+        place: (name, failure domain) of this instance.
         replica: the replica to watch.
         roll: the Roll.
         transport: a Transport.
     """
     in_touch = None
     while True:
-        epoch, position = roll.get_view(replica)
-        request = wire.WatchUpstreams(name, epoch, position, WATCH_MS)
+        view = roll.get_view(replica)
+        request = wire.WatchUpstreams(*place, *view, WATCH_MS)
         try:
             reply = await transport.call(replica, request, 2 * WATCH_MS * MS)
         except errors.UnreachableError as error:
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -9,6 +9,7 @@
 from camphorhook_daemon.domain.routing import table
 
 MS = 0.001
+COMPRESSION = 6  # 9 takes five times as long for 7 % less
 SAFE, UNSAFE, STREAMING = "safe", "unsafe", "streaming"
 
 
@@ -181,7 +182,7 @@
 
 def pack(body):
     """Return a document as it is kept: compressed, as text."""
-    return base64.b85encode(zlib.compress(body, 9)).decode("ascii")
+    return base64.b85encode(zlib.compress(body, COMPRESSION)).decode("ascii")
 
 
 def unpack(text):
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -2,12 +2,14 @@
 
 import random
 import signal
+import struct
 
 import trio
 
 from camphorhook_common import clock as clocks
 from camphorhook_common import logs
 from camphorhook_common import timeline
+from camphorhook_common import wire
 from camphorhook_daemon.adapters import answering
 from camphorhook_daemon.adapters import channels
 from camphorhook_daemon.adapters import counts
@@ -19,6 +21,7 @@
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import loads
@@ -159,6 +162,13 @@
         self.homes = homes.HomeBook()
         self.loads = loads.FleetLoads(settings.name, trio.current_time)
         self.outcomes = outcomes.Outcomes(trio.current_time)
+        self.dissemination = dissemination.Dissemination(
+            settings.name,
+            self.loads,
+            self.homes,
+            self.outcomes,
+            trio.current_time,
+        )
         self.notices = notices.NoticeExchange(
             settings.name,
             settings.notices_listener,
@@ -213,11 +223,20 @@
     def _is_ready(self):
         return not self.is_stopping and self.rules.is_current()
 
-    def adopt_notice(self, notice):
-        """Take in what another instance told."""
-        self.loads.adopt(notice)
-        self.homes.adopt(notice.placements, trio.current_time())
-        self.outcomes.adopt(notice.outcomes)
+    def adopt_message(self, message):
+        """Take in what another instance published."""
+        if isinstance(message, wire.Notice):
+            self.dissemination.adopt_notice(message)
+            return
+        try:
+            self.dissemination.adopt_digest(message, self.roll.registrations)
+        except struct.error as error:
+            logs.log(
+                "warning",
+                f"digest dropped: {error}",
+                step="adopt digest",
+                peer=message.sender,
+            )
 
     def count_active(self):
         """Return requests in flight."""
@@ -284,13 +303,14 @@
         nursery.start_soon(parts.rules.follow)
         nursery.start_soon(_follow_replicas, parts, nursery)
         parts.notices.open()
-        nursery.start_soon(parts.notices.receive, parts.adopt_notice)
+        nursery.start_soon(parts.notices.receive, parts.adopt_message)
         nursery.start_soon(_publish_notices, parts)
+        nursery.start_soon(_publish_digests, parts)
         nursery.start_soon(
             homes.learn,
             parts.settings.name,
             parts.homes,
-            parts.roll.list_instances,
+            parts.roll.map_instances,
             parts.transport,
         )
         nursery.start_soon(_sweep, parts.pool.close_idle)
@@ -318,7 +338,7 @@
                 followed.add(name)
                 nursery.start_soon(
                     registry.follow_replica,
-                    parts.settings.name,
+                    (parts.settings.name, parts.settings.failure_domain),
                     name,
                     parts.roll,
                     parts.transport,
@@ -329,20 +349,36 @@
 async def _publish_notices(parts):
     """Tell other instances of the own load, at once but not too often."""
     forwarder = parts.forwarder
+    told = parts.dissemination
     while True:
-        with trio.move_on_after(loads.QUIET_SECONDS):
+        with trio.move_on_after(dissemination.QUIET_SECONDS):
             await forwarder.changed.wait()
         forwarder.changed = trio.Event()
-        names = parts.roll.list_instances()
-        parts.notices.follow(names)
-        notice = parts.loads.make_notice(
-            parts.homes.take_untold(), parts.outcomes.take_untold()
-        )
-        parts.notices.publish(notice)
-        await trio.sleep(
-            loads.INTERVAL_SECONDS
-            + loads.INTERVAL_INSTANCE_SECONDS * len(names)
-        )
+        told.follow(parts.roll.map_instances())
+        _subscribe(parts.notices, parts.settings.name, told.plan)
+        parts.notices.publish(notices.NOTICE, told.make_notice())
+        await trio.sleep(told.measure_notice_seconds())
+
+
+def _subscribe(exchange, name, plan):
+    exchange.follow(notices.NOTICE, plan.members)
+    exchange.follow(notices.GROUP_DIGEST, plan.list_peer_relays(name))
+    exchange.follow(notices.WHOLE_DIGEST, plan.list_tellers())
+
+
+async def _publish_digests(parts):
+    """Tell sums of what is heard, while this instance is a relay."""
+    told = parts.dissemination
+    while True:
+        await trio.sleep(told.measure_digest_seconds())
+        if not told.plan.is_relay:
+            await trio.sleep(dissemination.QUIET_SECONDS)
+            continue
+        for digest in told.make_digests():
+            topic = notices.GROUP_DIGEST
+            if digest.scope == dissemination.WHOLE:
+                topic = notices.WHOLE_DIGEST
+            parts.notices.publish(topic, digest)
 
 
 async def _stop(parts):
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -14,3 +14,11 @@
   Scenario: A follower answers reads of what was just acknowledged
     When 20 changes are acknowledged by a calm group
     Then every replica applied each of them before the next heartbeat
+
+  Scenario: Instances hear of replicas that don't vote
+    When a replica r4 that only learns is introduced to the leader
+    Then every replica tells instances of r4
+
+  Scenario: Watchers spread over all replicas, not only the seeds
+    When 64 instances choose one of 8 replicas
+    Then no replica has more than 2 times its share of them
--- /dev/null
+++ b/tests/features/steps/dissemination.py
@@ -0,0 +1,212 @@
+"""Steps of what instances tell each other, on a clock of the test."""
+
+import collections
+import heapq
+import itertools
+
+import behave
+
+from camphorhook_daemon.domain.routing import digests
+from camphorhook_daemon.domain.routing import dissemination
+from camphorhook_daemon.domain.routing import homes
+from camphorhook_daemon.domain.routing import loads
+from camphorhook_daemon.domain.routing import outcomes
+
+TRAVEL_SECONDS = 0.002
+PART_TOKENS = 2000
+
+
+class Instance:
+    """One instance's records and what it read."""
+
+    def __init__(self, name, now):
+        self.name = name
+        self.loads = loads.FleetLoads(name, now)
+        self.homes = homes.HomeBook()
+        self.outcomes = outcomes.Outcomes(now)
+        self.told = dissemination.Dissemination(
+            name, self.loads, self.homes, self.outcomes, now
+        )
+        self.reads = collections.Counter()
+        self.is_lost = False
+
+
+class Fleet:
+    """Instances that publish to each other after a delay."""
+
+    def __init__(self, count, domains):
+        self.time = 100.0
+        self.domains = {
+            f"10.{n % domains}.0.{n}": f"zone-{n % domains}"
+            for n in range(count)
+        }
+        self.instances = {
+            name: Instance(name, self.read_time) for name in self.domains
+        }
+        self.engines = [f"engine-{n}" for n in range(20)]
+        self.sent = collections.Counter()
+        self._events = []
+        self._order = itertools.count()
+        for index, instance in enumerate(self.instances.values()):
+            instance.told.follow(self.domains)
+            start = self.time + 0.001 * (index % 100)
+            self._plan(start, self._publish_notice, instance)
+            self._plan(start, self._publish_digests, instance)
+
+    def read_time(self):
+        """Return the test's time in seconds."""
+        return self.time
+
+    def _plan(self, at, action, *arguments):
+        heapq.heappush(
+            self._events, (at, next(self._order), action, arguments)
+        )
+
+    def run(self, seconds):
+        """Let instances publish and read for a while."""
+        until = self.time + seconds
+        while self._events and self._events[0][0] <= until:
+            self.time, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        self.time = until
+
+    def _deliver(self, reader, action, message):
+        if not reader.is_lost:
+            reader.reads[int(self.time)] += 1
+            action(message)
+
+    def _publish_notice(self, instance):
+        if instance.is_lost:
+            return
+        notice = instance.told.make_notice()
+        for reader in self.instances.values():
+            if instance.name in reader.told.plan.members:
+                self._plan(
+                    self.time + TRAVEL_SECONDS,
+                    self._deliver,
+                    reader,
+                    reader.told.adopt_notice,
+                    notice,
+                )
+        wait = instance.told.measure_notice_seconds()
+        self._plan(self.time + wait, self._publish_notice, instance)
+
+    def _publish_digests(self, instance):
+        if instance.is_lost or not instance.told.plan.is_relay:
+            return
+        for digest in instance.told.make_digests():
+            for reader in self.instances.values():
+                plan = reader.told.plan
+                sources = plan.list_tellers()
+                if digest.scope == dissemination.GROUP:
+                    sources = plan.list_peer_relays(reader.name)
+                if instance.name in sources:
+                    self._plan(
+                        self.time + TRAVEL_SECONDS,
+                        self._deliver,
+                        reader,
+                        self._make_adopter(reader),
+                        digest,
+                    )
+        wait = instance.told.measure_digest_seconds()
+        self._plan(self.time + wait, self._publish_digests, instance)
+
+    def _make_adopter(self, reader):
+        return lambda digest: reader.told.adopt_digest(digest, self.engines)
+
+    def list_alive(self):
+        """Return the instances that were not lost."""
+        return [one for one in self.instances.values() if not one.is_lost]
+
+
+@behave.given("{count:d} entry instances in {domains:d} failure domains")
+def make_fleet(context, count, domains):
+    context.told_fleet = Fleet(count, domains)
+
+
+@behave.when("each of them sends {count:d} requests to one of 20 engines")
+def send_requests(context, count):
+    fleet = context.told_fleet
+    for index, instance in enumerate(fleet.instances.values()):
+        engine = fleet.engines[index % len(fleet.engines)]
+        for _ in range(count):
+            instance.loads.begin(engine, 2 * digests.UNREAD_STEP)
+            fleet.sent[engine] += 1
+        part = f"part-{engine}"
+        instance.homes.note(part, PART_TOKENS, engine, fleet.time)
+
+
+@behave.when("all requests end")
+def end_requests(context):
+    fleet = context.told_fleet
+    for instance in fleet.instances.values():
+        for engine, (count, unread) in instance.loads.list_own().items():
+            instance.loads.note_read(engine, unread)
+            for _ in range(count):
+                instance.loads.end(engine)
+    fleet.sent.clear()
+
+
+@behave.when("the instances tell each other for {seconds:d} seconds")
+def run_fleet(context, seconds):
+    context.told_fleet.run(seconds)
+
+
+@behave.when("the {which} relays of all groups are lost without a word")
+def lose_relays(context, which):
+    fleet = context.told_fleet
+    plan = next(iter(fleet.instances.values())).told.plan
+    position = ("first", "second").index(which)
+    for ranked in plan.relays.values():
+        lost = fleet.instances[ranked[position]]
+        lost.is_lost = True
+        for engine, (count, _) in lost.loads.list_own().items():
+            fleet.sent[engine] -= count
+
+
+@behave.when(
+    "every instance saw {good:d} good and {bad:d} bad outcome of an engine"
+)
+def note_outcomes(context, good, bad):
+    for instance in context.told_fleet.instances.values():
+        for _ in range(good):
+            instance.outcomes.note("engine-0", True)
+        for _ in range(bad):
+            instance.outcomes.note("engine-0", False)
+
+
+@behave.then("each of them knows the whole load on every engine")
+def check_loads(context):
+    fleet = context.told_fleet
+    for instance in fleet.list_alive():
+        heard = instance.loads.count_heard()
+        assert heard == len(fleet.list_alive()) - 1, (instance.name, heard)
+        for engine in fleet.engines:
+            in_flight, unread = instance.loads.sum_load(engine)
+            assert in_flight == fleet.sent[engine], (instance.name, engine)
+            assert unread == in_flight * 2 * digests.UNREAD_STEP
+
+
+@behave.then("each of them knows where the shared parts are")
+def check_parts(context):
+    fleet = context.told_fleet
+    for instance in fleet.instances.values():
+        for engine in fleet.sent:
+            holders = instance.homes.find(f"part-{engine}", fleet.time)
+            assert holders == [engine], (instance.name, engine, holders)
+
+
+@behave.then("no instance read more than {count:d} messages in a second")
+def check_reads(context, count):
+    for instance in context.told_fleet.instances.values():
+        most = max(instance.reads.values(), default=0)
+        assert most <= count, (instance.name, most)
+
+
+@behave.then("each of them counts {good:d} good and {bad:d} bad outcomes once")
+def check_outcomes(context, good, bad):
+    for instance in context.told_fleet.list_alive():
+        counted = instance.outcomes.count("engine-0")
+        # Each has faded since a moment of its own in the last second.
+        for whole, found in zip((good, bad), counted, strict=True):
+            assert 0.75 * whole < found <= whole, (instance.name, counted)
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -1,7 +1,11 @@
 """Steps of the log's safety under random faults."""
 
+import collections
+import types
+
 import behave
 
+from camphorhook_daemon.domain import configuration as configurations
 from tests.harness import replicas
 
 
@@ -33,3 +37,39 @@
 @behave.then("every replica applied each of them before the next heartbeat")
 def check_following(context):
     assert max(context.waits) < replicas.TIMING.heartbeat_ms / 1000 / 2
+
+
+@behave.when("a replica {name} that only learns is introduced to the leader")
+def introduce_learner(context, name):
+    context.listed = replicas.run_repeatably(
+        1, replicas.introduce_learner, name
+    )
+
+
+@behave.then("every replica tells instances of {name}")
+def check_listed(context, name):
+    for listed in context.listed:
+        assert name in listed, context.listed
+
+
+@behave.when("{instances:d} instances choose one of {count:d} replicas")
+def choose_replicas(context, instances, count):
+    names = [f"10.0.0.{number}" for number in range(count)]
+    configuration = types.SimpleNamespace(replicas=names)
+    context.watched = collections.Counter()
+    for number in range(instances):
+        settings = types.SimpleNamespace(
+            name=f"10.1.0.{number}",
+            peers=(),
+            failure_domain="zone-a",
+            list_replicas=lambda: names[:3],
+        )
+        watcher = configurations.Watcher(settings, configuration, None, None)
+        context.watched[watcher.choose_replica(0.0)] += 1
+
+
+@behave.then("no replica has more than {share:g} times its share of them")
+def check_watched(context, share):
+    total = sum(context.watched.values())
+    most = max(context.watched.values())
+    assert most <= share * total / 8, context.watched
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -45,8 +45,8 @@
         self.registry.drop_lost()
 
         async def watch():
-            epoch, position = self.roll.get_view("replica")
-            request = wire.WatchUpstreams("entry", epoch, position, 0)
+            view = self.roll.get_view("replica")
+            request = wire.WatchUpstreams("entry", "zone-a", *view, 0)
             reply = await self.registry.answer(request)
             self.roll.adopt("replica", reply)
 
--- a/tests/features/steps/secured.py
+++ b/tests/features/steps/secured.py
@@ -152,6 +152,12 @@
         / seconds
         for name in after
     }
+    for name, counts in after.items():
+        kinds = {
+            kind: (count - before[name].get(kind, 0)) / seconds
+            for kind, count in counts.items()
+        }
+        print(f"control bytes a second of {name}: {kinds}")
 
 
 @behave.then("no instance spent more than {limit:d} bytes a second on control")
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -322,6 +322,22 @@
     return waits
 
 
+async def introduce_learner(name):
+    """Return what each replica lists once the leader feeds another one."""
+    group = Group(1)
+    group.calm = True
+    async with trio.open_nursery() as nursery:
+        for one in NAMES:
+            await group.start(one, nursery)
+        await trio.sleep(CALM_SECONDS)
+        for one in group.running.values():
+            one.introduce(name, f"{name}#0")
+        await trio.sleep(2 * TIMING.heartbeat_ms / 1000)
+        listed = [one.list_members() for one in group.running.values()]
+        nursery.cancel_scope.cancel()
+    return listed
+
+
 async def _run_inline(function, *arguments):
     """Run what would go to a thread at once, for a repeatable order."""
     await trio.lowlevel.checkpoint()
