Watch upstreams for 1.5 s at a time; a first soak of the real programs

Watches of eight replicas by 64 instances were a third of an idle instance's work; the wait for a change doubles, and the reply's own time is a constant by itself.

The soak (tests/soak) starts the programs behind a loopback proxy, brings seeded faults about and checks what callers, servers and the operator saw. Broken builds show that each checker finds what it is for.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -24,7 +24,8 @@
 RECENT_SECONDS = 5.0  # a watcher that was not heard for so long has left
 MISSED_BEATS = 3.4  # heartbeats missed until an upstream counts as lost
 SETTLE_SECONDS = 4.0  # a replica has heard every upstream so long after start
-WATCH_MS = 800  # a fraction of the time after which a watcher has left
+WATCH_MS = 1500  # a fraction of the time after which a watcher has left
+REPLY_SECONDS = 0.8  # for a reply that is due; above a packet sent again
 RETRY_SECONDS = 0.25
 GATHER_SECONDS = 0.0005  # for each watcher: the time it takes to answer them
 
@@ -365,9 +366,10 @@
     in_touch = None
     while True:
         view = roll.get_view(replica)
+        wait = WATCH_MS * MS + REPLY_SECONDS
         request = wire.WatchUpstreams(*place, *view, WATCH_MS)
         try:
-            reply = await transport.call(replica, request, 2 * WATCH_MS * MS)
+            reply = await transport.call(replica, request, wait)
         except errors.UnreachableError as error:
             if in_touch is not False:
                 logs.log(
--- a/tests/harness/platforms.py
+++ b/tests/harness/platforms.py
@@ -67,12 +67,13 @@
         base = {"replica": 10, "entry": 30, "server": 50}[kind]
         return f"{self._net}.{base + int(number)}"
 
-    def start(self, name, first=True):
+    def start(self, name, first=True, program=None):
         """Start replica-N or entry-N.
 
         Args:
             name: its name.
             first: the whole system starts for the first time.
+            program: arguments that run the daemon; None for the installed.
         """
         kind, _, number = name.rpartition("-")
         address = self.find_address(name)
@@ -100,15 +101,15 @@
         }
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
-        os.environ["CAMPHORHOOK_BOOT"] = str(path)
         self.running[name] = processes.Process(
             name,
-            processes.run_program("camphorhookd", "--platform"),
+            program or processes.run_program("camphorhookd", "--platform"),
             self.folder / f"{name}.log",
+            {"CAMPHORHOOK_BOOT": str(path)},
         )
 
-    def start_server(self, name, service, domain="zone-a"):
-        """Start a server of a service."""
+    def start_server(self, name, service, domain="zone-a", *options):
+        """Start a server of a service, with more options of its own."""
         controls = [f"{seed}:{CONTROL_PORT}" for seed in self.seeds]
         self.running[name] = processes.Process(
             name,
@@ -120,6 +121,7 @@
                 f"--address={self.find_address(name)}:{SERVER_PORT}",
                 f"--control={','.join(controls)}",
                 f"--effects={self.effects}",
+                *options,
             ),
             self.folder / f"{name}.log",
         )
@@ -183,6 +185,13 @@
 
     def list_effects(self):
         """Return what the servers ran, as dictionaries."""
+        return [one for one in self._read_effects() if "request" in one]
+
+    def list_departures(self):
+        """Return when servers' leaving was acknowledged, by server."""
+        return [one for one in self._read_effects() if "left" in one]
+
+    def _read_effects(self):
         lines = self.effects.read_text().splitlines()
         with contextlib.suppress(ValueError):
             return [json.loads(line) for line in lines]
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -14,13 +14,14 @@
 class Process:
     """One process whose output goes to a file."""
 
-    def __init__(self, name, arguments, log_path):
+    def __init__(self, name, arguments, log_path, variables=None):
         """Start a process.
 
         Args:
             name: name for messages.
             arguments: program and arguments.
             log_path: file that its output is appended to.
+            variables: more environment variables.
         """
         self.name = name
         self.log_path = pathlib.Path(log_path)
@@ -30,6 +31,7 @@
             stdout=self._log,
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
+            env={**os.environ, **(variables or {})},
             start_new_session=True,
         )
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the real programs; see docs/soak.md."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,172 @@
+"""Soaks the real programs under seeded faults.
+
+Usage:
+    soak [--first=N] [--seeds=N] [--jobs=N] [--seconds=S] [--break=NAME]
+         [--folder=PATH]
+    soak --schedule=FILE [--shorten] [--break=NAME] [--folder=PATH]
+    soak --regressions [--jobs=N] [--folder=PATH]
+
+Options:
+    --first=N        First seed; a number drawn by lot without it.
+    --seeds=N        How many seeds [default: 1].
+    --jobs=N         Runs at the same time [default: 2].
+    --seconds=S      Length of a schedule [default: 20].
+    --schedule=FILE  Play the faults of a file.
+    --shorten        Look for a shorter schedule that still fails.
+    --regressions    Play each schedule of tests/soak/regressions.
+    --break=NAME     Use a broken build; see tests/soak/broken.py.
+    --folder=PATH    For logs and schedules [default: run/soak].
+
+A run that broke a promise leaves its folder: schedule, logs, and what was
+found. The exit code is 1 if any did.
+"""
+
+import collections
+import concurrent.futures
+import json
+import pathlib
+import queue
+import random
+import shutil
+import sys
+import time
+
+import docopt
+
+from tests.harness import processes
+from tests.soak import checkers
+from tests.soak import histories
+from tests.soak import injector as injectors
+from tests.soak import load as loads
+from tests.soak import schedules
+from tests.soak import world as worlds
+
+FIRST_SLOT = 40  # above the slots of tests
+REGRESSIONS = pathlib.Path("tests/soak/regressions")
+RECOVER_PATIENCE_SECONDS = 20.0  # to tell late from never
+
+
+def play(faults, folder, slot, seed, program=None):
+    """Play faults; return the History.
+
+    Args:
+        faults: schedules.Faults.
+        folder: for settings, data and logs; emptied first.
+        slot: number that keeps addresses of runs apart.
+        seed: of callers' choices.
+        program: arguments that run the daemon; None for the installed.
+    """
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    schedules.save(faults, folder / "schedule.jsonl")
+    world = worlds.World(folder, slot, seed, program)
+    injector = injectors.Injector(world)
+    load = loads.Load(world, seed, injector.find_version)
+    try:
+        world.start()
+        load.start()
+        try:
+            injector.play(faults)
+            recovered = world.wait_recovered(RECOVER_PATIENCE_SECONDS)
+            reading = histories.Reading(
+                recovered,
+                tuple(world.read_version(one) for one in schedules.REPLICAS),
+            )
+        finally:
+            load.stop()
+    finally:
+        world.close()
+    return histories.History(
+        load.answers,
+        injector.orders,
+        injector.periods,
+        world.platform.list_effects(),
+        world.platform.list_departures(),
+        reading,
+    )
+
+
+def run(faults, folder, slot, seed, program=None):
+    """Play faults and check; return (found, counts)."""
+    try:
+        history = play(faults, folder, slot, seed, program)
+    except TimeoutError as error:
+        found = {"start": [str(error)]}
+        return found, collections.Counter(start=1)
+    found = checkers.check(history)
+    counts = collections.Counter(fault.kind for fault in faults)
+    counts["answers"] = len(history.answers)
+    counts["served"] = sum(one.status == 200 for one in history.answers)
+    counts["acknowledged"] = sum(
+        one.acked_at is not None for one in history.orders
+    )
+    if found:
+        (folder / "found.json").write_text(json.dumps(found, indent=1))
+    else:
+        shutil.rmtree(folder)
+    return found, counts
+
+
+def _list_work(arguments):
+    """Return (name, seed, faults) of each run."""
+    if arguments["--schedule"]:
+        paths = [pathlib.Path(arguments["--schedule"])]
+    elif arguments["--regressions"]:
+        paths = sorted(REGRESSIONS.glob("*.jsonl"))
+    else:
+        first = arguments["--first"]
+        first = random.randrange(10**6) if first is None else int(first)
+        seconds = float(arguments["--seconds"])
+        seeds = range(first, first + int(arguments["--seeds"]))
+        return [(str(n), n, schedules.draw(n, seconds)) for n in seeds]
+    return [(path.stem, 0, schedules.load(path)) for path in paths]
+
+
+def main():
+    """Run what the command line asks for."""
+    arguments = docopt.docopt(__doc__)
+    program = None
+    if arguments["--break"]:
+        program = processes.run_module(
+            "tests.soak.broken", arguments["--break"], "--platform"
+        )
+    work = _list_work(arguments)
+    jobs = int(arguments["--jobs"])
+    slots = queue.Queue()
+    for number in range(jobs):
+        slots.put(FIRST_SLOT + number)
+    top = pathlib.Path(arguments["--folder"])
+    began = time.monotonic()
+
+    def run_one(name, seed, faults):
+        slot = slots.get()
+        try:
+            return name, *run(faults, top / name, slot, seed, program)
+        finally:
+            slots.put(slot)
+
+    totals, broken = collections.Counter(), {}
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        futures = [pool.submit(run_one, *one) for one in work]
+        for future in concurrent.futures.as_completed(futures):
+            name, found, counts = future.result()
+            totals += counts
+            if found:
+                broken[name] = found
+            print(f"{name}: {json.dumps(found) if found else 'kept'}")
+            sys.stdout.flush()
+    if arguments["--shorten"] and broken:
+        name, seed, faults = work[0]
+        shorter = schedules.shorten(
+            faults, lambda one: run_one(name, seed, one)[1]
+        )
+        schedules.save(shorter, top / f"{name}.short.jsonl")
+        print(f"shortened to {len(shorter)} of {len(faults)} faults")
+    minutes = (time.monotonic() - began) / 60
+    print(f"{len(work)} runs, {minutes:.1f} minutes, {len(broken)} broken")
+    print(json.dumps(totals))
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/breaks.py
@@ -0,0 +1,86 @@
+"""Plays broken builds against faults that must show what they break.
+
+Usage:
+    breaks [--jobs=N]
+"""
+
+import concurrent.futures
+import pathlib
+import queue
+import sys
+
+import docopt
+
+from tests.harness import processes
+from tests.soak import __main__ as soak
+from tests.soak import broken
+from tests.soak import schedules
+
+_Fault = schedules.Fault
+_SERVER_KILLS = [
+    _Fault(1.0 + 0.7 * n, "kill", schedules.SERVERS[n % 3], 0.3)
+    for n in range(12)
+]
+_DOCUMENTS = [_Fault(1.0 + 4.0 * n, "document", "", 0.0) for n in range(3)]
+# What finds each broken build, and the faults that show it.
+CASES = {
+    "send again": ("check_once", _SERVER_KILLS),
+    "refuse what ran": ("check_refusals", _SERVER_KILLS),
+    "cut answers": ("check_own", _DOCUMENTS),
+    "take up late": ("check_documents", _DOCUMENTS),
+    "keep keys": ("check_keys", _DOCUMENTS),
+    "use leaving": (
+        "check_departures",
+        [_Fault(1.0, "terminate", "server-1", 0.5)],
+    ),
+    "use leaving domains": (
+        "check_evacuations",
+        [_Fault(1.0, "evacuate", "zone-a", 9.0)],
+    ),
+    "crowd cold": (
+        "check_cold",
+        [_Fault(1.0 + n, "kill", f"server-{n}", 0.2) for n in (1, 2, 3)],
+    ),
+    "write nothing": (
+        "check_recovery",
+        [*_DOCUMENTS, _Fault(10.0, "kill all", "", 0.5)],
+    ),
+}
+
+
+def _play(case, slot):
+    checker, faults = CASES[case]
+    name = case if case in broken.BREAKS else case.rpartition(" ")[0]
+    program = processes.run_module("tests.soak.broken", name, "--platform")
+    folder = pathlib.Path("run/soak") / f"broken-{case.replace(' ', '-')}"
+    found, _ = soak.run(faults, folder, slot, 1, program)
+    return checker in found, found
+
+
+def main():
+    """Play all cases; the exit code is 1 when one was not found."""
+    jobs = int(docopt.docopt(__doc__)["--jobs"] or 2)
+    slots = queue.Queue()
+    for number in range(jobs):
+        slots.put(soak.FIRST_SLOT + number)
+
+    def play(case):
+        slot = slots.get()
+        try:
+            return case, *_play(case, slot)
+        finally:
+            slots.put(slot)
+
+    missed = 0
+    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
+        for case, is_found, found in pool.map(play, CASES):
+            missed += not is_found
+            checker = CASES[case][0]
+            print(f"{case}: {checker} {'finds it' if is_found else 'MISSED'}")
+            if not is_found:
+                print(found)
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/soak/load.py
@@ -0,0 +1,112 @@
+"""Callers that keep connections open, and record what they get."""
+
+import contextlib
+import http.client
+import random
+import threading
+import time
+
+from tests.soak import histories
+from tests.soak import schedules
+
+CALLERS = 12
+PAUSE_SECONDS = 0.02
+DEADLINE_SECONDS = 4.0
+KEEP_SHARE = 0.8  # of requests that use an open connection again
+TARGETS = ("safe", "safe", "unsafe", "unsafe", "tokens", "version")
+
+
+class Load:
+    """Callers in threads of their own."""
+
+    def __init__(self, world, seed, find_version):
+        """Create it; `start` begins.
+
+        Args:
+            world: the worlds.World.
+            seed: of the callers' choices.
+            find_version: returns the newest version that was sent.
+        """
+        self.answers = []
+        self._world = world
+        self._seed = seed
+        self._find_version = find_version
+        self._ended = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._call, args=(number,))
+            for number in range(CALLERS)
+        ]
+
+    def start(self):
+        """Start all callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Let callers finish what they began, and wait for them."""
+        self._ended.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _call(self, number):
+        chance = random.Random(f"{self._seed}/{number}")
+        connections = {}
+        count = 0
+        while not self._ended.is_set():
+            count += 1
+            entry = chance.choice(schedules.ENTRIES)
+            connection = connections.pop(entry, None)
+            if connection is None or chance.random() > KEEP_SHARE:
+                connection = http.client.HTTPConnection(
+                    *self._world.find_proxied(entry), timeout=DEADLINE_SECONDS
+                )
+            request = f"{self._seed}-{number}-{count}"
+            answer, is_open = self._send(chance, connection, entry, request)
+            self.answers.append(answer)
+            if is_open:
+                connections[entry] = connection
+            else:
+                connection.close()
+            time.sleep(PAUSE_SECONDS)
+
+    def _send(self, chance, connection, entry, request):
+        """Return (Answer, the connection may be used again)."""
+        kind = chance.choice(TARGETS)
+        version = self._find_version()
+        key = "key-1" if chance.random() < 0.7 else f"key-v{version}"
+        target = f"/{kind}/{request}"
+        if kind == "tokens":
+            target = f"/tokens/stream/{request}"
+        elif kind == "version":
+            target, key = f"/v{version}/{request}", ""
+        elif chance.random() < 0.1:
+            target += "/slow"
+        headers = {
+            "Host": "h.example",
+            "X-Request-Id": request,
+            "X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
+        }
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        sent_at = time.time()
+        status, body, is_whole, is_open = 0, b"", False, False
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("POST", target, b"body", headers)
+            reply = connection.getresponse()
+            status = reply.status
+            with contextlib.suppress(http.client.IncompleteRead):
+                body = reply.read()
+                is_whole = True
+            is_open = is_whole and not reply.will_close
+        answer = histories.Answer(
+            request,
+            entry,
+            target,
+            key,
+            sent_at,
+            time.time(),
+            status,
+            body.decode(errors="replace"),
+            is_whole,
+        )
+        return answer, is_open
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,201 @@
+"""The programs under test, their proxy, and what can be done to them."""
+
+import contextlib
+import json
+import os
+import resource
+import signal
+import socket
+import time
+
+from tests.harness import platforms
+from tests.harness import processes
+from tests.soak import schedules
+
+PROXY_PORT_SHIFT = 100  # between an address and the proxy's before it
+SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
+COLD_SECONDS = 2.0
+DELAY_MS = 150
+TORN_BYTES = 11  # less than a record's head
+DISK_LIMIT_BYTES = 1  # nothing can be added to any file
+START_SECONDS = 20.0
+
+
+def make_document(version):
+    """Return a document with a route and a key of its own version."""
+    document = json.loads(
+        platforms.make_document(version, ("key-1", f"key-v{version}"))
+    )
+    route = dict(document["Routes"][0])
+    route.update(Name=f"v{version}", PathPrefix=f"/v{version}/", Public=True)
+    document["Routes"].append(route)
+    for service in document["Services"]:
+        service["ColdPerS"] = 10.0
+    return json.dumps(document).encode()
+
+
+class World:
+    """Processes on loopback addresses, behind a proxy for clients and servers.
+
+    Attributes:
+        platform: the platforms.Platform.
+    """
+
+    def __init__(self, folder, slot, seed, program=None):
+        """Create it; nothing runs until `start`.
+
+        Args:
+            folder: for settings, data and logs.
+            slot: number that keeps addresses of runs apart.
+            seed: of the proxy's chance.
+            program: arguments that run the daemon; None for the installed.
+        """
+        self.platform = platforms.Platform(folder, slot)
+        self._program = program
+        self._seed = seed
+        self._control_port = 24000 + slot
+        self._places = {
+            **{name: platforms.FRONT_PORT for name in schedules.ENTRIES},
+            **{name: platforms.SERVER_PORT for name in schedules.SERVERS},
+        }
+
+    def find_proxied(self, name):
+        """Return (host, port) of the proxy before an instance or server."""
+        port = self._places[name] + PROXY_PORT_SHIFT
+        return self.platform.find_address(name), port
+
+    def start(self):
+        """Start everything and wait until requests are served."""
+        self._start_proxy()
+        for name in (*schedules.REPLICAS, *schedules.ENTRIES):
+            self.platform.start(name, program=self._program)
+        for name in schedules.SERVERS:
+            self.start_server(name)
+        processes.wait_until(
+            lambda: self.order("PUT", "/-/config", make_document(1)),
+            START_SECONDS,
+            "first document",
+        )
+        for name in schedules.ENTRIES:
+            processes.wait_until(
+                lambda one=name: self.is_serving(one), START_SECONDS, name
+            )
+
+    def _start_proxy(self):
+        links = {
+            name: [
+                ":".join(map(str, self.find_proxied(name))),
+                f"{self.platform.find_address(name)}:{port}",
+            ]
+            for name, port in self._places.items()
+        }
+        path = self.platform.folder / "links.json"
+        path.write_text(json.dumps(links))
+        self.platform.running["proxy"] = processes.Process(
+            "proxy",
+            processes.run_module(
+                "tests.standins.proxy",
+                f"--control={self._control_port}",
+                f"--links={path}",
+                f"--seed={self._seed}",
+            ),
+            self.platform.folder / "proxy.log",
+        )
+
+    def start_server(self, name, cold_seconds=0.0):
+        """Start a server behind the proxy."""
+        number = schedules.SERVERS.index(name)
+        host, port = self.find_proxied(name)
+        self.platform.start_server(
+            name,
+            SERVICES[number],
+            schedules.DOMAINS[number % 3],
+            f"--advertise={host}:{port}",
+            f"--cold={cold_seconds}",
+        )
+
+    def is_serving(self, entry):
+        """Tell whether an instance serves each kind of request."""
+        return all(
+            self.platform.request(entry, target, "key-1").status == 200
+            for target in ("/safe/a", "/unsafe/a")
+        )
+
+    def order(self, method, path, body=None):
+        """Send an order to the replicas; tell if it was acknowledged."""
+        return self.platform.order(method, path, body).status == 200
+
+    def read_version(self, replica):
+        """Return the version that a replica reads back; 0 without one."""
+        number = schedules.REPLICAS.index(replica) + 1
+        answer = self.platform.order("GET", "/-/config", replicas=(number,))
+        with contextlib.suppress(ValueError, KeyError):
+            return json.loads(answer.body)["Version"]
+        return 0
+
+    def set_link(self, name, fault):
+        """Put a fault in force on the proxy before a process."""
+        order = {"links": [name], "fault": fault, "delay_ms": DELAY_MS}
+        place = ("127.0.0.1", self._control_port)
+        with socket.create_connection(place, 5.0) as connection:
+            connection.sendall(json.dumps(order).encode() + b"\n")
+            connection.recv(16)
+
+    def end(self, name, number):
+        """Send a signal to a process and wait until it is gone."""
+        process = self.platform.running.pop(name)
+        if number == signal.SIGKILL:
+            process.kill()
+        else:
+            process.stop()
+
+    def restart(self, name, cold_seconds=COLD_SECONDS):
+        """Start a process again that has ended."""
+        if name in schedules.SERVERS:
+            self.start_server(name, cold_seconds)
+        else:
+            self.platform.start(name, first=False, program=self._program)
+
+    def send(self, name, number):
+        """Send a signal to a process."""
+        self.platform.running[name].send(number)
+
+    def limit_files(self, name, is_limited):
+        """Let a process's writes fail, as on a full disk, or work again."""
+        limit = DISK_LIMIT_BYTES if is_limited else resource.RLIM_INFINITY
+        process = self.platform.running[name]
+        if process.is_running():
+            resource.prlimit(
+                process.pid,
+                resource.RLIMIT_FSIZE,
+                (limit, resource.RLIM_INFINITY),
+            )
+
+    def tear_journal(self, name):
+        """Add half a record to a stopped replica's newest file."""
+        folder = self.platform.folder / name
+        files = [one for one in folder.rglob("*.log") if one.is_file()]
+        if files:
+            newest = max(files, key=lambda one: one.stat().st_mtime)
+            with open(newest, "ab") as file:
+                file.write(os.urandom(TORN_BYTES))
+
+    def close(self):
+        """End every process that was started here."""
+        for name, process in self.platform.running.items():
+            if name != "proxy":
+                process.send(signal.SIGCONT)
+        self.platform.close()
+
+    def wait_recovered(self, seconds):
+        """Wait until each instance serves; return how long it took."""
+        began = time.monotonic()
+        for name in schedules.ENTRIES:
+            left = seconds - (time.monotonic() - began)
+            try:
+                processes.wait_until(
+                    lambda one=name: self.is_serving(one), max(0.1, left)
+                )
+            except TimeoutError:
+                return None
+        return time.monotonic() - began
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -3,11 +3,15 @@
 Usage:
     platform_server --name=NAME --zone=ZONE --service=SERVICE
                     --address=ADDRESS --control=LIST --effects=FILE
+                    [--advertise=ADDRESS] [--cold=SECONDS]
 
 It registers with the control addresses by turns and appends a line to the
 effects file for each request that it runs. The path decides what a request
 does: `slow` takes a second, `stream` sends ten events over a second, `fail`
-answers 500, `crash` ends the process. SIGTERM has it drain and leave.
+answers 500, `crash` ends the process. SIGTERM has it drain and leave; the
+effects file tells when that was acknowledged. Where it registers another
+address than its own, a proxy stands there. It says that it is cold for
+--cold seconds after its start.
 """
 
 import itertools
@@ -34,6 +38,8 @@
         self.zone = arguments["--zone"]
         self.service = arguments["--service"]
         self.address = arguments["--address"]
+        self.advertised = arguments["--advertise"] or self.address
+        self.cold_until = time.time() + float(arguments["--cold"] or 0)
         self.control = arguments["--control"].split(",")
         self.effects = arguments["--effects"]
         self.state = "ready"
@@ -46,20 +52,25 @@
         for control in itertools.cycle(self.control):
             body = {
                 "Service": self.service,
-                "Address": self.address,
+                "Address": self.advertised,
                 "Zone": self.zone,
                 "Version": "v1",
                 "Slots": 64,
                 "State": self.state,
-                "ColdRemainingMs": 0,
+                "ColdRemainingMs": self._measure_cold_ms(),
                 "Sequence": next(self.sequence),
                 "born": self.born,
             }
             state = self.state
             if await self._call(control, "PUT", body) and state != "ready":
+                if not self.acknowledged.is_set():
+                    self._write({"server": self.name, "left": time.time()})
                 self.acknowledged.set()
             await trio.sleep(BEAT_SECONDS)
 
+    def _measure_cold_ms(self):
+        return int(1000 * max(0.0, self.cold_until - time.time()))
+
     async def _call(self, control, method, body):
         """Call a control address; return whether it answered 200."""
         host, _, port = control.rpartition(":")
@@ -149,9 +160,15 @@
             "key": headers.get("authorization"),
             "target": request.target.decode(),
             "at": time.time(),
+            "born": self.born / 1000,
+            "cold": self._measure_cold_ms() > 0,
+            "zone": self.zone,
         }
+        self._write(effect)
+
+    def _write(self, line):
         with open(self.effects, "a") as effects:
-            effects.write(json.dumps(effect) + "\n")
+            effects.write(json.dumps(line) + "\n")
 
 
 async def run(arguments):
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -3,7 +3,8 @@
 Usage:
     proxy --control=PORT --links=FILE [--seed=N]
 
-The links file holds a JSON object: link name to [listen port, target port].
+The links file holds a JSON object: link name to [listen, target]; each is a
+port of 127.0.0.1, or an address of the loopback net with its port.
 The control port takes one JSON object a line and answers with a line:
     {"links": ["a1>b1", ...], "fault": FAULT, "delay_ms": MS, "drop": SHARE}
 FAULT is one of
@@ -26,13 +27,19 @@
 POLL_SECONDS = 0.02
 
 
+def _read_place(place):
+    """Return (host, port) of a port or an address."""
+    host, _, port = str(place).rpartition(":")
+    return host or "127.0.0.1", int(port)
+
+
 class Link:
-    """One listening port and the fault that is in force on it."""
+    """One listening address and the fault that is in force on it."""
 
-    def __init__(self, name, listen_port, target_port, chance):
+    def __init__(self, name, listen, target, chance):
         self.name = name
-        self._listen_port = listen_port
-        self._target_port = target_port
+        self._listen = _read_place(listen)
+        self._target = _read_place(target)
         self._chance = chance
         self.fault = "none"
         self.delay_seconds = 0.0
@@ -50,16 +57,15 @@
 
     async def run(self):
         """Accept connections until cancelled."""
-        await trio.serve_tcp(
-            self._carry, self._listen_port, host="127.0.0.1", backlog=512
-        )
+        host, port = self._listen
+        await trio.serve_tcp(self._carry, port, host=host, backlog=512)
 
     async def _carry(self, client):
         if self.fault == "cut" or self._chance.random() < self.drop:
             await trio.aclose_forcefully(client)
             return
         try:
-            target = await trio.open_tcp_stream("127.0.0.1", self._target_port)
+            target = await trio.open_tcp_stream(*self._target)
         except OSError:
             await trio.aclose_forcefully(client)
             return
@@ -116,8 +122,8 @@
         ports = json.load(file)
     chance = random.Random(int(arguments["--seed"] or 0))
     links = {
-        name: Link(name, listen_port, target_port, chance)
-        for name, (listen_port, target_port) in ports.items()
+        name: Link(name, listen, target, chance)
+        for name, (listen, target) in ports.items()
     }
     async with trio.open_nursery() as nursery:
         for link in links.values():
