--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -17,6 +17,7 @@
 COLD_RATE, COLD_OVERAGE, COLD_SLACK = 10.0, 1.5, 5
 REFUSALS = (408, 421, 429, 503)  # promise that the request has not run
 EVENTS = 10
+FIRST_VERSION = 1  # in force before a run begins
 
 
 def _count_runs(history):
@@ -75,13 +76,13 @@
 
 
 def _find_acked(history, before):
-    """Return the highest version acknowledged before a time; 0 if none."""
+    """Return the highest version acknowledged before a time."""
     versions = [
         one.subject
         for one in _list_documents(history)
         if one.acked_at is not None and one.acked_at < before
     ]
-    return max(versions, default=0)
+    return max(versions, default=FIRST_VERSION)
 
 
 def _find_sent(history, before):
@@ -89,7 +90,7 @@
     versions = [
         one.subject for one in _list_documents(history) if one.sent_at < before
     ]
-    return max(versions, default=0)
+    return max(versions, default=FIRST_VERSION)
 
 
 def check_documents(history):
@@ -270,7 +271,7 @@
     if seconds is None or seconds > RECOVER_SECONDS:
         found.append(f"recovered after {seconds} s")
     acked = _find_acked(history, float("inf"))
-    sent = {one.subject for one in _list_documents(history)}
+    sent = {FIRST_VERSION, *(one.subject for one in _list_documents(history))}
     for version in reading.versions:
         if version < acked or version not in sent:
             found.append(f"a replica reads back {version}, not {acked}")
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -1,5 +1,7 @@
 """Brings a schedule's faults about, each in a thread of its own."""
 
+import collections
+import contextlib
 import functools
 import signal
 import threading
@@ -27,6 +29,9 @@
         self._lock = threading.Lock()
         self._version = 1
         self._out = set()
+        # A process has one fault at a time, also where one takes longer
+        # than its schedule says.
+        self._busy = collections.defaultdict(threading.Lock)
 
     def find_version(self):
         """Return the newest version that was sent."""
@@ -44,13 +49,17 @@
             thread.join()
 
     def _bring(self, fault):
-        begin = time.time()
         bring = _ACTIONS[fault.kind]
-        bring(self, fault)
-        if fault.target not in schedules.DOMAINS and fault.target:
-            self.periods.append(
-                histories.Period(fault.target, fault.kind, begin, time.time())
-            )
+        if fault.target in (*schedules.DOMAINS, ""):
+            bring(self, fault)
+            return
+        with self._busy[fault.target]:
+            begin = time.time()
+            bring(self, fault)
+            end = time.time()
+        self.periods.append(
+            histories.Period(fault.target, fault.kind, begin, end)
+        )
 
     # --- processes -------------------------------------------------------
 
@@ -97,16 +106,18 @@
 
     def end_all(self, _fault):
         """Kill every process of the system at once, and start all again."""
-        begin = time.time()
         names = (*schedules.REPLICAS, *schedules.ENTRIES)
-        for name in names:
-            self._world.send(name, signal.SIGKILL)
-        for name in names:
-            self._world.end(name, signal.SIGKILL)
-            self._world.restart(name)
-        self.periods.append(
-            histories.Period("all", "kill", begin, time.time())
-        )
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                stack.enter_context(self._busy[name])
+            begin = time.time()
+            for name in names:
+                self._world.send(name, signal.SIGKILL)
+            for name in names:
+                self._world.end(name, signal.SIGKILL)
+                self._world.restart(name)
+            end = time.time()
+        self.periods.append(histories.Period("all", "kill", begin, end))
 
     # --- orders ----------------------------------------------------------
 
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -13,6 +13,7 @@
 PAUSE_SECONDS = 0.02
 DEADLINE_SECONDS = 4.0
 KEEP_SHARE = 0.8  # of requests that use an open connection again
+OWN_KEY_SHARE = 0.4  # of requests with the key of one document
 TARGETS = ("safe", "safe", "unsafe", "unsafe", "tokens", "version")
 
 
@@ -73,7 +74,9 @@
         """Return (Answer, the connection may be used again)."""
         kind = chance.choice(TARGETS)
         version = self._find_version()
-        key = "key-1" if chance.random() < 0.7 else f"key-v{version}"
+        key = "key-1"
+        if chance.random() < OWN_KEY_SHARE:
+            key = f"key-v{max(1, version - chance.choice((0, 0, 1, 2)))}"
         target = f"/{kind}/{request}"
         if kind == "tokens":
             target = f"/tokens/stream/{request}"
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,7 @@
 PROXY_PORT_SHIFT = 100  # between an address and the proxy's before it
 SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
 COLD_SECONDS = 2.0
+DRAIN_SECONDS = 3.0  # above the time after which nothing more may come
 DELAY_MS = 150
 TORN_BYTES = 11  # less than a record's head
 DISK_LIMIT_BYTES = 1  # nothing can be added to any file
@@ -112,6 +113,7 @@
             schedules.DOMAINS[number % 3],
             f"--advertise={host}:{port}",
             f"--cold={cold_seconds}",
+            f"--drain={DRAIN_SECONDS}",
         )
 
     def is_serving(self, entry):
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -4,6 +4,7 @@
     platform_server --name=NAME --zone=ZONE --service=SERVICE
                     --address=ADDRESS --control=LIST --effects=FILE
                     [--advertise=ADDRESS] [--cold=SECONDS]
+                    [--drain=SECONDS]
 
 It registers with the control addresses by turns and appends a line to the
 effects file for each request that it runs. The path decides what a request
@@ -11,7 +12,8 @@
 answers 500, `crash` ends the process. SIGTERM has it drain and leave; the
 effects file tells when that was acknowledged. Where it registers another
 address than its own, a proxy stands there. It says that it is cold for
---cold seconds after its start.
+--cold seconds after its start, and serves on for --drain seconds once its
+leaving was acknowledged.
 """
 
 import itertools
@@ -39,6 +41,7 @@
         self.service = arguments["--service"]
         self.address = arguments["--address"]
         self.advertised = arguments["--advertise"] or self.address
+        self.drain = float(arguments["--drain"] or DRAIN_SECONDS)
         self.cold_until = time.time() + float(arguments["--cold"] or 0)
         self.control = arguments["--control"].split(",")
         self.effects = arguments["--effects"]
@@ -187,7 +190,7 @@
                 break
         server.state = "draining"
         await server.acknowledged.wait()
-        await trio.sleep(DRAIN_SECONDS)
+        await trio.sleep(server.drain)
         nursery.cancel_scope.cancel()
 
 
