--- /dev/null
+++ b/tests/features/soak.feature
@@ -0,0 +1,33 @@
+@no_fleet
+Feature: The soak finds broken promises, and the programs keep them
+
+  Scenario: A short seeded run
+    When the soak plays seed 7 for 8 seconds
+    Then every promise was kept
+
+  Scenario Outline: A checker finds what it is for
+    Given a history in which <what>
+    Then <checker> finds it, and nothing in the history without it
+
+    Examples:
+      | what                                      | checker           |
+      | a request that is not idempotent ran twice | check_once        |
+      | an answer belongs to another request      | check_own         |
+      | a stream lacks an event                   | check_own         |
+      | a refused request ran                     | check_refusals    |
+      | an instance serves an old document        | check_documents   |
+      | an instance goes back to an old document  | check_documents   |
+      | a key that was taken away ran             | check_keys        |
+      | a server that left got a request          | check_departures  |
+      | a failure domain that is out got a request | check_evacuations |
+      | a cold server got too much                | check_cold        |
+      | too many requests were sent again         | check_retries     |
+      | a planned stop cut a request              | check_stops       |
+      | an acknowledged document was lost         | check_recovery    |
+      | nothing served again                      | check_recovery    |
+
+  Scenario: A failing schedule is shortened
+    Given the schedule of seed 3
+    When it is shortened while it holds its second and its last fault
+    Then these two faults are left
+    And it reads the same from its file
--- /dev/null
+++ b/tests/features/steps/soak.py
@@ -0,0 +1,206 @@
+"""Steps of the soak: its checkers on made-up histories, and a short run."""
+
+import pathlib
+
+import behave
+
+from tests.soak import __main__ as soak
+from tests.soak import checkers
+from tests.soak import histories
+from tests.soak import schedules
+
+BEGIN = 1000.0
+
+
+def make_answer(request, target, at, **fields):
+    """Return a whole answer of a safe request, with fields replaced."""
+    answer = histories.Answer(
+        request,
+        "entry-1",
+        target,
+        "key-1",
+        at,
+        at + 0.1,
+        200,
+        f"server-1 {target}",
+        True,
+    )
+    return answer._replace(**fields)
+
+
+def make_effect(request, at, **fields):
+    """Return what a server notes of a run, with fields replaced."""
+    effect = {"server": "server-1", "request": request, "at": at}
+    effect |= {"key": None, "cold": False, "born": 0.0, "zone": "zone-a"}
+    return {**effect, **fields}
+
+
+def make_history():
+    """Return a history in which all was kept."""
+    answers = [
+        make_answer("a", "/safe/a", BEGIN + 1),
+        make_answer("b", "/unsafe/b", BEGIN + 2),
+        make_answer("c", "/v2/c", BEGIN + 9),
+    ]
+    return histories.History(
+        answers,
+        [histories.Order("document", 2, BEGIN + 3, BEGIN + 3.1)],
+        [],
+        [make_effect(one.request, one.sent_at) for one in answers],
+        [],
+        histories.Reading(1.0, (2, 2, 2)),
+    )
+
+
+def _add(history, answer, **fields):
+    history.answers.append(answer)
+    if fields is not None:
+        effect = make_effect(answer.request, answer.sent_at + 0.01, **fields)
+        history.effects.append(effect)
+    return history
+
+
+def run_twice(history):
+    history.effects.append(make_effect("b", BEGIN + 2.5))
+    return history
+
+
+def mix_answers(history):
+    return _add(
+        history, make_answer("d", "/safe/d", BEGIN, body="server-1 /safe/x")
+    )
+
+
+def drop_event(history):
+    answer = make_answer("d", "/tokens/stream/d", BEGIN)
+    return _add(history, answer._replace(body="id: 2\ndata: piece 2\n\n"))
+
+
+def refuse_run(history):
+    return _add(history, make_answer("d", "/safe/d", BEGIN, status=503))
+
+
+def serve_old(history):
+    return _add(history, make_answer("d", "/v1/d", BEGIN + 8))
+
+
+def go_back(history):
+    _add(history, make_answer("d", "/v2/d", BEGIN + 3.5))
+    return _add(history, make_answer("e", "/v1/e", BEGIN + 4))
+
+
+def use_old_key(history):
+    return _add(history, make_answer("d", "/safe/d", BEGIN + 9, key="key-v1"))
+
+
+def reach_left(history):
+    history.departures.append({"server": "server-1", "left": BEGIN + 10})
+    return _add(history, make_answer("d", "/safe/d", BEGIN + 13))
+
+
+def reach_out(history):
+    history.orders.append(
+        histories.Order("evacuate", "zone-a", BEGIN + 10, BEGIN + 10)
+    )
+    return _add(history, make_answer("d", "/safe/d", BEGIN + 16))
+
+
+def crowd_cold(history):
+    for number in range(30):
+        answer = make_answer(f"d{number}", "/safe/d", BEGIN + number / 100)
+        _add(history, answer._replace(body="server-1 /safe/d"), cold=True)
+    return history
+
+
+def send_often(history):
+    for number in range(60):
+        history.effects.append(make_effect("a", BEGIN + 2 + number / 100))
+    return history
+
+
+def cut_in_stop(history):
+    history.periods.append(
+        histories.Period("entry-1", "terminate", BEGIN + 20, BEGIN + 21)
+    )
+    return _add(
+        history, make_answer("d", "/safe/d", BEGIN + 20, status=0, body="")
+    )
+
+
+def lose_document(history):
+    return history._replace(reading=histories.Reading(1.0, (2, 1, 2)))
+
+
+def stay_down(history):
+    return history._replace(reading=histories.Reading(None, (2, 2, 2)))
+
+
+BREAKS = {
+    "a request that is not idempotent ran twice": run_twice,
+    "an answer belongs to another request": mix_answers,
+    "a stream lacks an event": drop_event,
+    "a refused request ran": refuse_run,
+    "an instance serves an old document": serve_old,
+    "an instance goes back to an old document": go_back,
+    "a key that was taken away ran": use_old_key,
+    "a server that left got a request": reach_left,
+    "a failure domain that is out got a request": reach_out,
+    "a cold server got too much": crowd_cold,
+    "too many requests were sent again": send_often,
+    "a planned stop cut a request": cut_in_stop,
+    "an acknowledged document was lost": lose_document,
+    "nothing served again": stay_down,
+}
+
+
+@behave.given("a history in which {what}")
+def break_history(context, what):
+    context.history = BREAKS[what](make_history())
+
+
+@behave.then("{checker} finds it, and nothing in the history without it")
+def check_finds(context, checker):
+    assert not checkers.check(make_history())
+    found = checkers.check(context.history)
+    assert list(found) == [checker], found
+
+
+@behave.when("the soak plays seed {seed:d} for {seconds:d} seconds")
+def play_seed(context, seed, seconds):
+    faults = schedules.draw(seed, seconds)
+    folder = pathlib.Path(context.folder) / "soak"
+    slot = soak.FIRST_SLOT + 10 + context.slot
+    context.found, context.counts = soak.run(faults, folder, slot, seed)
+
+
+@behave.then("every promise was kept")
+def check_kept(context):
+    print(dict(context.counts))
+    assert context.counts["served"] > 0, context.counts
+    assert not context.found, context.found
+
+
+@behave.given("the schedule of seed {seed:d}")
+def draw_schedule(context, seed):
+    context.faults = schedules.draw(seed)
+
+
+@behave.when("it is shortened while it holds its second and its last fault")
+def shorten_schedule(context):
+    context.wanted = [context.faults[1], context.faults[-1]]
+    context.shorter = schedules.shorten(
+        context.faults,
+        lambda faults: all(one in faults for one in context.wanted),
+    )
+
+
+@behave.then("these two faults are left")
+def check_shorter(context):
+    assert context.shorter == context.wanted, context.shorter
+
+
+@behave.then("it reads the same from its file")
+def check_file(context):
+    path = pathlib.Path(context.folder) / "schedule.jsonl"
+    schedules.save(context.shorter, path)
+    assert schedules.load(path) == context.shorter
