Explain a request from log files: camphorhook explain

An engineer on call has logs and a request's id. The command merges the files of all processes, shows the request's lines with the beliefs behind them, and names the cause: lost replicas behind an old configuration, the attempts that failed and whether replicas saw the upstream go, the prompt that was read beside a late stream.

--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -3,6 +3,7 @@
 import sys
 
 from camphorhook import csvfiles
+from camphorhook import explanation
 from camphorhook import formatting
 from camphorhook import keys
 from camphorhook_common import checks
@@ -205,6 +206,36 @@
         formatting.echo(timeline.format_event(event))
 
 
+def explain_request(_client, arguments):
+    """Tell a request's story from log files, and why it ended so."""
+    files = [explanation.load(path) for path in arguments["FILE"]]
+    story = explanation.tell(arguments["REQUEST"], files)
+    if arguments["--json"]:
+        told = {
+            "cause": story.cause,
+            "lines": [line._asdict() for line in story.lines],
+            "beliefs": [line._asdict() for line in story.beliefs],
+        }
+        formatting.echo_json(told)
+        return
+    began_at = story.lines[0].at
+    lines = sorted([*story.lines, *story.beliefs], key=lambda one: one.at)
+    rows = [
+        [
+            f"{line.at - began_at:+.3f}",
+            "request" if line in story.lines else "belief",
+            line.instance,
+            line.message,
+            line.peer,
+            " ".join(f"{name}={one}" for name, one in line.inputs.items()),
+        ]
+        for line in lines
+    ]
+    headers = ("seconds", "about", "instance", "message", "peer", "inputs")
+    formatting.echo_rows(headers, rows)
+    formatting.echo(story.cause)
+
+
 def make_keys(_client, arguments):
     """Make CURVE keys for instances."""
     names = arguments["NAMES"]
--- a/packages/client/src/camphorhook/main.py
+++ b/packages/client/src/camphorhook/main.py
@@ -13,6 +13,7 @@
     camphorhook [options] status
     camphorhook [options] upstreams
     camphorhook [options] timeline [FILE...]
+    camphorhook [options] explain REQUEST FILE...
     camphorhook [options] keys FOLDER NAMES...
     camphorhook [options] make-key
     camphorhook (-h | --help)
@@ -61,6 +62,7 @@
     "status": commands.show_status,
     "upstreams": commands.show_upstreams,
     "timeline": commands.show_timeline,
+    "explain": commands.explain_request,
     "keys": commands.make_keys,
     "make-key": commands.make_bearer_key,
 }
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -28,6 +28,7 @@
     And document 20 takes key-2 away
     And 3.2 seconds after its acknowledgement entry-1 goes on
     Then a request with key-2 to entry-1 does not run
+    And explain says of request gone: entry-1 had no confirmation
 
   Scenario: The leader is killed, and orders and requests go on
     When the leading replica is killed
@@ -70,3 +71,4 @@
   Scenario: A request that is not idempotent runs once at most
     When a server crashes in an unsafe request
     Then it is answered 502 and ran once
+    And explain says of request crash: It may have run, so it was not sent again
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import subprocess
 import threading
 import time
 
@@ -390,3 +391,16 @@
         if one["request"] == "crash"
     ]
     assert len(runs) == 1, runs
+
+
+@behave.then("explain says of request {request}: {text}")
+def check_explained(context, request, text):
+    logs = sorted(context.platform.folder.glob("*.log"))
+    done = subprocess.run(
+        processes.run_program("camphorhook", "explain", request, *logs),
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 0, done.stderr
+    assert text in done.stdout.splitlines()[-1], done.stdout
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,6 +10,7 @@
 
 from tests.harness import platforms
 from tests.harness import processes
+from tests.soak import checkers
 from tests.soak import schedules
 
 PROXY_PORT_SHIFT = 100  # between an address and the proxy's before it
@@ -135,6 +136,18 @@
             return json.loads(answer.body)["Version"]
         return 0
 
+    def wait_version(self, replica):
+        """Return the version that a replica reads back once it may.
+
+        One that has just lost its disk answers when it follows the log.
+        """
+        try:
+            return processes.wait_until(
+                lambda: self.read_version(replica), checkers.RECOVER_SECONDS
+            )
+        except TimeoutError:
+            return 0
+
     def set_link(self, name, fault):
         """Put a fault in force on the proxy before a process."""
         order = {"links": [name], "fault": fault, "delay_ms": DELAY_MS}
