--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BIN := .venv/bin
 READY := .venv/ready
 
-.PHONY: demo demo-check test lint format slopes measure lock clean
+.PHONY: demo demo-check test lint format soak soak-breaks slopes measure lock
+.PHONY: clean
 
 $(READY): requirements.lock pyproject.toml packages/*/pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -21,6 +22,16 @@
 test: $(READY)
 	$(BIN)/python -m tools.known_red
 
+# Options as `make soak SEEDS=50 FIRST=1 JOBS=3`; FIRST is drawn without it.
+SEEDS ?= 8
+JOBS ?= 2
+soak: $(READY)
+	$(BIN)/python -m tests.soak --seeds=$(SEEDS) --jobs=$(JOBS) \
+	    $(if $(FIRST),--first=$(FIRST))
+
+soak-breaks: $(READY)
+	$(BIN)/python -m tests.soak.breaks --jobs=$(JOBS)
+
 lint: $(READY)
 	$(BIN)/black --quiet --check --diff packages tests tools
 	$(BIN)/flake8 packages tests tools
