--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -229,18 +229,12 @@
         state: the State.
         index: that the reader knows.
     """
-    shortened = [
-        change for change in changes if change.table != states.DOCUMENTS
-    ]
-    if len(shortened) == len(changes):
+    found = [one for one in changes if one.table == states.DOCUMENTS]
+    if not found:
         return changes
-    newest = changes[-1]
-    for change in changes:
-        if change.table == states.DOCUMENTS:
-            newest = change
-    cells = state.documents.make_cells(index)
-    shortened.append(newest._replace(cells=cells or newest.cells))
-    return shortened
+    cells = state.documents.make_cells(index) or found[-1].cells
+    rest = [one for one in changes if one.table != states.DOCUMENTS]
+    return [*rest, found[-1]._replace(cells=cells)]
 
 
 class Watcher:
