--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -16,6 +16,10 @@
 
 import docopt
 
+from camphorhook_daemon.domain.routing import digests
+from camphorhook_daemon.domain.routing import dissemination
+from camphorhook_daemon.domain.routing import relays
+
 OUTPUT = pathlib.Path("docs/CAPACITY.md")
 MEGABYTE = 1e6
 
@@ -380,6 +384,43 @@
     )
 
 
+def write_notices(page, target):
+    """Add what entry instances on the platform tell each other."""
+    instances = {
+        f"10.{number % target.failure_domains}.0.{number}": (
+            f"zone-{number % target.failure_domains}"
+        )
+        for number in range(target.nodes)
+    }
+    plans = [relays.plan(name, instances) for name in instances]
+    readers = max(
+        len(plan.members) + len(plan.list_peer_relays(name))
+        for name, plan in zip(instances, plans, strict=True)
+    )
+    groups = len(plans[0].relays)
+    wait = dissemination.INTERVAL_SECONDS
+    wait += dissemination.DIGEST_SECONDS * readers
+    full = digests.Sum(1, digests.UNREAD_STEP, 1, 0)
+    sums = {f"server-{number}": full for number in range(target.upstreams)}
+    size = len(digests.pack(sums))
+    page.head("Entry instance on the platform: notices, B/s")
+    page.work(
+        "digests read by a member",
+        f"{target.upstreams} x {size // target.upstreams} B / {wait:.2f} s",
+        size / wait,
+        target.bytes_per_second,
+        "not yet: tell upstreams whose load changed, and those of the own "
+        "region's services",
+    )
+    page.work(
+        "digests sent by a relay",
+        f"{readers} readers x {size:,} B / {wait:.2f} s",
+        readers * size / wait,
+        None,
+        f"the first of two in each of {groups} groups; the same",
+    )
+
+
 def write_bad_day(page, target, assumed):
     """Add what happens on a bad day."""
     snapshot = target.accounts * assumed.row_bytes / MEGABYTE
@@ -456,6 +497,7 @@
         )
     write_entry(page, target, assumed, slopes, results["idle"])
     write_replica(page, target, assumed, slopes, results)
+    write_notices(page, target)
     write_bad_day(page, target, assumed)
     page.say(
         "",
