--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -293,7 +293,11 @@
                 await trio.sleep(RETRY_SECONDS)
             if stale:
                 now = trio.current_time()
-                avoid = max(AVOID_SECONDS, AVOID_RATIO * (now - asked_at))
+                avoid = AVOID_SECONDS
+                # At the start nothing is missed by asking in vain, and the
+                # replica near by may be about to start too.
+                if self._configuration.index >= 0:
+                    avoid = max(avoid, AVOID_RATIO * (now - asked_at))
                 self._avoided_until[replica] = now + avoid
 
     async def _watch_once(self, replica):
