--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -271,7 +271,7 @@
 
 
 class Notice(typing.NamedTuple):
-    """Told by an instance to all others of its kind; needs no answer.
+    """Told by an instance to those that read its load; needs no answer.
 
     Attributes:
         sender: the instance.
--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -1,5 +1,6 @@
 """What a leader knows of the other replicas."""
 
+MEMBERS_SECONDS = 3.0  # until a follower that restarted hears of all again
 GONE_SECONDS = 4.0  # silence after which a waiting replica takes the vote
 
 
@@ -10,6 +11,8 @@
         self.identity = identity
         self.match = 0
         self.acked_at = acked_at
+        self.members = ()
+        self.members_told_at = float("-inf")
 
 
 def _majority_of(values):
@@ -50,6 +53,19 @@
         """Return names of the other replicas."""
         return list(self._progress)
 
+    def list_untold(self, peer, now):
+        """Return names of all replicas, or none when it heard them of late."""
+        members = (self._name, *self._progress)
+        progress = self._progress[peer]
+        is_old = now - progress.members_told_at > MEMBERS_SECONDS
+        return members if is_old or members != progress.members else ()
+
+    def note_told(self, peer, members, at):
+        """Take note that a replica heard the names of all, if any."""
+        if members:
+            self._progress[peer].members = members
+            self._progress[peer].members_told_at = at
+
     def note_reply(self, peer, identity, sent_at):
         """Take note of a reply to a message sent at a time."""
         progress = self._progress[peer]
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -25,7 +25,6 @@
 BATCH_ENTRIES = 512
 SNAPSHOT_PIECE_BYTES = 256 * 1024
 ADMISSION_SECONDS = 1.0
-MEMBERS_SECONDS = 3.0  # until a follower that restarted hears of all again
 MS = 0.001
 
 
@@ -363,22 +362,13 @@
     async def _replicate(self, peer, term):
         """Keep one replica's log equal to the leader's."""
         following = self.last_index + 1
-        told, told_at = (), float("-inf")
         while self.role == "leader" and self.term == term:
             if following <= self._log.base_index:
                 following = await self._send_snapshot(peer, term, following)
                 continue
             grown = self._grown
-            members = (self._name, *self._followers.list_peers())
-            now = self._now()
-            is_due = members != told or now - told_at > MEMBERS_SECONDS
-            news = members if is_due else ()
             try:
-                following = await self._send_entries(
-                    peer, term, following, news
-                )
-                if is_due:
-                    told, told_at = members, now
+                following = await self._send_entries(peer, term, following)
             except errors.UnreachableError:
                 await trio.sleep(self._timing.heartbeat_ms * MS)
                 continue
@@ -386,7 +376,7 @@
                 with trio.move_on_after(self._timing.heartbeat_ms * MS):
                     await grown.wait()
 
-    async def _send_entries(self, peer, term, following, members):
+    async def _send_entries(self, peer, term, following):
         """Send entries from `following`; return the next to send."""
         previous = following - 1
         batch = self._log.read_from(following, BATCH_ENTRIES)
@@ -397,11 +387,12 @@
             self._log.term_at(previous),
             batch,
             self.commit,
-            members,
+            self._followers.list_untold(peer, self._now()),
         )
         sent_at = self._now()
         wait = self._timing.election_ms * MS
         reply = await self._transport.call(peer, message, wait)
+        self._followers.note_told(peer, message.members, sent_at)
         if not await self._check_reply(peer, reply, sent_at):
             return following
         if reply.accepted:
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -199,7 +199,7 @@
             changed,
             removed,
             int((now - self._began_at) / MS),
-            None if is_known and not whole else self._watchers,
+            None if is_known and not whole else dict(self._watchers),
             self._watchers_version,
         )
 
