--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -39,7 +39,12 @@
     ),
     "crowd cold": (
         "check_cold",
-        [_Fault(1.0 + n, "kill", f"server-{n}", 0.2) for n in (1, 2, 3)],
+        # All requests of the service come to the one that is left, cold.
+        [
+            _Fault(1.0, "kill", "server-2", 8.0),
+            _Fault(1.1, "kill", "server-3", 8.0),
+            _Fault(2.0, "kill", "server-1", 0.2),
+        ],
     ),
     "write nothing": (
         "check_recovery",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -32,7 +32,7 @@
     route.update(Name=f"v{version}", PathPrefix=f"/v{version}/", Public=True)
     document["Routes"].append(route)
     for service in document["Services"]:
-        service["ColdPerS"] = 10.0
+        service["ColdPerS"] = checkers.COLD_RATE
     return json.dumps(document).encode()
 
 
