--- a/packages/daemon/src/camphorhook_daemon/domain/routing/outcomes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/outcomes.py
@@ -81,6 +81,10 @@
 
     def find_share(self, upstream):
         """Return the share of failures; 0 where they are too few."""
+        tally = self._tallies.get(upstream)
+        if tally is None or tally.bad < LEAST_FAILURES:
+            # Fading would only make it less; most upstreams end here.
+            return 0.0
         good, bad = self.count(upstream)
         if bad < LEAST_FAILURES:
             return 0.0
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -6,6 +6,8 @@
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice as choices
 
+LEAST_CONNECTIONS = 2  # to an upstream, however many instances share it
+
 
 class Refusal(typing.NamedTuple):
     """Why no upstream may get a request now."""
@@ -126,7 +128,9 @@
         if self._is_cold(name, spec, now):
             if not self._cold.is_open(name, spec.cold_rate, instances, now):
                 return False
-        share = max(2, spec.most_connections // (2 * instances))
-        return self.loads.get_own(name) < max(
-            share, spec.most_connections // instances
-        )
+        return self.loads.get_own(name) < _share_connections(spec, instances)
+
+
+def _share_connections(spec, instances):
+    """Return how many requests one instance may have on an upstream."""
+    return max(LEAST_CONNECTIONS, spec.most_connections // instances)
