One founding checkpoint, one start of pending sums, less done twice

Pending sums start in one place. * A replica packed each whole document only to compare its size with the delta's; it sends the delta wherever it holds an older version. * A condition of the soak's made-up histories was always true.

--- a/packages/daemon/src/camphorhook_daemon/adapters/journal.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/journal.py
@@ -37,6 +37,17 @@
     return name + FIRST_IDENTITY_SUFFIX
 
 
+def make_founding_checkpoint(names, data):
+    """Return the start of a new log.
+
+    Args:
+        names: replicas that are its voters.
+        data: the dump of an empty state.
+    """
+    voters = {name: make_first_identity(name) for name in names}
+    return ports.Checkpoint(0, 0, voters, data)
+
+
 def _frame(body):
     return _HEADER.pack(len(body), zlib.crc32(body)) + body
 
--- a/packages/daemon/src/camphorhook_daemon/composition.py
+++ b/packages/daemon/src/camphorhook_daemon/composition.py
@@ -35,7 +35,6 @@
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.domain import suspects
 from camphorhook_daemon.domain import tempo
-from camphorhook_daemon.ports import journal as journal_port
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 NOTICE_SECONDS = 1.5
@@ -88,10 +87,13 @@
         self.replica = None
         self.watch_server = None
         if settings.is_replica():
+            founding = None
+            if found:
+                founding = journal.make_founding_checkpoint(
+                    settings.list_replicas(), state.State().dump()
+                )
             self.journal = journal.DiskJournal(
-                settings.data_folder,
-                settings.name,
-                _make_founding_checkpoint(settings) if found else None,
+                settings.data_folder, settings.name, founding
             )
             self.replica = replica.Replica(
                 settings,
@@ -222,16 +224,6 @@
     logs.log("info", "instance stopped", step="stop")
 
 
-def _make_founding_checkpoint(settings):
-    """Return the start of a new log, with all replicas as its voters."""
-    voters = {
-        name: journal.make_first_identity(name)
-        for name in settings.list_replicas()
-    }
-    empty = state.State().dump()
-    return journal_port.Checkpoint(0, 0, voters, empty)
-
-
 def _start_parts(parts, nursery):
     nursery.start_soon(parts.transport.run)
     if parts.replica is not None:
--- a/packages/daemon/src/camphorhook_daemon/domain/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/documents.py
@@ -34,11 +34,6 @@
         self._kept.append(Document(index, version, raw))
         self._deltas.clear()
 
-    def start_over(self, index, version, packed):
-        """Forget all but the document of a snapshot."""
-        self._kept.clear()
-        self.add(index, version, deltas.unpack(packed))
-
     def get_last(self):
         """Return the Document in force, or None."""
         return self._kept[-1] if self._kept else None
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -38,6 +38,10 @@
             self.bad[upstream] += bad
 
 
+def _start_pending():
+    return {GROUP: _Pending(), WHOLE: _Pending()}
+
+
 class Dissemination:
     """Makes and takes in the messages of one instance.
 
@@ -67,24 +71,29 @@
         self.plan = relays.plan(name, {})
 
     def follow(self, instances):
-        """Plan anew for the instances, failure domain by name."""
+        """Plan anew; return whether the plan has changed.
+
+        Args:
+            instances: failure domain by name.
+        """
         if instances == self._instances:
-            return
+            return False
         self._instances = dict(instances)
         new = relays.plan(self._name, instances)
         if new == self.plan:
-            return
+            return False
         self.plan = new
         sources = {*new.members, *new.relays}
         if not new.is_relay:
             sources.add(_ALL)
             self._pending = {}
         elif not self._pending:
-            self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
+            self._pending = _start_pending()
         for ranked in new.relays.values():
             self._watch.expect(ranked, self._now())
         self._loads.retain(sources)
         self._told_outcomes = {}
+        return True
 
     def measure_notice_seconds(self):
         """Return the shortest time between two notices."""
@@ -129,28 +138,24 @@
     def make_digests(self):
         """Return the Digests that this relay owes; none while not first.
 
-        A relay that another one comes before publishes nothing, but keeps
-        its sums ready.
+        What is pending is dropped while another relay comes before this
+        one, as that one has told it.
         """
         plan = self.plan
-        if not plan.is_relay or not self._pending:
+        if not plan.is_relay:
             return []
+        pending, self._pending = self._pending, _start_pending()
         ranked = plan.relays[plan.group]
         before = ranked[: ranked.index(self._name)]
         if self._watch.find_current(before, self._now()):
-            # What is pending here has been told by the other relay.
-            self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
             return []
-        sums = {
-            GROUP: self._loads.sum_sources(plan.members),
-            WHOLE: self._loads.sum_sources(),
-        }
-        made = [
-            self._make_digest(scope, *sums[scope], self._pending[scope])
+        sources = {GROUP: plan.members, WHOLE: None}
+        return [
+            self._make_digest(
+                scope, *self._loads.sum_sources(sources[scope]), pending[scope]
+            )
             for scope in (GROUP, WHOLE)
         ]
-        self._pending = {GROUP: _Pending(), WHOLE: _Pending()}
-        return made
 
     def _make_digest(self, scope, instances, loads, pending):
         names = {*loads, *pending.good, *pending.bad}
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -366,10 +366,11 @@
     in_touch = None
     while True:
         view = roll.get_view(replica)
-        wait = WATCH_MS * MS + REPLY_SECONDS
         request = wire.WatchUpstreams(*place, *view, WATCH_MS)
         try:
-            reply = await transport.call(replica, request, wait)
+            reply = await transport.call(
+                replica, request, WATCH_MS * MS + REPLY_SECONDS
+            )
         except errors.UnreachableError as error:
             if in_touch is not False:
                 logs.log(
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -183,10 +183,8 @@
         self.documents = documents.DocumentHistory()
         row = self.tables[DOCUMENTS].get(ROUTING_DOCUMENT)
         if row is not None:
-            cells = row.cells
-            self.documents.start_over(
-                row.version, cells["version"], cells["body"]
-            )
+            raw = deltas.unpack(row.cells["body"])
+            self.documents.add(row.version, row.cells["version"], raw)
         self._expiries = []
         self._changes.clear()
         self._changes_from = whole.index
@@ -234,13 +232,11 @@
 
 @_apply_command.register
 def _(command: commands.ImportDocument, state):
-    stored = state.tables[DOCUMENTS].get(ROUTING_DOCUMENT)
-    if stored is not None and command.version <= stored.cells["version"]:
-        held = stored.cells["version"]
-        return commands.Outcome("kept", state.index, version=held)
+    last = state.documents.get_last()
+    if last is not None and command.version <= last.version:
+        return commands.Outcome("kept", state.index, version=last.version)
     body = command.body
     if command.base:
-        last = state.documents.get_last()
         if last is None or last.version != command.base:
             # Another document came first; its author sends it whole.
             return commands.Outcome("stale", state.index)
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -90,10 +90,9 @@
             self._make_import(table.version, body), SUBMIT_SECONDS
         )
         if outcome.code == "stale":
-            whole = commands.ImportDocument(
-                table.version, deltas.pack(body), time.time()
+            outcome = await self._submitter.submit(
+                _make_whole_import(table.version, body), SUBMIT_SECONDS
             )
-            outcome = await self._submitter.submit(whole, SUBMIT_SECONDS)
         logs.log(
             "info",
             f"document {outcome.code}",
@@ -107,16 +106,14 @@
         return 200, {}
 
     def _make_import(self, version, body):
-        """Return the import of a document, as a delta where that is less."""
-        packed = deltas.pack(body)
+        """Return the import of a document, as a delta if one is held."""
         last = self._replica.state.documents.get_last()
-        if last is not None and last.version < version:
-            delta = deltas.make(last.raw, body)
-            if len(delta) < len(packed):
-                return commands.ImportDocument(
-                    version, delta, time.time(), last.version
-                )
-        return commands.ImportDocument(version, packed, time.time())
+        if last is None or last.version >= version:
+            return _make_whole_import(version, body)
+        delta = deltas.make(last.raw, body)
+        return commands.ImportDocument(
+            version, delta, time.time(), last.version
+        )
 
     async def _get_document(self):
         if not await self._watch_server.wait_until_current():
@@ -151,3 +148,7 @@
             inputs={"index": outcome.index, "code": outcome.code},
         )
         return 200, {}
+
+
+def _make_whole_import(version, body):
+    return commands.ImportDocument(version, deltas.pack(body), time.time())
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -34,7 +34,6 @@
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry
 from camphorhook_daemon.platform import protocol
-from camphorhook_daemon.ports import journal as journal_port
 
 # Found within a lease's time, so that its holder can still reach the rest.
 LINK_TIMING = peers.LinkTiming(700, 2000, 50, 400)
@@ -106,7 +105,9 @@
         now = clocks.read_boottime
         founding = None
         if settings.founds and settings.name in settings.seeds:
-            founding = _make_founding_checkpoint(settings)
+            founding = journal.make_founding_checkpoint(
+                settings.seeds, state.State().dump()
+            )
         self.journal = journal.DiskJournal(
             settings.data_folder, settings.name, founding
         )
@@ -243,13 +244,6 @@
         return sum(listener.active for listener in self.listeners)
 
 
-def _make_founding_checkpoint(settings):
-    voters = {
-        name: journal.make_first_identity(name) for name in settings.seeds
-    }
-    return journal_port.Checkpoint(0, 0, voters, state.State().dump())
-
-
 async def run(settings, began_at):
     """Run an instance until SIGTERM ends it gracefully.
 
@@ -354,8 +348,8 @@
         with trio.move_on_after(dissemination.QUIET_SECONDS):
             await forwarder.changed.wait()
         forwarder.changed = trio.Event()
-        told.follow(parts.roll.map_instances())
-        _subscribe(parts.notices, parts.settings.name, told.plan)
+        if told.follow(parts.roll.map_instances()):
+            _subscribe(parts.notices, parts.settings.name, told.plan)
         parts.notices.publish(notices.NOTICE, told.make_notice())
         await trio.sleep(told.measure_notice_seconds())
 
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -54,9 +54,8 @@
 
 def _add(history, answer, **fields):
     history.answers.append(answer)
-    if fields is not None:
-        effect = make_effect(answer.request, answer.sent_at + 0.01, **fields)
-        history.effects.append(effect)
+    effect = make_effect(answer.request, answer.sent_at + 0.01, **fields)
+    history.effects.append(effect)
     return history
 
 
