--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,7 +25,6 @@
 import concurrent.futures
 import json
 import pathlib
-import queue
 import random
 import shutil
 import sys
@@ -34,6 +33,7 @@
 import docopt
 
 from tests.harness import processes
+from tests.harness import slots
 from tests.soak import checkers
 from tests.soak import histories
 from tests.soak import injector as injectors
@@ -132,19 +132,13 @@
         )
     work = _list_work(arguments)
     jobs = int(arguments["--jobs"])
-    slots = queue.Queue()
-    for number in range(jobs):
-        slots.put(FIRST_SLOT + number)
     top = pathlib.Path(arguments["--folder"])
     began = time.monotonic()
 
-    def run_one(name, seed, faults):
-        slot = slots.get()
-        try:
-            return name, *run(faults, top / name, slot, seed, program)
-        finally:
-            slots.put(slot)
+    def run_one(name, seed, faults, slot):
+        return name, *run(faults, top / name, slot, seed, program)
 
+    run_one = slots.lend(run_one, range(FIRST_SLOT, FIRST_SLOT + jobs))
     totals, broken = collections.Counter(), {}
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
         futures = [pool.submit(run_one, *one) for one in work]
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -6,12 +6,12 @@
 
 import concurrent.futures
 import pathlib
-import queue
 import sys
 
 import docopt
 
 from tests.harness import processes
+from tests.harness import slots
 from tests.soak import __main__ as soak
 from tests.soak import broken
 from tests.soak import schedules
@@ -65,20 +65,12 @@
 def main():
     """Play all cases; the exit code is 1 when one was not found."""
     jobs = int(docopt.docopt(__doc__)["--jobs"] or 2)
-    slots = queue.Queue()
-    for number in range(jobs):
-        slots.put(soak.FIRST_SLOT + number)
-
-    def play(case):
-        slot = slots.get()
-        try:
-            return case, *_play(case, slot)
-        finally:
-            slots.put(slot)
-
+    numbers = range(soak.FIRST_SLOT, soak.FIRST_SLOT + jobs)
+    play = slots.lend(_play, numbers)
     missed = 0
     with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-        for case, is_found, found in pool.map(play, CASES):
+        results = zip(CASES, pool.map(play, CASES), strict=True)
+        for case, (is_found, found) in results:
             missed += not is_found
             checker = CASES[case][0]
             print(f"{case}: {checker} {'finds it' if is_found else 'MISSED'}")
--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -14,12 +14,13 @@
 import json
 import os
 import pathlib
-import queue
 import subprocess
 import sys
 
 import docopt
 
+from tests.harness import slots
+
 FEATURES = pathlib.Path("tests/features")
 LIST_FILE = pathlib.Path("KNOWN-RED.txt")
 LONGEST_SECONDS = 800
@@ -80,18 +81,8 @@
 
 def run_all(paths, workers):
     """Run feature files side by side; return {name: status}."""
-    slots = queue.Queue()
-    for slot in range(workers):
-        slots.put(slot)
+    run_one = slots.lend(run_feature, range(workers))
     statuses = {}
-
-    def run_one(path):
-        slot = slots.get()
-        try:
-            return run_feature(path, slot)
-        finally:
-            slots.put(slot)
-
     with concurrent.futures.ThreadPoolExecutor(workers) as pool:
         for results, output in pool.map(run_one, paths):
             failed = [name for name, status in results if status != "passed"]
