Import a whole document with the operators' client, and a dry run of it

The platform's control port gets an own path for it; the client sends the document as it is. A dry run lists every fault (the reader used to stop at the first) or a sentence for each change against the document in force, confirmed by the leader. A key twice in one account is no fault: only two accounts must not share one.

Found on the way: the client without a key sent an empty bearer header, which its library refuses; it sends none now.

--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -53,15 +53,16 @@
         formatting.echo(f"accepted at index {index}, version {version}")
 
 
-def _read_expected(arguments):
-    text = arguments["--expected"]
+def _read_whole(arguments, option):
+    """Return an option's whole number, or None where it isn't given."""
+    text = arguments[option]
     if text is None:
         return None
     try:
         return int(text)
     except ValueError as error:
         raise errors.CamphorhookError(
-            "give a whole number", step="--expected", peer=text
+            "give a whole number", step=option, peer=text
         ) from error
 
 
@@ -79,7 +80,7 @@
         table,
         row,
         cells,
-        expected=_read_expected(arguments),
+        expected=_read_whole(arguments, "--expected"),
         operation=arguments["--operation"],
         method=method,
     )
@@ -135,6 +136,50 @@
         csvfiles.write(answer, file)
 
 
+def import_document(client, arguments):
+    """Put a whole document in force, or show what that would change."""
+    path = arguments["FILE"][0]
+    try:
+        with open(path, "rb") as file:
+            raw = file.read()
+    except OSError as error:
+        raise errors.CamphorhookError(
+            error.strerror, step="read document", peer=path
+        ) from error
+    answer = client.import_document(
+        raw,
+        version=_read_whole(arguments, "--version"),
+        dry_run=arguments["--dry-run"],
+    )
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+    elif not arguments["--dry-run"]:
+        formatting.echo(f"version {answer['version']} is in force")
+    else:
+        _echo_preview(answer)
+    if answer.get("faults"):
+        sys.exit(errors.EXIT_FAILURE)
+
+
+def _echo_preview(answer):
+    held = answer["held"]
+    for fault in answer["faults"]:
+        formatting.echo(f"wrong: {fault}")
+    if answer["faults"]:
+        return
+    version = answer["version"]
+    if held is not None and version <= held:
+        formatting.echo(f"version {version} isn't above {held}, which is held")
+        return
+    for change in answer["changes"]:
+        formatting.echo(change)
+    before = "no version" if held is None else f"version {held}"
+    formatting.echo(
+        f"{len(answer['changes'])} changes; version {version} would follow "
+        f"{before}"
+    )
+
+
 def _set_domain(client, arguments, state):
     row = arguments["DOMAIN"]
     _change(client, arguments, "failure_domains", row, {"state": state})
--- a/packages/client/src/camphorhook/core.py
+++ b/packages/client/src/camphorhook/core.py
@@ -78,10 +78,11 @@
     def _call_server(self, server, method, path, body):
         content = b"" if body is None else msgspec.json.encode(body)
         headers = {
-            "authorization": f"Bearer {self._key}",
             "content-type": "application/json",
             "content-length": str(len(content)),
         }
+        if self._key:
+            headers["authorization"] = f"Bearer {self._key}"
         timeout = {"connect": CONNECT_SECONDS, "read": READ_SECONDS}
         response = self._pool.request(
             method,
@@ -147,6 +148,36 @@
         _raise_refusal(status, answer, path)
         return answer
 
+    def import_document(self, raw, *, version=None, dry_run=False):
+        """Put a document in force, or ask what that would change.
+
+        Args:
+            raw: the document as bytes.
+            version: to give it; None keeps its own.
+            dry_run: change nothing.
+
+        Returns:
+            The answer as a dict: faults and changes for a dry run, else
+            version and held.
+
+        Raises:
+            errors.ConflictError: a version is held that isn't lower.
+        """
+        query = {} if version is None else {"version": version}
+        if dry_run:
+            query["dry_run"] = 1
+        path = f"/documents?{urllib.parse.urlencode(query)}"
+        status, answer = self._change("POST", path, msgspec.Raw(raw))
+        _raise_refusal(status, answer, path)
+        if not dry_run and answer["outcome"] != "done":
+            raise errors.ConflictError(
+                f"version {answer['held']} is held; give a higher one with "
+                "--version",
+                step="import document",
+                peer=str(answer["version"]),
+            )
+        return answer
+
     def _change(self, method, path, body):
         """Send a change; a lost answer is asked for again, by its id."""
         try:
@@ -166,6 +197,8 @@
     if status < 300:
         return
     fault = answer.get("error") or {}
+    if isinstance(fault, str):
+        fault = {"message": fault}
     message = fault.get("message") or answer.get("detail") or str(answer)
     if status == 503:
         raise errors.UnreachableError(message, step=path)
--- a/packages/client/src/camphorhook/main.py
+++ b/packages/client/src/camphorhook/main.py
@@ -7,6 +7,7 @@
     camphorhook [options] remove TABLE ROW
     camphorhook [options] import TABLE FILE
     camphorhook [options] export TABLE [FILE]
+    camphorhook [options] import-document FILE [--version N] [--dry-run]
     camphorhook [options] take-out DOMAIN
     camphorhook [options] bring-back DOMAIN
     camphorhook [options] drain (upstream | instance) NAME [--undo]
@@ -19,7 +20,8 @@
     camphorhook (-h | --help)
 
 Tables are client_accounts, services, routes, failure_domains, upstreams and
-instances. CELL is COLUMN=VALUE.
+instances. CELL is COLUMN=VALUE. A document holds all routes, services and
+client accounts at once; give a replica's control port as --server.
 
 Options:
     --server LIST     Operators' ports, ADDRESS:PORT with commas between;
@@ -28,6 +30,8 @@
     --expected N      Version that the row must be at; 0: a new row, -1: any.
     --operation ID    Id of the change; sent again with the same id, it gets
                       the first outcome.
+    --version N       Version to give the document in place of its own.
+    --dry-run         Show what is wrong and what would change; change nothing.
     --undo            Take a drain back.
     --word ID         Only events of this request, operation or peer.
     --instance NAME   Only events of this instance.
@@ -37,7 +41,7 @@
     -h --help         Show this text.
 
 Exit codes: 0 done; 1 refused or failed; 2 wrong usage or settings;
-3 the row was at another version; 4 no instance or no quorum answered.
+3 another version is held; 4 no instance or no quorum answered.
 """
 
 import os
@@ -56,6 +60,7 @@
     "remove": commands.remove_row,
     "import": commands.import_table,
     "export": commands.export_table,
+    "import-document": commands.import_document,
     "take-out": commands.take_out,
     "bring-back": commands.bring_back,
     "drain": commands.drain,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
@@ -1,5 +1,6 @@
 """The routing table: what a routing document allows."""
 
+import collections
 import typing
 
 
@@ -132,6 +133,13 @@
         """Return the Account that holds a key, or None."""
         return self._accounts.get(key)
 
+    def list_keys(self):
+        """Return the keys by name of their client account."""
+        keys = collections.defaultdict(set)
+        for key, account in self._accounts.items():
+            keys[account.name].add(key)
+        return dict(keys)
+
 
 def choose_service(route, draw):
     """Return a service by the weights of a route's shares.
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -1,6 +1,7 @@
 """What upstreams and operators ask of a replica."""
 
 import time
+import urllib.parse
 import uuid
 
 import msgspec
@@ -9,6 +10,8 @@
 from camphorhook_common import deltas
 from camphorhook_common import errors
 from camphorhook_common import logs
+from camphorhook_common import numerals
+from camphorhook_daemon.domain.routing import differences
 from camphorhook_daemon.domain import state as states
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import registrations
@@ -16,6 +19,7 @@
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
+IMPORT_TARGET = "/documents"  # the own interface, for the operators' client
 SUBMIT_SECONDS = 2.5  # below the time within which an operator wants word
 RETRY_SECONDS = "0.3"
 OUT, IN = "out", "in"
@@ -42,9 +46,12 @@
 
     async def handle(self, exchange):
         """Answer one request."""
-        path = exchange.target.partition("?")[0]
+        path, _, query = exchange.target.partition("?")
         try:
-            status, body = await self._answer(exchange, path)
+            if path == IMPORT_TARGET:
+                status, body = await self._import(exchange, query)
+            else:
+                status, body = await self._answer(exchange, path)
         except errors.UnreachableError as error:
             logs.log("warning", error.format(), step=exchange.method + path)
             status, body = 503, {"error": error.message}
@@ -84,7 +91,49 @@
             return await self._set_domain(method, domain)
         return 404, {}
 
+    async def _import(self, exchange, query):
+        """Import a document, or tell what an import would change.
+
+        The query may hold a version to give the document, and dry_run.
+        """
+        if exchange.method != "POST":
+            return 405, {"error": "use POST with a document"}
+        options = urllib.parse.parse_qs(query, keep_blank_values=True)
+        body = exchange.body
+        if "version" in options:
+            version = numerals.read_whole(options["version"][0])
+            if version is None:
+                return 400, {"error": "version: give a whole number"}
+            body = documents.set_version(body, version)
+        if "dry_run" in options:
+            return 200, await self._preview(body)
+        version, outcome = await self._submit_document(body)
+        return 200, {
+            "outcome": outcome.code,
+            "version": version,
+            "held": outcome.version,
+        }
+
+    async def _preview(self, body):
+        """Return faults of a document, or else the changes it would make."""
+        faults = documents.list_faults(body)
+        last = await self._read_last()
+        held = documents.read(last.raw) if last else None
+        preview = {"faults": faults, "held": held.version if held else None}
+        if faults:
+            return preview
+        table = documents.read(body)
+        changes = differences.list_changes(held, table)
+        if held is not None and table.version <= held.version:
+            changes = []
+        return {**preview, "version": table.version, "changes": changes}
+
     async def _put_document(self, body):
+        await self._submit_document(body)
+        return 200, {}
+
+    async def _submit_document(self, body):
+        """Commit a document; return its version and the Outcome."""
         table = documents.read(body)
         outcome = await self._submitter.submit(
             self._make_import(table.version, body), SUBMIT_SECONDS
@@ -103,7 +152,7 @@
                 "index": outcome.index,
             },
         )
-        return 200, {}
+        return table.version, outcome
 
     def _make_import(self, version, body):
         """Return the import of a document, as a delta if one is held."""
@@ -115,12 +164,16 @@
             version, delta, time.time(), last.version
         )
 
-    async def _get_document(self):
+    async def _read_last(self):
+        """Return the newest Document, confirmed by the leader, or None."""
         if not await self._watch_server.wait_until_current():
             raise errors.UnreachableError(
                 "no leader confirms the state", step="read document"
             )
-        last = self._replica.state.documents.get_last()
+        return self._replica.state.documents.get_last()
+
+    async def _get_document(self):
+        last = await self._read_last()
         if last is None:
             raise errors.UnreachableError(
                 "there is no document yet", step="read document"
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -79,21 +79,94 @@
         body: the document as sent.
 
     Raises:
-        DocumentError: it is invalid.
+        DocumentError: it is invalid; the message names the first fault.
+    """
+    document = _decode(body)
+    for fault in _find_faults(document):
+        raise _refuse(fault)
+    return _make_table(document)
+
+
+def list_faults(body):
+    """Return a sentence for each fault of a document."""
+    try:
+        return list(_find_faults(_decode(body)))
+    except DocumentError as error:
+        return [error.message]
+
+
+def set_version(body, version):
+    """Return a document with another version.
+
+    Args:
+        body: the document as sent.
+        version: a whole number.
+
+    Raises:
+        DocumentError: the document isn't a JSON object.
     """
     try:
-        document = msgspec.json.decode(body, type=_Document)
+        fields = msgspec.json.decode(body, type=dict)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise _refuse(str(error)) from error
-    services = [_read_service(one) for one in document.services]
-    known = {one.name for one in services}
-    routes = [_read_route(one, known) for one in document.routes]
-    _check_places(routes)
+    return msgspec.json.encode({**fields, "Version": version})
+
+
+def _decode(body):
+    try:
+        return msgspec.json.decode(body, type=_Document)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _refuse(str(error)) from error
+
+
+def _list_shares(route):
+    shares = route.traffic_split or ()
+    if route.service is not None and not shares:
+        return (table.Share(route.service, 1.0),)
+    return tuple(table.Share(one.service, one.weight) for one in shares)
+
+
+def _find_faults(document):
+    """Yield what is wrong with a document that could be decoded."""
+    known = {one.name for one in document.services}
+    places = set()
+    for one in document.routes:
+        for fault in _find_route_faults(one, known):
+            yield f"route {one.name}: {fault}"
+        place = (one.host.lower(), one.path_prefix)
+        if place in places:
+            yield f"route {one.name}: host and prefix stand twice"
+        places.add(place)
+    keys = set()
+    for tenant in document.tenants or ():
+        if keys.intersection(tenant.api_keys):
+            yield f"tenant {tenant.name}: a key stands twice"
+        keys.update(tenant.api_keys)
+
+
+def _find_route_faults(one, known):
+    shares = _list_shares(one)
+    if one.kind not in (SAFE, UNSAFE, STREAMING):
+        yield f"unknown kind {one.kind!r}"
+    for share in shares:
+        if share.service not in known:
+            yield f"no service {share.service!r}"
+        if share.weight < 0:
+            yield "a weight is below 0"
+    if sum(share.weight for share in shares) <= 0:
+        yield "the weights add up to 0"
+    if one.timeout_ms <= 0:
+        yield "the timeout is not above 0"
+    if not one.path_prefix.startswith("/") or one.path_prefix[-1] != "/":
+        yield "the prefix needs outer slashes"
+
+
+def _make_table(document):
     limits = document.limits
     return table.RoutingTable(
         document.version,
-        routes,
-        services,
+        [_read_route(one) for one in document.routes],
+        [_read_service(one) for one in document.services],
         table.ClientLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -117,26 +190,7 @@
     )
 
 
-def _read_route(one, known):
-    shares = [
-        table.Share(share.service, share.weight)
-        for share in one.traffic_split or ()
-    ]
-    if one.service is not None and not shares:
-        shares = [table.Share(one.service, 1.0)]
-    if one.kind not in (SAFE, UNSAFE, STREAMING):
-        raise _refuse(f"route {one.name}: unknown kind {one.kind!r}")
-    for share in shares:
-        if share.service not in known:
-            raise _refuse(f"route {one.name}: no service {share.service!r}")
-        if share.weight < 0:
-            raise _refuse(f"route {one.name}: a weight is below 0")
-    if sum(share.weight for share in shares) <= 0:
-        raise _refuse(f"route {one.name}: the weights add up to 0")
-    if one.timeout_ms <= 0:
-        raise _refuse(f"route {one.name}: the timeout is not above 0")
-    if not one.path_prefix.startswith("/") or one.path_prefix[-1] != "/":
-        raise _refuse(f"route {one.name}: the prefix needs outer slashes")
+def _read_route(one):
     is_stream = one.kind == STREAMING
     return table.Route(
         one.name,
@@ -148,29 +202,18 @@
         one.timeout_ms * MS,
         one.target_latency_ms * MS,
         one.priority,
-        tuple(shares),
+        _list_shares(one),
         one.attempts,
         one.public,
         one.sticky,
     )
 
 
-def _check_places(routes):
-    seen = set()
-    for one in routes:
-        place = (one.host, one.path_prefix)
-        if place in seen:
-            raise _refuse(f"route {one.name}: host and prefix stand twice")
-        seen.add(place)
-
-
 def _read_accounts(tenants):
     if tenants is None:
         return None
-    accounts = {}
-    for tenant in tenants:
-        for key in tenant.api_keys:
-            if key in accounts:
-                raise _refuse(f"tenant {tenant.name}: a key stands twice")
-            accounts[key] = table.Account(tenant.name, tenant.priority)
-    return accounts
+    return {
+        key: table.Account(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -23,6 +23,15 @@
     When a document with a fault is sent
     Then it is refused with 400 and each replica reads back document 20
 
+  Scenario: An operator looks at a document before importing it
+    When a dry run of document 20 with a new service and one key less is made
+    Then it tells of the service, the routes and the key, and changes nothing
+    When a dry run of a document with two faults is made
+    Then it names both faults and exits with 1
+    When document 20 is imported as version 25
+    Then within 2 seconds both entry instances use the other service
+    And importing it again as version 24 exits with 3
+
   Scenario: A key that was taken away is refused, also by a paused instance
     When process entry-1 is paused
     And document 20 takes key-2 away
