Bytes beyond ASCII in headers are passed on; registrations out of bounds are refused

Cause, found by new property tests (malformed.feature, hypothesis): h11 takes header text in ASCII only, while the adapters decode it as Latin-1. A client's or upstream's header with such a byte ended in UnicodeEncodeError, and the connection closed without an answer. And a registration with a number beyond 64 bits was acknowledged, but could not be told to the entry instances: the reply to every watcher failed. So was one with a host name or with port 0.

Change: adapters/heads.py decodes and encodes for both ends; numbers of a registration are bounded and its address must be an IP number.

Each of these tests failed before: UnicodeEncodeError for '\x80' and 'Malmö', OverflowError for a cold time of 2**64.

--- a/packages/daemon/src/camphorhook_daemon/adapters/channels.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/channels.py
@@ -13,6 +13,7 @@
 import trio
 
 from camphorhook_common import numerals
+from camphorhook_daemon.adapters import heads
 from camphorhook_daemon.ports import upstreams as ports
 
 CONNECT_SECONDS = 0.5  # many times the round trip inside a region
@@ -224,15 +225,7 @@
 
     async def start(self, call):
         """Send the request and read the answer's head."""
-        headers = list(call.headers)
-        if not any(name == "host" for name, _ in headers):
-            place = f"{self._target.address}:{self._target.port}"
-            headers.insert(0, ("host", place))
-        if call.body or call.method not in ("GET", "HEAD", "DELETE"):
-            headers.append(("content-length", str(len(call.body))))
-        self._request = h11.Request(
-            method=call.method, target=call.path, headers=headers
-        )
+        self._request = make_request(call, self._target)
         try:
             with trio.fail_after(call.silence_seconds):
                 async with trio.open_nursery() as nursery:
@@ -268,10 +261,7 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise self._fail("the connection was closed", None)
-            headers = [
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in event.headers
-            ]
+            headers = heads.decode_headers(event.headers)
             head = Head(event.status_code, headers)
             echoed = head.get("x-request-id")
             if not request_id or not echoed or echoed == request_id:
@@ -342,6 +332,20 @@
         return http.trailing_data == (b"", False)
 
 
+def make_request(call, target):
+    """Return the h11.Request of a call to a target."""
+    headers = list(call.headers)
+    if not any(name == "host" for name, _ in headers):
+        headers.insert(0, ("host", f"{target.address}:{target.port}"))
+    if call.body or call.method not in ("GET", "HEAD", "DELETE"):
+        headers.append(("content-length", str(len(call.body))))
+    return h11.Request(
+        method=call.method,
+        target=call.path,
+        headers=heads.encode_headers(headers),
+    )
+
+
 def _find_failure(group):
     """Return the AttemptError of a group; others are raised as they are."""
     for error in group.exceptions:
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -11,6 +11,7 @@
 import trio
 
 from camphorhook_common import logs
+from camphorhook_daemon.adapters import heads
 
 BACKLOG = 512
 RECEIVE_BYTES = 16384
@@ -59,10 +60,7 @@
         self._connection = connection
         self.method = event.method.decode("ascii")
         self.target = event.target.decode("latin-1")
-        self.headers = [
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in event.headers
-        ]
+        self.headers = heads.decode_headers(event.headers)
         self.body = b""
         self.received_at = trio.current_time()
         self.has_started = False
@@ -92,7 +90,9 @@
         if self._connection.is_closing():
             framed.append(("connection", "close"))
         self.has_started = True
-        return h11.Response(status_code=status, headers=framed)
+        return h11.Response(
+            status_code=status, headers=heads.encode_headers(framed)
+        )
 
     async def send_piece(self, data):
         """Send a piece of the body."""
--- a/packages/daemon/src/camphorhook_daemon/platform/registrations.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/registrations.py
@@ -1,5 +1,8 @@
 """Reads what upstreams say of themselves."""
 
+import socket
+import typing
+
 import msgspec
 
 from camphorhook_common import errors
@@ -9,6 +12,10 @@
 
 _STATES = {"ready": registry.LIVE, "draining": registry.LEAVING}
 LARGEST_PORT = 65535
+MOST_COLD_MS = 3_600_000  # an hour; an upstream that is cold longer is wrong
+# What JSON's numbers hold exactly; more would not fit into our messages.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_ColdMs = typing.Annotated[float, msgspec.Meta(le=MOST_COLD_MS)]
 
 
 class _Body(msgspec.Struct, rename="pascal"):
@@ -16,14 +23,14 @@
     address: str
     zone: str
     state: str
-    sequence: int
-    slots: int = 1
-    cold_remaining_ms: float = 0
-    born: int = msgspec.field(name="born", default=0)
+    sequence: _Count
+    slots: _Count = 1
+    cold_remaining_ms: _ColdMs = 0
+    born: _Count = msgspec.field(name="born", default=0)
 
 
 class _End(msgspec.Struct, rename="pascal"):
-    born: int = msgspec.field(name="born", default=0)
+    born: _Count = msgspec.field(name="born", default=0)
 
 
 class RegistrationError(errors.CamphorhookError):
@@ -48,10 +55,7 @@
         one = msgspec.json.decode(body, type=_Body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise _refuse(str(error)) from error
-    address, _, text = one.address.rpartition(":")
-    port = numerals.read_whole(text)
-    if not address or port is None or port > LARGEST_PORT:
-        raise _refuse(f"{one.address!r} is no address with a port")
+    address, port = _read_address(one.address)
     if one.state not in _STATES:
         raise _refuse(f"unknown state {one.state!r}")
     return wire.Registration(
@@ -64,10 +68,23 @@
         one.sequence,
         _STATES[one.state],
         one.slots,
-        int(one.cold_remaining_ms),
+        max(0, int(one.cold_remaining_ms)),
     )
 
 
+def _read_address(text):
+    """Return (IP number, port)."""
+    address, _, digits = text.rpartition(":")
+    port = numerals.read_whole(digits)
+    try:
+        socket.inet_pton(socket.AF_INET, address)
+    except (OSError, ValueError) as error:
+        raise _refuse(f"{text!r} is no IP number with a port") from error
+    if not port or port > LARGEST_PORT:
+        raise _refuse(f"{text!r} has no port from 1 to {LARGEST_PORT}")
+    return address, port
+
+
 def read_end(body):
     """Return the incarnation that a farewell names; 0 if it names none."""
     try:
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -183,7 +183,9 @@
 class Server:
     """A Listener that counts what it handles."""
 
-    def __init__(self):
+    def __init__(self, checks_body=True, headers=()):
+        self._checks_body = checks_body
+        self._headers = headers
         self.handled = 0
         self.cancelled_at = None
         self.listener = None
@@ -198,9 +200,9 @@
             except trio.Cancelled:
                 self.cancelled_at = trio.current_time()
                 raise
-        else:
+        elif self._checks_body:
             assert exchange.body == b"ab", exchange.body
-        await exchange.send_whole(200, [], b"done")
+        await exchange.send_whole(200, self._headers, b"done")
 
     async def start(self, nursery):
         """Open a free port and serve it."""
@@ -223,13 +225,20 @@
         return stream
 
 
-def run_with_server(context, act):
-    """Run an async function of a Server and keep what it returns."""
+def run_with_server(context, act, seconds=LONGEST_SECONDS, **options):
+    """Run an async function of a Server and keep what it returns.
+
+    Args:
+        context: behave's.
+        act: the function.
+        seconds: longest time it may take.
+        **options: of the Server.
+    """
 
     async def run():
-        with trio.fail_after(LONGEST_SECONDS):
+        with trio.fail_after(seconds):
             async with trio.open_nursery() as nursery:
-                server = Server()
+                server = Server(**options)
                 await server.start(nursery)
                 context.outcome = await act(server)
                 nursery.cancel_scope.cancel()
