--- a/packages/common/src/camphorhook_common/logs.py
+++ b/packages/common/src/camphorhook_common/logs.py
@@ -1,13 +1,12 @@
 """Logs as JSON lines through absl.logging."""
 
-import datetime
 import json
 import logging
 import os
-import sys
 import time
 
 from absl import logging as absl_logging
+import msgspec
 
 LINES_PER_SECOND = 400  # four lines a request at five times the usual load
 BURST_LINES = 800  # two seconds of it
@@ -20,14 +19,25 @@
     def __init__(self, instance):
         super().__init__()
         self._instance = instance
+        self._encoder = msgspec.json.Encoder(enc_hook=str)
+        self._second = None
+        self._second_text = ""
+
+    def _format_time(self, seconds):
+        """Return a time of day in UTC; most lines share their second."""
+        second = int(seconds)
+        if second != self._second:
+            self._second = second
+            self._second_text = time.strftime(
+                "%Y-%m-%dT%H:%M:%S", time.gmtime(second)
+            )
+        milliseconds = int((seconds - second) * 1000)
+        return f"{self._second_text}.{milliseconds:03d}+00:00"
 
     def format(self, record):
         """Return the record as JSON text."""
-        moment = datetime.datetime.fromtimestamp(
-            record.created, tz=datetime.timezone.utc
-        )
         line = {
-            "time": moment.isoformat(timespec="milliseconds"),
+            "time": self._format_time(record.created),
             "level": record.levelname.lower(),
             "instance": self._instance,
             "message": record.getMessage(),
@@ -38,7 +48,7 @@
                 line[field] = value
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return json.dumps(line, ensure_ascii=False)
+        return self._encoder.encode(line).decode()
 
 
 class BoundedStream:
@@ -63,13 +73,15 @@
         self._rest = b""
         self.dropped = 0
 
+    def admit(self):
+        """Tell whether a line may be written now, and count it if not."""
+        if self._take_allowance() and self._flush_rest():
+            return True
+        self.dropped += 1
+        return False
+
     def write(self, text):
-        """Write a line, or drop it."""
-        if not text.strip():
-            return
-        if not self._take_allowance() or not self._flush_rest():
-            self.dropped += 1
-            return
+        """Write a line that was admitted."""
         data = text.rstrip("\n").encode() + b"\n"
         if self.dropped:
             told = {"level": "warning", "message": "log lines were dropped"}
@@ -103,9 +115,22 @@
             self._rest = self._rest[written:]
         return True
 
-    def flush(self):
-        """Write what can be written now."""
-        self._flush_rest()
+
+class BoundedHandler(logging.Handler):
+    """Formats only the lines that a BoundedStream admits."""
+
+    def __init__(self, stream):
+        super().__init__()
+        self._stream = stream
+
+    def emit(self, record):
+        """Write a record, or drop it."""
+        if not self._stream.admit():
+            return
+        try:
+            self._stream.write(self.format(record))
+        except Exception:
+            self.handleError(record)
 
 
 def configure(instance, level="info", stream=None):
@@ -114,9 +139,15 @@
     Args:
         instance: the name put in each line.
         level: debug, info, warning or error.
-        stream: where to; standard error by default.
+        stream: a BoundedStream; standard error by default.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    # Lines name neither source file, thread nor process; looking these up
+    # costs half of a line.
+    logging._srcfile = None
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    handler = BoundedHandler(stream) if stream else logging.StreamHandler()
     handler.setFormatter(JsonFormatter(instance))
     root = logging.getLogger()
     root.handlers = [handler]
--- a/packages/daemon/src/camphorhook_daemon/adapters/channels.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/channels.py
@@ -13,12 +13,12 @@
 import trio
 
 from camphorhook_common import numerals
+from camphorhook_daemon.adapters import connection
 from camphorhook_daemon.adapters import heads
 from camphorhook_daemon.ports import upstreams as ports
 
 CONNECT_SECONDS = 0.5  # many times the round trip inside a region
 USER_TIMEOUT_MS = 4000  # unacknowledged bytes for so long: the peer is gone
-RECEIVE_BYTES = 16384
 KEEP_SECONDS = 4.0  # for an upstream that names no time
 KEEP_MARGIN_SECONDS = 0.5  # left of the time that an upstream names
 MOST_IDLE = 24  # kept connections to one upstream
@@ -40,31 +40,15 @@
 
 
 class _Channel:
-    """One connection to an upstream."""
+    """A connection to an upstream and where it is in HTTP."""
 
     def __init__(self, upstream, raw):
         self.upstream = upstream
-        self.raw = raw
-        self.stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
+        self.connection = connection.Connection(raw, USER_TIMEOUT_MS)
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=LARGEST_HEAD_BYTES
         )
         self.keep_until = float("inf")
-        self.was_used = False
-
-    def is_quiet(self):
-        """Tell whether the connection is open and holds no bytes."""
-        try:
-            self.raw.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        return False
-
-    def close(self):
-        """Close at once."""
-        self.stream.socket.close()
 
 
 class ChannelPool:
@@ -94,7 +78,7 @@
         for upstream, channels in list(self._idle.items()):
             kept = []
             for channel in channels:
-                if channel.keep_until > now and channel.is_quiet():
+                if channel.keep_until > now and channel.connection.is_quiet():
                     kept.append(channel)
                 else:
                     self._close(channel)
@@ -103,7 +87,7 @@
                 del self._idle[upstream]
 
     def _close(self, channel):
-        channel.close()
+        channel.connection.close()
         left = self._open.get(channel.upstream, 1) - 1
         if left > 0:
             self._open[channel.upstream] = left
@@ -116,7 +100,7 @@
         while channels:
             channel = channels.pop()
             if channel.keep_until > trio.current_time():
-                if channel.is_quiet():
+                if channel.connection.is_quiet():
                     return channel
             self._close(channel)
         return await self._connect(target)
@@ -124,10 +108,6 @@
     async def _connect(self, target):
         raw = sockets.socket(sockets.AF_INET, sockets.SOCK_STREAM)
         raw.setblocking(False)
-        raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-        raw.setsockopt(
-            sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
         wrapped = trio.socket.from_stdlib_socket(raw)
         try:
             with trio.fail_after(CONNECT_SECONDS):
@@ -226,27 +206,40 @@
     async def start(self, call):
         """Send the request and read the answer's head."""
         self._request = make_request(call, self._target)
+        http = self._channel.http
+        data = http.send(self._request)
+        if call.body:
+            data += http.send(h11.Data(data=call.body))
+        data += http.send(h11.EndOfMessage())
         try:
             with trio.fail_after(call.silence_seconds):
-                async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._send, call.body)
-                    self.head = await self._read_head(call.request)
-                    nursery.cancel_scope.cancel()
+                await self._exchange(data, call.request)
         except trio.TooSlowError as error:
             raise self._fail("no answer in time", error, broken=False)
         except BaseExceptionGroup as group:
             raise _find_failure(group) from group
 
-    async def _send(self, body):
-        http = self._channel.http
-        data = http.send(self._request)
-        if body:
-            data += http.send(h11.Data(data=body))
-        data += http.send(h11.EndOfMessage())
+    async def _exchange(self, data, request_id):
+        """Send the request's bytes; read on meanwhile if they don't fit."""
+        try:
+            rest = self._channel.connection.send_now(data)
+        except trio.BrokenResourceError:
+            # What was received before, or the connection's end, tells more.
+            rest = None
+        self._sent_whole = rest == b""
+        if not rest:
+            self.head = await self._read_head(request_id)
+            return
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, rest)
+            self.head = await self._read_head(request_id)
+            nursery.cancel_scope.cancel()
+
+    async def _send(self, data):
         try:
-            await self._channel.stream.send_all(data)
+            await self._channel.connection.send(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The answer, or the end of the connection, tells the rest.
+            # As above.
             return
         self._sent_whole = True
 
@@ -302,7 +295,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._channel.stream.receive_some(RECEIVE_BYTES)
+                data = await self._channel.connection.receive()
             except trio.BrokenResourceError as error:
                 raise self._fail("the connection was reset", error)
             self._channel.http.receive_data(data)
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -11,10 +11,10 @@
 import trio
 
 from camphorhook_common import logs
+from camphorhook_daemon.adapters import connection as connections
 from camphorhook_daemon.adapters import heads
 
 BACKLOG = 512
-RECEIVE_BYTES = 16384
 LINGER_SECONDS = 0.5  # longest wait for a client to take a last answer
 USER_TIMEOUT_MS = 10000  # unacknowledged bytes for so long: the peer is gone
 ACCEPT_PAUSE_SECONDS = 0.05  # wait for a descriptor to become free
@@ -116,8 +116,8 @@
 class _Connection:
     """One client's connection."""
 
-    def __init__(self, stream, listener):
-        self._stream = stream
+    def __init__(self, connected, listener):
+        self._connected = connected
         self._listener = listener
         limits = listener.read_limits()
         self.http = h11.Connection(
@@ -129,10 +129,10 @@
 
     async def send(self, *events):
         data = b"".join(self.http.send(event) for event in events)
-        await self._stream.send_all(data)
+        await self._connected.send(data)
 
     async def _receive(self):
-        data = await self._stream.receive_some(RECEIVE_BYTES)
+        data = await self._connected.receive()
         self.http.receive_data(data)
         return data
 
@@ -224,8 +224,8 @@
         # Reads on, since closing with unread bytes resets the connection
         # and takes the answer from the client.
         with trio.move_on_after(LINGER_SECONDS):
-            await self._stream.send_eof()
-            while await self._stream.receive_some(RECEIVE_BYTES):
+            await self._connected.send_eof()
+            while await self._connected.receive():
                 continue
 
 
@@ -273,20 +273,26 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled."""
-        socket = trio.socket.socket()
+        socket = sockets.socket()
+        socket.setblocking(False)
         socket.setsockopt(sockets.SOL_SOCKET, sockets.SO_REUSEADDR, 1)
-        await socket.bind((self._address.address, self._address.port))
+        socket.bind((self._address.address, self._address.port))
         socket.listen(BACKLOG)
         task_status.started()
         async with trio.open_nursery() as nursery:
             with trio.CancelScope() as self._accepting:
                 await self._accept(socket, nursery)
+            trio.lowlevel.notify_closing(socket)
             socket.close()
 
     async def _accept(self, socket, nursery):
         while True:
+            await trio.lowlevel.wait_readable(socket)
             try:
-                accepted, _ = await socket.accept()
+                accepted, _ = socket.accept()
+                accepted.setblocking(False)
+            except (BlockingIOError, InterruptedError):
+                continue
             except OSError as error:
                 logs.log("warning", f"can't accept: {error}", step="accept")
                 await trio.sleep(ACCEPT_PAUSE_SECONDS)
@@ -295,19 +301,13 @@
 
     async def _serve(self, accepted):
         try:
-            accepted.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-            accepted.setsockopt(
-                sockets.IPPROTO_TCP,
-                sockets.TCP_USER_TIMEOUT,
-                USER_TIMEOUT_MS,
-            )
             accepted.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
-            stream = trio.SocketStream(accepted)
+            connected = connections.Connection(accepted, USER_TIMEOUT_MS)
         except OSError:
             # The client has left already.
             accepted.close()
             return
-        connection = _Connection(stream, self)
+        connection = _Connection(connected, self)
         try:
             await self._serve_requests(connection)
         except h11.RemoteProtocolError as error:
@@ -326,7 +326,7 @@
                 step="serve",
             )
         finally:
-            accepted.close()
+            connected.close()
 
     async def _serve_requests(self, connection):
         while True:
--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -12,12 +12,14 @@
 from camphorhook_common import logs
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import peers
+from camphorhook_daemon.ports import notices as ports
 
 QUEUE_LENGTH = 200  # notices kept for a slow reader; the newest says all
-
-
-NOTICE, GROUP_DIGEST, WHOLE_DIGEST = b"n", b"g", b"w"
-_KINDS = {NOTICE: "no", GROUP_DIGEST: "di", WHOLE_DIGEST: "di"}
+_KINDS = {
+    ports.NOTICE: "no",
+    ports.GROUP_DIGEST: "di",
+    ports.WHOLE_DIGEST: "di",
+}
 
 
 class NoticeExchange:
--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -44,9 +44,9 @@
             try:
                 return self._socket.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
+                # That took in all that the descriptor had told of; the
+                # next message makes it readable anew.
                 pass
-            if self._is_readable():
-                continue
             with trio.CancelScope() as self._waiting:
                 await trio.lowlevel.wait_readable(self._descriptor)
             self._waiting = None
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -46,6 +46,7 @@
     """Makes and takes in the messages of one instance.
 
     Attributes:
+        name: the own name.
         plan: the relays.Plan that holds now.
     """
 
@@ -59,7 +60,7 @@
             outcomes: the outcomes.Outcomes.
             now: returns seconds.
         """
-        self._name = name
+        self.name = name
         self._loads = loads
         self._homes = homes
         self._outcomes = outcomes
@@ -79,7 +80,7 @@
         if instances == self._instances:
             return False
         self._instances = dict(instances)
-        new = relays.plan(self._name, instances)
+        new = relays.plan(self.name, instances)
         if new == self.plan:
             return False
         self.plan = new
@@ -102,7 +103,7 @@
     def measure_digest_seconds(self):
         """Return the shortest time between two digests."""
         plan = self.plan
-        readers = len(plan.members) + len(plan.list_peer_relays(self._name))
+        readers = len(plan.members) + len(plan.list_peer_relays(self.name))
         return INTERVAL_SECONDS + DIGEST_SECONDS * readers
 
     # --- notices ---------------------------------------------------------
@@ -120,7 +121,7 @@
         own = self._loads.list_own()
         told = [wire.UpstreamLoad(name, *load) for name, load in own.items()]
         self._loads.note_told()
-        return wire.Notice(self._name, told, placements, outcomes)
+        return wire.Notice(self.name, told, placements, outcomes)
 
     def adopt_notice(self, notice):
         """Take in a Notice of an instance that is followed."""
@@ -146,7 +147,7 @@
             return []
         pending, self._pending = self._pending, _start_pending()
         ranked = plan.relays[plan.group]
-        before = ranked[: ranked.index(self._name)]
+        before = ranked[: ranked.index(self.name)]
         if self._watch.find_current(before, self._now()):
             return []
         sources = {GROUP: plan.members, WHOLE: None}
@@ -166,7 +167,7 @@
             for name in names
         }
         return wire.Digest(
-            self._name,
+            self.name,
             self.plan.group,
             scope,
             instances,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -16,6 +16,7 @@
 from camphorhook_common import logs
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import events
+from camphorhook_daemon.domain.routing import relaying
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import table as tables
 from camphorhook_daemon.ports import upstreams as ports
@@ -23,7 +24,6 @@
 MOST_SENDS = 6  # bounds the loop where every upstream rejects a request
 PATIENCE_OBJECTIVES = 3.0  # latency objectives after which another is tried
 PATIENCE_SHARE = 0.4  # of the time left; the rest is for the next attempt
-EVENT_SILENCE_SECONDS = 2.0  # between events; clients leave after as long
 BUSY_SECONDS = 0.4  # in which a full service has usually made room
 BLIND_SECONDS = 1.0  # in which a lost leader is usually replaced
 SERVER_ERROR = 500
@@ -104,7 +104,7 @@
 
     def __init__(self, resume_after):
         self.has_started = False
-        self.last_event = resume_after
+        self.position = relaying.Position(resume_after)
         self.sends = 0
         self.runs = 0
         self.excluded = set()
@@ -390,7 +390,7 @@
                 PATIENCE_SHARE * left,
             )
         headers = self._protocol.make_headers(
-            request, target, left, progress.last_event
+            request, target, left, progress.position.last_event
         )
         return ports.Call(
             request.method,
@@ -408,40 +408,10 @@
                 answer.head.status, self._protocol.pick_headers(answer.head)
             )
             progress.has_started = True
-        first = True
-        buffer = b""
+        progress.position.begin()
         pace = events.Pace(request.received_at, self._now)
         with trio.move_on_at(request.give_up_at):
-            while True:
-                with trio.move_on_after(EVENT_SILENCE_SECONDS) as silence:
-                    piece = await answer.read_piece()
-                if silence.cancelled_caught and request.route.can_resume:
-                    raise ports.AttemptError(
-                        "the stream fell silent",
-                        step="read stream",
-                        peer=answer.upstream,
-                        sent=True,
-                    )
-                if silence.cancelled_caught:
-                    continue
-                if not piece:
-                    break
-                whole, buffer = events.split_events(buffer + piece)
-                if whole:
-                    if first:
-                        whole = events.drop_known_events(
-                            whole, progress.last_event
-                        )
-                        first = not whole
-                    progress.last_event = events.find_last_id(
-                        whole, progress.last_event
-                    )
-                    if whole:
-                        pace.note_arrival()
-                        await reply.send_piece(whole)
-                        pace.note_sent()
-            if buffer:
-                await reply.send_piece(buffer)
+            await self._relay_all(request, answer, progress, reply, pace)
             await reply.finish()
             self._log(
                 request,
@@ -452,6 +422,20 @@
             return
         raise StreamBroken("the route's timeout or the deadline was reached")
 
+    async def _relay_all(self, request, answer, progress, reply, pace):
+        while True:
+            try:
+                await relaying.relay(answer, reply, progress.position, pace)
+                return
+            except relaying.StreamSilent as error:
+                if request.route.can_resume:
+                    raise ports.AttemptError(
+                        "the stream fell silent",
+                        step="read stream",
+                        peer=answer.upstream,
+                        sent=True,
+                    ) from error
+
     def _log(self, request, text, level="info", **fields):
         logs.log(
             level,
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -26,6 +26,7 @@
 from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import publishing
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import selection
@@ -298,8 +299,16 @@
         nursery.start_soon(_follow_replicas, parts, nursery)
         parts.notices.open()
         nursery.start_soon(parts.notices.receive, parts.adopt_message)
-        nursery.start_soon(_publish_notices, parts)
-        nursery.start_soon(_publish_digests, parts)
+        nursery.start_soon(
+            publishing.publish_notices,
+            parts.forwarder,
+            parts.dissemination,
+            parts.roll.map_instances,
+            parts.notices,
+        )
+        nursery.start_soon(
+            publishing.publish_digests, parts.dissemination, parts.notices
+        )
         nursery.start_soon(
             homes.learn,
             parts.settings.name,
@@ -340,41 +349,6 @@
         await trio.sleep(FOLLOW_SECONDS)
 
 
-async def _publish_notices(parts):
-    """Tell other instances of the own load, at once but not too often."""
-    forwarder = parts.forwarder
-    told = parts.dissemination
-    while True:
-        with trio.move_on_after(dissemination.QUIET_SECONDS):
-            await forwarder.changed.wait()
-        forwarder.changed = trio.Event()
-        if told.follow(parts.roll.map_instances()):
-            _subscribe(parts.notices, parts.settings.name, told.plan)
-        parts.notices.publish(notices.NOTICE, told.make_notice())
-        await trio.sleep(told.measure_notice_seconds())
-
-
-def _subscribe(exchange, name, plan):
-    exchange.follow(notices.NOTICE, plan.members)
-    exchange.follow(notices.GROUP_DIGEST, plan.list_peer_relays(name))
-    exchange.follow(notices.WHOLE_DIGEST, plan.list_tellers())
-
-
-async def _publish_digests(parts):
-    """Tell sums of what is heard, while this instance is a relay."""
-    told = parts.dissemination
-    while True:
-        await trio.sleep(told.measure_digest_seconds())
-        if not told.plan.is_relay:
-            await trio.sleep(dissemination.QUIET_SECONDS)
-            continue
-        for digest in told.make_digests():
-            topic = notices.GROUP_DIGEST
-            if digest.scope == dissemination.WHOLE:
-                topic = notices.WHOLE_DIGEST
-            parts.notices.publish(topic, digest)
-
-
 async def _stop(parts):
     """End gracefully: not ready, serve what comes, close."""
     logs.log("info", "received SIGTERM", step="stop")
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -56,3 +56,10 @@
   Scenario: Events are passed on whole, in order and once
     Then events split at any byte come out whole and in order
     And a stream taken up again leaves out events up to the last one passed on
+
+  Scenario: An upstream that falls silent is found, a slow client is none
+    When an upstream sends two events and is silent, on a clock of the test
+    Then the silence is found after 2 seconds
+    When a client takes 30 seconds for each of two events
+    Then both reach it
+    And after a silence a half event goes on where it was cut
--- a/tests/features/steps/boundary.py
+++ b/tests/features/steps/boundary.py
@@ -91,7 +91,8 @@
         bounded = logs.BoundedStream(stream)
         began = time.process_time()
         for number in range(count):
-            bounded.write(json.dumps({"message": "x" * 200, "n": number}))
+            if bounded.admit():
+                bounded.write(json.dumps({"message": "x" * 200, "n": number}))
         context.spent = time.process_time() - began
         context.dropped = bounded.dropped
 
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -4,11 +4,13 @@
 
 import behave
 import trio
+from trio import testing
 
 from camphorhook_common import settings as settings_module
 from camphorhook_daemon.adapters import channels
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain.routing import events
+from camphorhook_daemon.domain.routing import relaying
 from camphorhook_daemon.ports import upstreams as ports
 
 LIMITS = listeners.Limits(1000, 100, 0.3, 0.6)
@@ -353,3 +355,81 @@
     kept = events.drop_known_events(make_events(2, 5), "3")
     assert kept == make_events(4, 5), kept
     assert events.find_last_id(kept, "") == "5"
+
+
+class Script:
+    """An upstream's answer and a client's, with pauses in seconds."""
+
+    def __init__(self, pieces, pause=0.0, send_pause=0.0):
+        self._pieces = list(pieces)
+        self._pause = pause
+        self._send_pause = send_pause
+        self.sent = b""
+
+    async def read_piece(self):
+        """Return the next piece; None in the script is a long silence."""
+        await trio.sleep(self._pause)
+        piece = self._pieces.pop(0)
+        if piece is None:
+            await trio.sleep(60.0)
+        return piece
+
+    async def send_piece(self, data):
+        """Take events."""
+        await trio.sleep(self._send_pause)
+        self.sent += data
+
+
+def relay_script(script, position=None):
+    """Relay a Script; return (seconds, whether it fell silent)."""
+    position = position or relaying.Position()
+
+    async def run():
+        pace = events.Pace(0.0, trio.current_time)
+        began = trio.current_time()
+        is_silent = False
+        try:
+            await relaying.relay(script, script, position, pace)
+        except relaying.StreamSilent:
+            is_silent = True
+        return trio.current_time() - began, is_silent
+
+    return trio.run(run, clock=testing.MockClock(autojump_threshold=0))
+
+
+@behave.when(
+    "an upstream sends two events and is silent, on a clock of the test"
+)
+def fall_silent(context):
+    pieces = [make_events(1, 1), make_events(2, 2), None]
+    context.outcome = relay_script(Script(pieces, 1.5))
+
+
+@behave.then("the silence is found after {seconds:g} seconds")
+def check_silence(context, seconds):
+    # Both events and the wait for the next one come after 1.5 s each.
+    assert context.outcome == (2 * 1.5 + seconds, True), context.outcome
+
+
+@behave.when("a client takes {seconds:g} seconds for each of two events")
+def take_slowly(context, seconds):
+    pieces = [make_events(1, 1), make_events(2, 2), b""]
+    context.script = Script(pieces, send_pause=seconds)
+    context.outcome = relay_script(context.script)
+
+
+@behave.then("both reach it")
+def check_slow(context):
+    assert context.outcome == (60.0, False), context.outcome
+    assert context.script.sent == make_events(1, 2)
+
+
+@behave.then("after a silence a half event goes on where it was cut")
+def check_half(context):
+    position = relaying.Position()
+    first, second = make_events(1, 1), make_events(2, 2)
+    script = Script([first + second[:5], None])
+    assert relay_script(script, position)[1]
+    rest = Script([second[5:], b""])
+    relay_script(rest, position)
+    assert script.sent + rest.sent == first + second, rest.sent
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -8,12 +8,12 @@
 
 It registers with the control addresses by turns and appends a line to the
 effects file for each request that it runs. The path decides what a request
-does: `slow` takes a second, `stream` sends ten events over a second, `fail`
-answers 500, `crash` ends the process. SIGTERM has it drain and leave; the
-effects file tells when that was acknowledged. Where it registers another
-address than its own, a proxy stands there. It says that it is cold for
---cold seconds after its start, and serves on for --drain seconds once its
-leaving was acknowledged.
+does: `slow` takes a second, `stream` sends ten events over a second,
+`stream?events=N&ms=PAUSE` as many as it says, `fail` answers 500, `crash`
+ends the process. SIGTERM has it drain and leave; the effects file tells when
+that was acknowledged. Where it registers another address than its own, a proxy
+stands there. It says that it is cold for --cold seconds after its start, and
+serves on for --drain seconds once its leaving was acknowledged.
 """
 
 import itertools
@@ -21,6 +21,7 @@
 import os
 import signal
 import time
+import urllib.parse
 
 import docopt
 import h11
@@ -32,6 +33,14 @@
 EVENT_SECONDS = 0.1
 
 
+def read_pace(target):
+    """Return (events, seconds between two) that a target asks for."""
+    query = urllib.parse.urlsplit(target).query
+    fields = dict(urllib.parse.parse_qsl(query))
+    pause = float(fields.get("ms", EVENT_SECONDS * 1000)) / 1000
+    return int(fields.get("events", EVENTS)), pause
+
+
 class Server:
     """The stand-in's state."""
 
@@ -141,8 +150,9 @@
         if "stream" in target:
             first = int(headers.get("last-event-id", "0")) + 1
             await send(make_head(200, ("Content-Type", "text/event-stream")))
-            for number in range(first, EVENTS + 1):
-                await trio.sleep(EVENT_SECONDS)
+            events, pause = read_pace(target)
+            for number in range(first, events + 1):
+                await trio.sleep(pause)
                 event = f"id: {number}\ndata: piece {number}\n\n"
                 await send(h11.Data(data=event.encode()))
             await send(h11.EndOfMessage())
