Copy prompts' memory between engines instead of reading it again

Reading 5,000 tokens takes an engine 73 ms, in which the streams beside it wait; copying them over the engines' own link 12 ms.

Change: a prompt that is placed on an engine without its shared part, while another engine used it of late, is sent with the address to copy from. Engines that get no new work may still be copied from. The document tells the rate; below three times the reading rate, and for short parts, nothing is copied.

Ruled out for now: freer placement, as a holder still needs no copy.

Also: pings from one side of a connection between instances only; an emulator of engines, links and callers that plays the decision modules unchanged (tools/emulator, emulator.feature).

--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -18,6 +18,7 @@
 _HEADER = struct.Struct(">2sQI")
 _FRAME_OVERHEAD_BYTES = 33 + 40  # CURVE message and TCP/IP headers
 _QUEUE_LENGTH = 1000
+_CONNECTING = (zmq.DEALER, zmq.SUB)  # the others are bound
 _CONNECT_POLL_SECONDS = 0.02
 _CONNECT_MS = 1500  # covers a lost opening packet, which is sent again in 1 s
 
@@ -113,8 +114,12 @@
     socket.linger = 0
     socket.sndhwm = queue_length
     socket.rcvhwm = queue_length
-    socket.heartbeat_ivl = timing.ping_ms
-    socket.heartbeat_timeout = timing.silence_ms
+    if kind in _CONNECTING:
+        # One side's pings are enough: the other side answers them, and
+        # closes when they stay away.
+        socket.heartbeat_ivl = timing.ping_ms
+        socket.heartbeat_timeout = timing.silence_ms
+        socket.heartbeat_ttl = timing.silence_ms
     socket.reconnect_ivl = timing.reconnect_ms
     socket.reconnect_ivl_max = timing.reconnect_max_ms
     return socket
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -24,6 +24,8 @@
 LOAD_TOKENS = 400  # unread tokens that weigh as much as one running request
 WORK_STEP_TOKENS = 4000  # differences below it leave the order as it is, so
 # that prompts that come at the same moment don't all choose the same engine
+COPY_LEAST_TOKENS = 512  # shorter parts are read in the time of a copy's start
+COPY_LEAST_RATE = 200.0  # tokens a millisecond; three times the reading rate
 FAILURE_COST = 4.0  # how far the failure share counts as relative load
 FAILING_SHARE = 0.25  # share of failures from which others are preferred
 FAILING_MARGIN = 0.15  # above the median, beyond what chance gives 30 outcomes
@@ -97,6 +99,8 @@
         mean: the mean of that over the service's upstreams.
         rank: place in the order of the prompt's homes; -1 without one.
         was_held: the upstream used the prompt's shared part of late.
+        source: wire.Registration of the engine that it should copy that
+            part from, or None.
     """
 
     upstream: object
@@ -104,6 +108,7 @@
     mean: float
     rank: int
     was_held: bool = False
+    source: object = None
 
 
 def list_open(upstreams, excluded, domains_out):
@@ -244,6 +249,37 @@
     )
 
 
+def find_source(tokens, copy_rate, chosen, holders, known, beliefs, now):
+    """Return the Registration of the engine to copy a part from, or None.
+
+    Copying takes a fraction of the time of reading, and leaves the engine
+    to the streams that run beside it. Engines that get no new work may still
+    be copied from, as long as they are up.
+
+    Args:
+        tokens: of the part.
+        copy_rate: tokens a millisecond; see table.Service.
+        chosen: Registration of the engine that gets the prompt.
+        holders: names of engines that used the part of late.
+        known: wire.Registrations of all engines of the service.
+        beliefs: Belief by name.
+        now: seconds.
+    """
+    if tokens < COPY_LEAST_TOKENS or copy_rate < COPY_LEAST_RATE:
+        return None
+    found = [
+        one
+        for one in known
+        if one.name in holders
+        and one.name != chosen.name
+        and beliefs[one.name].avoid_until <= now
+    ]
+    if not found:
+        return None
+    domain = chosen.failure_domain
+    return min(found, key=lambda one: one.failure_domain != domain)
+
+
 def choose_plain(demand, upstreams, failures, loads, failure_domain):
     """Return the Choice for a plain service: the least loaded, near by.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -118,7 +118,7 @@
         self._loads = loads
         self._upstream = upstream
         tokens = sum(count for _, count in request.parts)
-        if choice.was_held:
+        if choice.was_held or choice.source is not None:
             tokens = request.parts[-1][1]
         self._tokens = tokens
         loads.begin(upstream, tokens)
@@ -244,6 +244,7 @@
                 "rank": choice.rank,
                 "part": choices.find_shared_part(request.parts),
                 "held": choice.was_held,
+                "source": choice.source.name if choice.source else "",
                 "route": request.route.name,
                 "attempt": progress.sends + 1,
                 "sequence": target.sequence,
@@ -255,7 +256,7 @@
         self.changed.set()
         try:
             return await self._exchange(
-                request, target, progress, reply, unread
+                request, choice, progress, reply, unread
             )
         except ports.AttemptError as error:
             belief = self._selector.beliefs[target.name]
@@ -297,9 +298,10 @@
             return Next.AGAIN
         return Failure(502, error.message)
 
-    async def _exchange(self, request, target, progress, reply, unread):
+    async def _exchange(self, request, choice, progress, reply, unread):
         """Send a request to an upstream and relay its answer."""
-        call = self._make_call(request, target, progress)
+        target = choice.upstream
+        call = self._make_call(request, choice, progress)
         belief = self._selector.beliefs[target.name]
         async with self._pool.open(target, call) as answer:
             unread.settle()
@@ -379,7 +381,7 @@
         progress.excluded.add(target.name)
         return Next.AGAIN
 
-    def _make_call(self, request, target, progress):
+    def _make_call(self, request, choice, progress):
         now = self._now()
         left = request.give_up_at - now
         patience = left
@@ -390,7 +392,11 @@
                 PATIENCE_SHARE * left,
             )
         headers = self._protocol.make_headers(
-            request, target, left, progress.position.last_event
+            request,
+            choice.upstream,
+            left,
+            progress.position.last_event,
+            choice.source,
         )
         return ports.Call(
             request.method,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -92,6 +92,17 @@
             choice = choices.choose_engine(
                 demand, open_ones, loads, holders, mean
             )
+            if not choice.was_held:
+                source = choices.find_source(
+                    tokens,
+                    spec.copy_rate,
+                    choice.upstream,
+                    holders,
+                    known,
+                    self.beliefs,
+                    now,
+                )
+                choice = choice._replace(source=source)
             self._book.note(part, tokens, choice.upstream.name, now)
         else:
             choice = choices.choose_plain(
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
@@ -57,6 +57,8 @@
         is_engine: its upstreams are model engines.
         batch: requests that an engine runs at once.
         memory_tokens: tokens that an engine's memory holds.
+        copy_rate: tokens a millisecond that one engine copies from the
+            memory of another; 0 where engines don't copy.
     """
 
     name: str
@@ -66,6 +68,7 @@
     is_engine: bool
     batch: int
     memory_tokens: int
+    copy_rate: float = 0.0
 
 
 class ClientLimits(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -6,6 +6,7 @@
 from camphorhook_daemon.domain.routing import table
 
 MS = 0.001
+BYTES_PER_MBIT = 125_000
 SAFE, UNSAFE, STREAMING = "safe", "unsafe", "streaming"
 
 
@@ -33,6 +34,9 @@
 class _Engine(msgspec.Struct, rename="pascal"):
     slots: int = 0
     kv_capacity_tokens: int = 0
+    kv_token_bytes: float = 0.0
+    # Misleading: of the links between engines, not of their machines.
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
@@ -187,9 +191,18 @@
         engine is not None,
         engine.slots if engine else 0,
         engine.kv_capacity_tokens if engine else 0,
+        _find_copy_rate(engine) if engine else 0.0,
     )
 
 
+def _find_copy_rate(engine):
+    """Return tokens a millisecond that cross the link between engines."""
+    if engine.kv_token_bytes <= 0:
+        return 0.0
+    bytes_per_ms = engine.link_mbps * BYTES_PER_MBIT * MS
+    return max(0.0, bytes_per_ms / engine.kv_token_bytes)
+
+
 def _read_route(one):
     is_stream = one.kind == STREAMING
     return table.Route(
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -11,6 +11,9 @@
 EXPECT_INSTANCE = "x-expect-instance"
 SERVER_LOAD = "x-server-load"
 # Misleading: also sent where the request was read and then turned away.
+# Misleading: the engine copies from that address, and does so before it runs
+# the request.
+COPY_FROM = "kv-fetch"
 NOT_EXECUTED = "x-not-executed"
 REQUEST_PRIORITY = "x-request-priority"
 LEAST_URGENT = 9
@@ -38,7 +41,7 @@
         "authorization",
         DEADLINE_MS,
         EXPECT_INSTANCE,
-        "kv-fetch",
+        COPY_FROM,
         "kv-from",
         LAST_EVENT_ID,
         REQUEST_PRIORITY,
@@ -90,12 +93,14 @@
     return seconds if seconds > 0 else None
 
 
-def make_headers(request, target, left, resume_after):
+def make_headers(request, target, left, resume_after, source=None):
     """Return the headers of a forwarded request.
 
     Args:
         request: the forwarding.Request.
         target: the upstream's wire.Registration.
+        source: wire.Registration of the engine that the target copies the
+            prompt's memory from, or None.
         left: seconds until the client gives up.
         resume_after: id of the last event passed on, or empty.
     """
@@ -109,6 +114,8 @@
     if request.route.is_sticky:
         priority = max(0, min(LEAST_URGENT, request.priority))
         headers.append((REQUEST_PRIORITY, str(priority)))
+    if source is not None:
+        headers.append((COPY_FROM, f"{source.address}:{source.port}"))
     if resume_after:
         headers.append((LAST_EVENT_ID, resume_after))
     return headers
--- /dev/null
+++ b/tests/features/steps/emulator.py
@@ -0,0 +1,138 @@
+"""Steps of the emulator of servers, links and callers."""
+
+import pathlib
+
+import behave
+import msgspec
+import trio
+
+from camphorhook_daemon.domain.routing import choice
+from tools.emulator import clocks
+from tools.emulator import plans
+from tools.emulator import servers
+from tools.emulator import trials
+
+PLANS = pathlib.Path("examples/emulator")
+
+
+def read_plan(name, seconds=4.0):
+    """Return a plan of the examples, for some seconds of load."""
+    plan = plans.read(PLANS / f"{name}.toml")
+    return msgspec.structs.replace(plan, seconds=float(seconds))
+
+
+@behave.when(
+    'the plan "{name}" is played twice for {seconds:d} seconds with seed '
+    "{seed:d}"
+)
+def play_twice(context, name, seconds, seed):
+    plan = read_plan(name, seconds)
+    context.results = [trials.run(plan, seed) for _ in range(2)]
+
+
+@behave.then("both trials gave the same")
+def check_same(context):
+    first, second = context.results
+    assert first == second, (first, second)
+
+
+@behave.then("each kind's shares add up to 1")
+def check_shares(context):
+    for one in context.results[0].kinds.values():
+        total = one.in_aim + one.late + one.refused + one.failed
+        assert one.asked and abs(total - 1) < 1e-9, one
+
+
+@behave.then("no server got a request that no caller sent")
+def check_sends(context):
+    # A caller that comes back counts as one that sent twice.
+    for one in context.results:
+        assert 0.9 < one.sends < 1.2, one.sends
+
+
+@behave.when('the plan "{name}" is played with choice.LOAD_BOUND at {value:g}')
+def play_with(context, name, value):
+    context.before = choice.LOAD_BOUND
+    settings = {"choice.LOAD_BOUND": value}
+    trials.run(read_plan(name, 1.0), 1, settings=settings)
+
+
+@behave.then("choice.LOAD_BOUND is as before")
+def check_constant(context):
+    assert choice.LOAD_BOUND == context.before
+
+
+@behave.then("an unknown constant is refused")
+def check_unknown(context):
+    try:
+        with trials.override({"choice.NO_SUCH": 1}):
+            raise AssertionError("it was taken")
+    except AttributeError as error:
+        assert "NO_SUCH" in str(error)
+
+
+@behave.given("an engine that reads {tokens:d} tokens in a millisecond")
+def make_engine(context, tokens):
+    context.spec = plans.Service(
+        "engine",
+        servers=1,
+        slots=4,
+        is_engine=True,
+        read_tokens=tokens,
+        memory_tokens=8000,
+    )
+
+
+@behave.when(
+    "a prompt of {tokens:d} tokens comes three times, then room for it is "
+    "gone"
+)
+def read_prompts(context, tokens):
+    async def play():
+        engine = servers.make_server(context.spec, 0, 1)
+        waits = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(engine.run)
+            for part in ("a", "a", "a", "b", "c", "a"):
+                job = servers.Job(((part, tokens),), 1, 0)
+                began = trio.current_time()
+                engine.submit(job)
+                await job.events.receive()
+                waits.append(trio.current_time() - began)
+            nursery.cancel_scope.cancel()
+        return waits
+
+    context.waits = clocks.run_simulated(1, play)
+    context.tokens = tokens
+
+
+@behave.then("the first and the last read it, the others don't")
+def check_reads(context):
+    reading = context.tokens / context.spec.read_tokens * plans.MS
+    was_read = [wait >= reading for wait in context.waits]
+    assert was_read == [True, False, False, True, True, True], context.waits
+
+
+@behave.when(
+    'the plan "{name}" is played for {seconds:d} seconds with seed {seed:d}'
+)
+def play_once(context, name, seconds, seed):
+    context.results = [trials.run(read_plan(name, seconds), seed)]
+
+
+@behave.then("in sum at least {share:g} of the worth is earned")
+def check_worth(context, share):
+    assert context.results[0].worth >= share, context.results[0]
+
+
+@behave.then("no kind has less than {share:g} of its worth")
+def check_kinds(context, share):
+    kinds = context.results[0].kinds
+    assert min(one.worth for one in kinds.values()) >= share, kinds
+
+
+@behave.then("every refusal came within {seconds:g} seconds")
+def check_refusals(context, seconds):
+    kinds = context.results[0].kinds
+    slowest = max(one.slowest_refusal for one in kinds.values())
+    assert slowest <= seconds, kinds
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -13,7 +13,6 @@
 from unittest import mock
 
 import trio
-import trio.testing
 
 from camphorhook_common import clock
 from camphorhook_common import commands
@@ -24,6 +23,7 @@
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.ports import journal as journals
+from tools.emulator import clocks
 
 NAMES = ("r1", "r2", "r3")
 TIMING = settings.Timing(100, 400, 5, 1000, 1000)
@@ -355,11 +355,5 @@
     Tasks are scheduled in an order that follows from the seed alone, so
     that a seed gives the same run each time.
     """
-    mock_clock = trio.testing.MockClock(autojump_threshold=0)
-    scheduler = trio._core._run
-    with (
-        mock.patch.object(trio.to_thread, "run_sync", _run_inline),
-        mock.patch.object(scheduler, "_ALLOW_DETERMINISTIC_SCHEDULING", True),
-        mock.patch.object(scheduler, "_r", random.Random(seed)),
-    ):
-        return trio.run(function, *arguments, clock=mock_clock)
+    with mock.patch.object(trio.to_thread, "run_sync", _run_inline):
+        return clocks.run_simulated(seed, function, *arguments)
--- /dev/null
+++ b/tools/emulator/fleet.py
@@ -0,0 +1,220 @@
+"""Instances made of the product's parts, in front of modelled servers."""
+
+import collections
+
+import trio
+
+from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain.routing import dissemination
+from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import homes
+from camphorhook_daemon.domain.routing import loads
+from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import publishing
+from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import selection
+from camphorhook_daemon.domain.routing import table as tables
+from tools.emulator import network
+from tools.emulator import plans
+from tools.emulator import servers
+
+HEARTBEAT_SECONDS = 1.2
+TOLD_SECONDS = 0.05  # from a registration to all instances
+MOST_CONNECTIONS = 500
+
+
+class _Rules:
+    """What is in force; it never changes in a trial."""
+
+    def __init__(self, plan):
+        services = [
+            tables.Service(
+                one.name,
+                "/health",
+                MOST_CONNECTIONS,
+                one.cold_per_s,
+                one.is_engine,
+                one.slots,
+                one.memory_tokens,
+            )
+            for one in plan.services
+        ]
+        self._plan = plan
+        self._table = tables.RoutingTable(
+            1, [], services, tables.ClientLimits(16384, 1 << 22, 10, 30), None
+        )
+
+    def get_table(self):
+        """Return the RoutingTable."""
+        return self._table
+
+    def is_current(self):
+        """Tell that keys may be used."""
+        return True
+
+    def list_domains_out(self):
+        """Return no failure domain."""
+        return frozenset()
+
+    def make_retry_budget(self):
+        """Return the RetryBudget of the plan."""
+        plan = self._plan
+        return budgets.RetryBudget(
+            plan.retry_ratio, plan.retry_slack, plan.retry_window_s
+        )
+
+
+class _Counts:
+    """Takes no metrics."""
+
+    def add(self, name, amount=1, **labels):
+        """Ignore a count."""
+
+    def observe(self, name, seconds, **labels):
+        """Ignore a duration."""
+
+
+class Instance:
+    """One entry instance.
+
+    Attributes:
+        forwarder: the product's Forwarder.
+        pool: the modelled network.Pool.
+    """
+
+    def __init__(self, name, domain, fleet, policy):
+        self.name = name
+        self.domain = domain
+        now = trio.current_time
+        self.roll = registry.Roll(now)
+        self.homes = homes.HomeBook()
+        self.loads = loads.FleetLoads(name, now)
+        self.outcomes = outcomes.Outcomes(now)
+        self.told = dissemination.Dissemination(
+            name, self.loads, self.homes, self.outcomes, now
+        )
+        self.exchange = fleet.bus.join(name, self._adopt)
+        self.pool = network.Pool(
+            domain, fleet.servers, fleet.measure_way, fleet.arrivals
+        )
+        rules = _Rules(fleet.plan)
+        selector = policy(
+            self.roll,
+            self.homes,
+            self.loads,
+            self.outcomes,
+            rules,
+            (name, domain),
+        )
+        self.forwarder = forwarding.Forwarder(
+            selector, self.pool, network.Protocol(), rules, _Counts(), now
+        )
+
+    def _adopt(self, message):
+        if isinstance(message, wire.Notice):
+            self.told.adopt_notice(message)
+        else:
+            self.told.adopt_digest(message, self.roll.registrations)
+
+    def start(self, nursery):
+        """Publish notices from now on."""
+        nursery.start_soon(
+            publishing.publish_notices,
+            self.forwarder,
+            self.told,
+            self.roll.map_instances,
+            self.exchange,
+        )
+        nursery.start_soon(
+            publishing.publish_digests, self.told, self.exchange
+        )
+
+
+class Fleet:
+    """All instances and servers of a plan.
+
+    Attributes:
+        servers: by name.
+        arrivals: requests that servers were sent, by service.
+    """
+
+    def __init__(self, plan, policy=selection.Selector):
+        """Build it inside a running trio.
+
+        Args:
+            plan: the plans.Plan.
+            policy: what makes an instance's selector.
+        """
+        self.plan = plan
+        self.arrivals = collections.Counter()
+        self.bus = network.Bus(plan.far_ms * plans.MS)
+        self.servers = {}
+        for spec in plan.services:
+            for number in range(spec.servers):
+                server = servers.make_server(spec, number, plan.domains)
+                self.servers[server.name] = server
+        self.instances = [
+            Instance(
+                f"10.{n % plan.domains}.0.{n}",
+                f"domain-{n % plan.domains}",
+                self,
+                policy,
+            )
+            for n in range(plan.instances)
+        ]
+        self._incarnations = collections.Counter()
+
+    def measure_way(self, one, other):
+        """Return seconds one way between two failure domains."""
+        near = one == other
+        return (self.plan.link_ms if near else self.plan.far_ms) * plans.MS
+
+    def start(self, nursery):
+        """Run everything until cancelled."""
+        self.bus.start(nursery)
+        self._tell()
+        for server in self.servers.values():
+            nursery.start_soon(server.run)
+        for instance in self.instances:
+            instance.start(nursery)
+        nursery.start_soon(self._keep_telling)
+
+    async def _keep_telling(self):
+        while True:
+            await trio.sleep(HEARTBEAT_SECONDS)
+            self._tell()
+
+    def _tell(self):
+        """Tell every instance which servers there are."""
+        now = trio.current_time()
+        registrations = [
+            wire.Registration(
+                server.name,
+                server.spec.name,
+                server.domain,
+                "10.9.9.9",
+                1 + number,
+                1,
+                1,
+                registry.LIVE,
+                server.spec.slots,
+                max(0, int((server.cold_until - now) / plans.MS)),
+            )
+            for number, server in enumerate(self.servers.values())
+            if server.is_up
+        ]
+        watchers = {one.name: one.domain for one in self.instances}
+        reply = wire.UpstreamsReply(
+            "epoch", 1, True, registrations, [], 10_000, watchers, 1
+        )
+        for instance in self.instances:
+            instance.roll.adopt("replica", reply)
+
+    async def crash(self, server, seconds):
+        """Crash a server; it is back, cold and empty, after a while."""
+        server.crash()
+        await trio.sleep(seconds)
+        server.start()
+        await trio.sleep(TOLD_SECONDS)
+        self._tell()
--- /dev/null
+++ b/tools/emulator/plots.py
@@ -0,0 +1,35 @@
+"""Plots of trials."""
+
+import numpy
+
+
+def _make_figure(count):
+    # Imported here, as tables alone need no plots.
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    return pyplot.subplots(1, count, figsize=(5 * count, 3.5))
+
+
+def plot_trials(results, path):
+    """Draw worth by second and in sum, for several named lists of Results.
+
+    Args:
+        results: lists of trials.Result by name.
+        path: file to write.
+    """
+    figure, (over_time, in_sum) = _make_figure(2)
+    for name, found in results.items():
+        lines = numpy.array([one.seconds for one in found])
+        over_time.plot(lines.mean(axis=0), label=name)
+    over_time.set_xlabel("second")
+    over_time.set_ylabel("share of worth")
+    over_time.legend(fontsize=7)
+    worths = [[one.worth for one in found] for found in results.values()]
+    in_sum.boxplot(worths)
+    in_sum.set_xticklabels(list(results), rotation=30, fontsize=7)
+    in_sum.set_ylabel("share of worth")
+    figure.tight_layout()
+    figure.savefig(path)
--- /dev/null
+++ b/tools/emulator/servers.py
@@ -0,0 +1,253 @@
+"""Models of the servers: engines that batch, and plain services."""
+
+import collections
+import itertools
+import math
+
+import trio
+
+from tools.emulator import plans
+
+MS = plans.MS
+REPORT_LAG_SECONDS = 0.1
+CRASH_FACTOR = 2.0  # times the cold rate in a second: a cold server crashes
+
+
+class ServerLost(Exception):
+    """The server crashed while it had the request."""
+
+
+class ServerFull(Exception):
+    """The server turned the request away; it has not run."""
+
+
+class Job:
+    """A request at a server.
+
+    Attributes:
+        parts: (id, tokens) of its prompt, in order.
+        tokens: to be made; 0 for a plain request.
+        priority: 0 is the most urgent.
+        events: trio receive channel of event numbers.
+    """
+
+    _numbers = itertools.count()
+
+    def __init__(self, parts, tokens, priority, work_seconds=0.0):
+        self.parts = parts
+        self.tokens = tokens
+        self.priority = priority
+        self.work_seconds = work_seconds
+        self.order = next(self._numbers)
+        self.unread = 0
+        self.made = 0
+        self.sender, self.events = trio.open_memory_channel(math.inf)
+
+    def emit(self):
+        """Send an event of what was made so far."""
+        self.sender.send_nowait(self.made)
+
+    def end(self, error=None):
+        """End the answer, or break it off."""
+        if error is not None:
+            self.sender.send_nowait(error)
+        self.sender.close()
+
+
+class Server:
+    """What all models share: a queue, slots, crashes and reports.
+
+    Attributes:
+        name, domain: of the server.
+        is_up: it takes requests.
+        factor: of time; above 1 is slower.
+        cold_until: seconds.
+        crashes: how often a cold server got too much.
+    """
+
+    def __init__(self, name, domain, spec, factor):
+        self.name = name
+        self.domain = domain
+        self.spec = spec
+        self.base_factor = self.factor = factor
+        self.is_up = True
+        self.cold_until = 0.0
+        self.crashes = 0
+        self.arrivals = collections.deque()
+        self.waiting = []
+        self.running = []
+        self.work = trio.Event()
+
+    def count_load(self):
+        """Return (running, waiting)."""
+        return len(self.running), len(self.waiting)
+
+    def submit(self, job):
+        """Take a request.
+
+        Raises:
+            ServerFull: its queue is full.
+        """
+        now = trio.current_time()
+        self.arrivals.append(now)
+        while self.arrivals[0] < now - 1.0:
+            self.arrivals.popleft()
+        if now < self.cold_until and self.spec.cold_per_s:
+            if len(self.arrivals) > CRASH_FACTOR * self.spec.cold_per_s:
+                self.crashes += 1
+                self.crash()
+                raise ServerLost
+        if len(self.waiting) >= self.spec.queue:
+            raise ServerFull
+        self.waiting.append(job)
+        self.waiting.sort(key=lambda one: (one.priority, one.order))
+        self.work.set()
+
+    def drop(self, job):
+        """Forget a request whose caller has left."""
+        for jobs in (self.waiting, self.running):
+            if job in jobs:
+                jobs.remove(job)
+
+    def crash(self):
+        """End everything that waits or runs."""
+        self.is_up = False
+        for job in [*self.waiting, *self.running]:
+            job.end(ServerLost())
+        self.waiting, self.running = [], []
+        self.arrivals.clear()
+
+    def start(self):
+        """Start again, cold."""
+        self.is_up = True
+        self.cold_until = trio.current_time() + self.spec.cold_s
+
+
+class PlainServer(Server):
+    """Runs each request for its own time, `slots` at once."""
+
+    async def run(self):
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self.work.wait()
+                self.work = trio.Event()
+                while self.waiting and len(self.running) < self.spec.slots:
+                    job = self.waiting.pop(0)
+                    self.running.append(job)
+                    nursery.start_soon(self._serve, job)
+
+    async def _serve(self, job):
+        await trio.sleep(job.work_seconds * self.factor)
+        if job in self.running:
+            self.running.remove(job)
+            job.emit()
+            job.end()
+        self.work.set()
+
+
+class Engine(Server):
+    """Makes tokens of all running requests in steps, and reads prompts.
+
+    Prompts are read in chunks between the steps, and what was read stays in
+    memory until newer parts need the room.
+
+    Attributes:
+        asked_tokens: of prompts, so far.
+        reused_tokens: of these that were in memory.
+    """
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.asked_tokens = 0
+        self.reused_tokens = 0
+        self._cache = collections.OrderedDict()
+
+    def crash(self):
+        """Lose the memory too."""
+        super().crash()
+        self._cache.clear()
+
+    async def run(self):
+        """Serve until cancelled."""
+        while True:
+            self._admit()
+            if not self.running:
+                await self.work.wait()
+                self.work = trio.Event()
+                continue
+            await self._advance()
+
+    def _admit(self):
+        while self.waiting and len(self.running) < self.spec.slots:
+            job = self.waiting.pop(0)
+            total = sum(tokens for _, tokens in job.parts)
+            held = 0
+            for part, tokens in job.parts:
+                if part not in self._cache:
+                    break
+                held += tokens
+                self._cache.move_to_end(part)
+            job.unread = max(1, total - held)
+            self.asked_tokens += total
+            self.reused_tokens += held
+            self.running.append(job)
+
+    async def _advance(self):
+        """Play steps until something happens."""
+        spec = self.spec
+        reading = [job for job in self.running if job.unread]
+        making = [job for job in self.running if not job.unread]
+        steps, chunk = 1, 0
+        if reading:
+            chunk = min(spec.chunk, sum(job.unread for job in reading))
+        else:
+            steps = min(self._count_steps(job) for job in making)
+        step_ms = spec.step_ms + spec.slot_ms * len(self.running)
+        milliseconds = steps * step_ms + chunk / spec.read_tokens
+        await trio.sleep(milliseconds * self.factor * MS)
+        for job in making:
+            if job in self.running:
+                job.made += steps
+                self._tell(job)
+        for job in reading:
+            read = min(chunk, job.unread)
+            chunk -= read
+            job.unread -= read
+            if job in self.running and not job.unread:
+                self._keep(job.parts)
+                job.made = 1
+                self._tell(job)
+
+    def _count_steps(self, job):
+        """Return tokens until the next event of a request."""
+        stride = self.spec.stride
+        return min(stride - job.made % stride, job.tokens - job.made) or 1
+
+    def _tell(self, job):
+        is_done = job.made >= job.tokens
+        if job.made == 1 or is_done or job.made % self.spec.stride == 0:
+            job.emit()
+        if is_done:
+            self.running.remove(job)
+            job.end()
+
+    def _keep(self, parts):
+        for part, tokens in parts:
+            self._cache[part] = tokens
+            self._cache.move_to_end(part)
+        total = sum(self._cache.values())
+        total += sum(job.made for job in self.running)
+        while total > self.spec.memory_tokens and self._cache:
+            total -= self._cache.popitem(last=False)[1]
+
+
+def make_server(spec, number, domains):
+    """Return the model of a service's server."""
+    model = Engine if spec.is_engine else PlainServer
+    return model(
+        f"{spec.name}-{number}",
+        f"domain-{number % domains}",
+        spec,
+        spec.speeds[number % len(spec.speeds)],
+    )
--- /dev/null
+++ b/tools/emulator/trials.py
@@ -0,0 +1,223 @@
+"""Runs plans on a simulated clock and sums up what callers got."""
+
+import collections
+import contextlib
+import importlib
+import logging
+import math
+import random
+import typing
+
+import numpy
+import trio
+
+from tools.emulator import clocks
+from tools.emulator import fleet as fleets
+from tools.emulator import load as loads
+from tools.emulator import plans
+from tools.emulator import policies
+from tools.emulator import servers
+
+SETTLE_SECONDS = 1.0  # until instances know each other
+ROUTING = "camphorhook_daemon.domain.routing"
+
+
+class Kind(typing.NamedTuple):
+    """What callers of one kind of request got.
+
+    Attributes:
+        asked: requests.
+        in_aim, late, refused, failed: shares of these.
+        p50, p99: seconds to the first event.
+        worth: share of the worth that was asked for.
+        slowest_refusal: seconds that a refused request was held at most.
+    """
+
+    asked: int
+    in_aim: float
+    late: float
+    refused: float
+    failed: float
+    p50: float
+    p99: float
+    worth: float
+    slowest_refusal: float
+
+
+class Result(typing.NamedTuple):
+    """What a trial gave.
+
+    Attributes:
+        kinds: Kind by name.
+        worth: share of all worth.
+        reuse: share of prompts' tokens that engines had in memory.
+        sends: requests at servers for each one of a caller.
+        crashes: cold servers that got too much.
+        notices: messages that an instance read in a second.
+        seconds: worth share for each second of the load.
+    """
+
+    kinds: dict[str, Kind]
+    worth: float
+    reuse: float
+    sends: float
+    crashes: int
+    notices: float
+    seconds: list[float]
+
+
+@contextlib.contextmanager
+def override(settings):
+    """Set constants of the routing modules for a while.
+
+    Args:
+        settings: value by `module.CONSTANT`.
+
+    Raises:
+        AttributeError: there is no such constant.
+    """
+    before = []
+    try:
+        for place, value in settings.items():
+            name, _, constant = place.rpartition(".")
+            module = importlib.import_module(f"{ROUTING}.{name}")
+            before.append((module, constant, getattr(module, constant)))
+            setattr(module, constant, value)
+        yield
+    finally:
+        for module, constant, value in reversed(before):
+            setattr(module, constant, value)
+
+
+def run(plan, seed, policy="product", settings=None):
+    """Play a plan once; return its Result.
+
+    Args:
+        plan: the plans.Plan.
+        seed: of all that is drawn.
+        policy: a name of policies.POLICIES.
+        settings: constants to override.
+    """
+    logging.disable(logging.CRITICAL)
+    random.seed(seed)
+    try:
+        with override(settings or {}):
+            return clocks.run_simulated(
+                seed, _play, plan, seed, policies.POLICIES[policy]
+            )
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+async def _play(plan, seed, policy):
+    async with trio.open_nursery() as nursery:
+        fleet = fleets.Fleet(plan, policy)
+        fleet.start(nursery)
+        await trio.sleep(SETTLE_SECONDS)
+        load = loads.Load(plan, fleet, seed)
+        for trouble in plan.troubles:
+            nursery.start_soon(_bring, trouble, fleet, load, seed)
+        async with trio.open_nursery() as requests:
+            await load.run(requests)
+        nursery.cancel_scope.cancel()
+    return summarize(plan, fleet, load.outcomes)
+
+
+async def _bring(trouble, fleet, load, seed):
+    """Bring a trouble about."""
+    draw = random.Random(f"{seed} {trouble}")
+    await trio.sleep(trouble.at)
+    if trouble.kind == "burst":
+        load.factor *= trouble.times
+        await trio.sleep(trouble.for_s)
+        load.factor /= trouble.times
+        return
+    if trouble.kind == "deaf":
+        names = [one.name for one in fleet.instances]
+        chosen = set(draw.sample(names, math.ceil(trouble.share * len(names))))
+        fleet.bus.deaf |= chosen
+        await trio.sleep(trouble.for_s)
+        fleet.bus.deaf -= chosen
+        return
+    found = [
+        one
+        for one in fleet.servers.values()
+        if one.spec.name == trouble.service
+    ]
+    chosen = draw.sample(found, math.ceil(trouble.share * len(found)))
+    if trouble.kind == "slow":
+        for server in chosen:
+            server.factor *= trouble.times
+        await trio.sleep(trouble.for_s)
+        for server in chosen:
+            server.factor = server.base_factor
+        return
+    async with trio.open_nursery() as nursery:
+        for server in chosen:
+            nursery.start_soon(fleet.crash, server, trouble.for_s)
+
+
+def judge(kind, outcome):
+    """Return the worth of an Outcome for its caller."""
+    if outcome.status != 200:
+        return 0.0
+    is_late = outcome.first > kind.aim_ms * plans.MS
+    is_late = is_late or outcome.pause > kind.pause_ms * plans.MS
+    return kind.late_worth if is_late else kind.worth
+
+
+def summarize(plan, fleet, outcomes):
+    """Return the Result of all Outcomes."""
+    by_kind = collections.defaultdict(list)
+    for outcome in outcomes:
+        by_kind[outcome.kind].append(outcome)
+    kinds = {}
+    owed = earned = 0.0
+    seconds = numpy.zeros((2, math.ceil(plan.seconds) + 1))
+    for kind in plan.kinds:
+        found = by_kind[kind.name]
+        kinds[kind.name] = _summarize_kind(kind, found)
+        for one in found:
+            worth = judge(kind, one)
+            owed += kind.worth
+            earned += worth
+            seconds[0, int(one.at)] += kind.worth
+            seconds[1, int(one.at)] += worth
+    engines = [
+        one
+        for one in fleet.servers.values()
+        if isinstance(one, servers.Engine)
+    ]
+    asked = sum(one.asked_tokens for one in engines)
+    reused = sum(one.reused_tokens for one in engines)
+    shares = seconds[1] / numpy.maximum(seconds[0], 1e-9)
+    return Result(
+        kinds,
+        earned / max(owed, 1e-9),
+        reused / max(asked, 1),
+        sum(fleet.arrivals.values()) / max(1, len(outcomes)),
+        sum(one.crashes for one in fleet.servers.values()),
+        fleet.bus.messages / len(fleet.instances) / plan.seconds,
+        [round(float(one), 4) for one in shares[:-1]],
+    )
+
+
+def _summarize_kind(kind, found):
+    count = max(1, len(found))
+    firsts = [one.first for one in found if one.status == 200] or [math.inf]
+    p50, p99 = numpy.percentile(firsts, (50, 99))
+    in_aim = sum(judge(kind, one) == kind.worth for one in found)
+    served = sum(one.status == 200 for one in found)
+    refused = sum(one.status == 503 for one in found)
+    worth = sum(judge(kind, one) for one in found)
+    return Kind(
+        len(found),
+        in_aim / count,
+        (served - in_aim) / count,
+        refused / count,
+        (len(found) - served - refused) / count,
+        float(p50),
+        float(p99),
+        worth / (count * kind.worth),
+        max((one.held for one in found if one.status == 503), default=0.0),
+    )
