A prompt waits while an engine reads its part for another one

Both callers waited longer for it.

Change: HomeBook knows when a part was placed, and from the first event of an own answer that it was read; a prompt waits until then, at most the time that reading takes and a quarter of its latency objective. It counts as load meanwhile.

The emulator also models copies and clumps.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -255,6 +255,7 @@
         unread = _Unread(self._loads, target.name, request, choice)
         self.changed.set()
         try:
+            await self._selector.wait_until_read(request, choice)
             return await self._exchange(
                 request, choice, progress, reply, unread
             )
@@ -305,6 +306,7 @@
         belief = self._selector.beliefs[target.name]
         async with self._pool.open(target, call) as answer:
             unread.settle()
+            self._selector.note_read(request, target.name)
             self._counts.observe(
                 "first_byte_seconds",
                 self._now() - request.received_at,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -17,6 +17,7 @@
 MOST_HOLDERS = 3  # engines remembered for one part
 HOLD_SECONDS = 40.0  # a part that nobody used for so long has often yielded
 RETELL_SECONDS = 8.0  # a fifth of it; a use is told again once so long ago
+READ_TOKENS = 64_000  # of a prompt that an engine reads in a second, about
 LEAST_TOKENS = 64  # shorter parts are read again faster than told about
 MOST_UNTOLD = 256  # placements carried by one notice
 MOST_LISTED = 1024  # placements told to an instance that starts: 40 kB
@@ -59,11 +60,18 @@
 
 
 class _Use:
-    """When an upstream was last known to use a part, and told to do so."""
+    """When an upstream was last known to use a part, and told to do so.
 
-    def __init__(self):
+    Attributes:
+        placed_at: when it got the part for the first time.
+        read: set once it surely has read it.
+    """
+
+    def __init__(self, now):
         self.used_at = float("-inf")
         self.told_at = float("-inf")
+        self.placed_at = now
+        self.read = trio.Event()
 
 
 class HomeBook:
@@ -97,7 +105,9 @@
     def _put(self, part, upstream, now):
         holders = self._holders.setdefault(part, {})
         self._holders.move_to_end(part)
-        use = holders.setdefault(upstream, _Use())
+        use = holders.get(upstream)
+        if use is None or now - use.used_at > HOLD_SECONDS:
+            use = holders[upstream] = _Use(now)
         use.used_at = now
         if len(holders) > MOST_HOLDERS:
             del holders[min(holders, key=lambda one: holders[one].used_at)]
@@ -115,6 +125,32 @@
         found.sort(key=lambda entry: entry[0])
         return [placement for _, placement in found[-MOST_LISTED:]]
 
+    def note_read(self, part, upstream):
+        """Take note that an upstream has read a part."""
+        use = self._holders.get(part, {}).get(upstream)
+        if use is not None:
+            use.read.set()
+
+    async def wait_until_read(self, part, tokens, upstream, longest):
+        """Wait while an upstream is probably still reading a part.
+
+        A prompt that comes meanwhile would have it read the part twice, and
+        both would be answered later than one after the other.
+
+        Args:
+            part: id of the part.
+            tokens: of the part.
+            upstream: that the prompt goes to.
+            longest: seconds.
+        """
+        use = self._holders.get(part, {}).get(upstream)
+        if use is None or use.read.is_set():
+            return
+        ends_at = use.placed_at + tokens / READ_TOKENS
+        deadline = min(ends_at, trio.current_time() + longest)
+        with trio.move_on_at(deadline):
+            await use.read.wait()
+
     def find(self, part, now):
         """Return the upstreams that used a part of late."""
         holders = self._holders.get(part, {})
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -6,6 +6,8 @@
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice as choices
 
+READING_SHARE = 0.25  # of the latency objective, waited for a part that is
+# being read; reading it once more takes as long
 LEAST_CONNECTIONS = 2  # to an upstream, however many instances share it
 
 
@@ -117,6 +119,20 @@
             self._cold.spend(name, spec.cold_rate, instances, now)
         return choice
 
+    async def wait_until_read(self, request, choice):
+        """Wait while the chosen engine reads the shared part for another."""
+        if choice.was_held:
+            await self._book.wait_until_read(
+                *choices.find_shared_part(request.parts),
+                choice.upstream.name,
+                READING_SHARE * request.route.objective,
+            )
+
+    def note_read(self, request, upstream):
+        """Take note that an engine has read a request's prompt."""
+        part, _ = choices.find_shared_part(request.parts)
+        self._book.note_read(part, upstream)
+
     def _estimate_loads(self, upstreams, instances, now):
         hears_all = self.loads.count_heard() >= instances - 1
         return {
--- a/tests/features/placing.feature
+++ b/tests/features/placing.feature
@@ -44,6 +44,36 @@
     When 60 prompts with one part of 2000 tokens are placed and run on
     Then at no moment had an engine more than 2 times the mean plus 3
 
+  Scenario Outline: A prompt waits while its part is read for another
+    Given an engine got a part of 6400 tokens 0.05 seconds ago, from <who>
+    When a prompt with that part comes and may wait <longest> seconds
+    Then it is sent after <wait> seconds
+
+    Examples: 6400 tokens are read in 0.1 seconds
+      | who                          | longest | wait |
+      | another instance             | 0.2     | 0.05 |
+      | another instance             | 0.02    | 0.02 |
+      | here, read after 0.01 more   | 0.2     | 0.01 |
+      | here, read already           | 0.2     | 0    |
+      | nobody                       | 0.2     | 0    |
+
+  Scenario Outline: A part that the chosen engine lacks is copied
+    Given 6 engines with 2 requests each
+    And engine 2 holds the shared part of <tokens> tokens
+    And engine 2 has <requests> requests
+    And engine 2 is <state>
+    When a prompt goes to engine 3 where <rate> tokens are copied in a ms
+    Then it copies from <source>
+
+    Examples:
+      | tokens | requests | state   | rate | source   |
+      | 5000   | 40       | up      | 560  | engine-2 |
+      | 5000   | 40       | leaving | 560  | engine-2 |
+      | 5000   | 40       | down    | 560  | none     |
+      | 5000   | 40       | up      | 90   | none     |
+      | 5000   | 40       | up      | 0    | none     |
+      | 100    | 40       | up      | 560  | none     |
+
   Scenario Outline: Instances that don't hear of each other share a hot chat
     Given 6 engines with 0 requests each
     When 60 instances each run <own> requests of one chat
--- a/tests/features/steps/placing.py
+++ b/tests/features/steps/placing.py
@@ -3,12 +3,15 @@
 import collections
 
 import behave
+import trio
 
 from camphorhook_common import wire
 from camphorhook_daemon.domain import placement
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice
+from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import outcomes
+from tools.emulator import clocks
 
 PART = "51ab0c"
 COLD_RATE = 14.0
@@ -181,6 +184,80 @@
         context.counts.update(mine)
 
 
+@behave.given(
+    "an engine got a part of {tokens:d} tokens {ago:g} seconds ago, from {who}"
+)
+def place_part(context, tokens, ago, who):
+    context.tokens, context.ago, context.who = tokens, ago, who
+
+
+@behave.when("a prompt with that part comes and may wait {longest:g} seconds")
+def wait_for_part(context, longest):
+    book = homes.HomeBook()
+
+    async def read_later():
+        await trio.sleep(0.01)
+        book.note_read(PART, "engine")
+
+    async def play():
+        now = trio.current_time()
+        if context.who == "another instance":
+            book.adopt([wire.Placement(PART, "engine")], now)
+        elif context.who != "nobody":
+            book.note(PART, context.tokens, "engine", now)
+        await trio.sleep(context.ago)
+        if context.who == "here, read already":
+            book.note_read(PART, "engine")
+        async with trio.open_nursery() as nursery:
+            if "more" in context.who:
+                nursery.start_soon(read_later)
+            began = trio.current_time()
+            await book.wait_until_read(PART, context.tokens, "engine", longest)
+            context.waited = trio.current_time() - began
+
+    clocks.run_simulated(1, play)
+
+
+@behave.then("it is sent after {seconds:g} seconds")
+def check_waited(context, seconds):
+    assert abs(context.waited - seconds) < 1e-6, context.waited
+
+
+@behave.given("engine {number:d} is {state:w}")
+def set_state(context, number, state):
+    name = f"engine-{number}"
+    if state == "down":
+        context.beliefs[name].note_break(0.0, is_down=True)
+    if state == "leaving":
+        context.upstreams = [
+            one._replace(state="leaving") if one.name == name else one
+            for one in context.upstreams
+        ]
+
+
+@behave.when(
+    "a prompt goes to engine {number:d} where {rate:g} tokens are copied in "
+    "a ms"
+)
+def find_source(context, number, rate):
+    chosen = context.upstreams[number - 1]
+    found = choice.find_source(
+        context.tokens,
+        rate,
+        chosen,
+        context.holders[PART],
+        context.upstreams,
+        context.beliefs,
+        0.0,
+    )
+    context.source = found.name if found else "none"
+
+
+@behave.then("it copies from {name}")
+def check_source(context, name):
+    assert context.source == name, context.source
+
+
 @behave.then("no engine has more than {times:g} times the mean plus {more:d}")
 def check_shares(context, times, more):
     mean = sum(context.counts.values()) / len(context.upstreams)
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -37,6 +37,7 @@
                 one.is_engine,
                 one.slots,
                 one.memory_tokens,
+                one.copy_tokens,
             )
             for one in plan.services
         ]
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -11,6 +11,7 @@
 from tools.emulator import servers
 
 MOST_TRIES = 2  # a caller comes back once
+CLUMP_SECONDS = 0.1  # in which the requests of a clump come
 SHARE_OF_WAIT = 1 / 3  # of the time left that a caller waits when told to
 
 
@@ -111,18 +112,23 @@
         route = make_route(kind)
         end = self._began_at + self._plan.seconds
         while True:
-            rate = kind.per_s * self.factor
+            rate = kind.per_s * self.factor / kind.clump
             await trio.sleep(self._draw.expovariate(rate))
             if trio.current_time() >= end:
                 return
-            nursery.start_soon(self._serve, kind, route)
+            session = self._choose_session(kind)
+            for number in range(kind.clump):
+                delay = self._draw.uniform(0, CLUMP_SECONDS) if number else 0
+                nursery.start_soon(self._serve, kind, route, session, delay)
 
-    def _make_parts(self, kind):
+    def _choose_session(self, kind):
+        if self._draw.random() < kind.hot:
+            return 0
+        return self._draw.randrange(kind.sessions)
+
+    def _make_parts(self, kind, session):
         if not kind.events:
             return ()
-        session = 0
-        if self._draw.random() >= kind.hot:
-            session = self._draw.randrange(kind.sessions)
         size = random.Random(f"{kind.name} {session}").gauss(1.0, 0.4)
         tokens = int(max(0.2, size) * kind.session_tokens)
         return (
@@ -131,11 +137,12 @@
             (f"own-{self._number}", max(1, kind.own_tokens)),
         )
 
-    async def _serve(self, kind, route):
+    async def _serve(self, kind, route, session, delay):
         """Play one caller; add its Outcome."""
+        await trio.sleep(delay)
         sent_at = trio.current_time()
         give_up_at = sent_at + kind.deadline_ms * plans.MS
-        parts = self._make_parts(kind)
+        parts = self._make_parts(kind, session)
         work = self._draw.expovariate(1.0)
         status, reply = 503, _Reply()
         for _ in range(MOST_TRIES):
--- a/tools/emulator/network.py
+++ b/tools/emulator/network.py
@@ -22,9 +22,9 @@
 class Protocol:
     """Stands in for headers, which the models don't need."""
 
-    def make_headers(self, request, target, left, resume_after):
-        """Return the priority and the last event that the client has."""
-        return [("priority", request.priority), ("after", resume_after)]
+    def make_headers(self, request, target, left, resume_after, source=None):
+        """Return what a model needs: the priority, and whom to copy from."""
+        return [("priority", request.priority), ("source", source)]
 
     def read_verdict(self, head):
         """Return the forwarding.Verdict of a Head."""
@@ -64,7 +64,10 @@
                 "refused", step="connect", peer=target.name, sent=False
             )
         self.arrivals[server.spec.name] += 1
-        job = self.jobs[call.request](dict(call.headers))
+        headers = dict(call.headers)
+        job = self.jobs[call.request](headers)
+        if headers["source"] is not None:
+            job.source = self._servers[headers["source"].name]
         answer = Answer(target.name, server, job, way)
         try:
             with trio.move_on_after(call.silence_seconds) as silence:
--- a/tools/emulator/plans.py
+++ b/tools/emulator/plans.py
@@ -25,6 +25,8 @@
         chunk: tokens of prompts read between two steps.
         memory_tokens: that an engine's memory holds.
         stride: tokens in one event.
+        copy_tokens: copied from another engine in a millisecond; 0: none.
+        copy_ms: until a copy begins.
         cold_s: seconds that a server is cold after its start.
         cold_per_s: requests a second that a cold server bears; 0: any.
     """
@@ -42,6 +44,8 @@
     chunk: int = 4096
     memory_tokens: int = 400_000
     stride: int = 8
+    copy_tokens: float = 560.0
+    copy_ms: float = 2.5
     cold_s: float = 0.0
     cold_per_s: float = 0.0
 
@@ -62,6 +66,7 @@
         session_tokens: of the part that a session's requests share.
         own_tokens: of the request's own part.
         sessions: how many sessions come back.
+        clump: requests of one session that come within CLUMP_SECONDS.
         hot: share of requests that belong to the first session.
         events: of an answer; 0 for a plain one.
         priority: 0 is the most urgent.
@@ -80,6 +85,7 @@
     session_tokens: int = 0
     own_tokens: int = 100
     sessions: int = 1
+    clump: int = 1
     hot: float = 0.0
     events: int = 0
     priority: int = 0
--- a/tools/emulator/servers.py
+++ b/tools/emulator/servers.py
@@ -28,6 +28,7 @@
         parts: (id, tokens) of its prompt, in order.
         tokens: to be made; 0 for a plain request.
         priority: 0 is the most urgent.
+        source: the Engine to copy the prompt's memory from, or None.
         events: trio receive channel of event numbers.
     """
 
@@ -39,7 +40,9 @@
         self.priority = priority
         self.work_seconds = work_seconds
         self.order = next(self._numbers)
+        self.source = None
         self.unread = 0
+        self.copied_at = 0.0
         self.made = 0
         self.sender, self.events = trio.open_memory_channel(math.inf)
 
@@ -154,7 +157,7 @@
 
     Attributes:
         asked_tokens: of prompts, so far.
-        reused_tokens: of these that were in memory.
+        reused_tokens: of these that were in memory, or copied.
     """
 
     def __init__(self, *arguments):
@@ -178,16 +181,27 @@
                 continue
             await self._advance()
 
+    def count_held(self, parts):
+        """Return tokens of a prompt's first parts that are in memory."""
+        held = 0
+        for part, tokens in parts:
+            if part not in self._cache:
+                break
+            held += tokens
+            self._cache.move_to_end(part)
+        return held
+
     def _admit(self):
         while self.waiting and len(self.running) < self.spec.slots:
             job = self.waiting.pop(0)
             total = sum(tokens for _, tokens in job.parts)
-            held = 0
-            for part, tokens in job.parts:
-                if part not in self._cache:
-                    break
-                held += tokens
-                self._cache.move_to_end(part)
+            held = self.count_held(job.parts)
+            if job.source is not None and job.source.is_up:
+                more = job.source.count_held(job.parts) - held
+                if more > 0 and self.spec.copy_tokens:
+                    held += more
+                    took = self.spec.copy_ms + more / self.spec.copy_tokens
+                    job.copied_at = trio.current_time() + took * MS
             job.unread = max(1, total - held)
             self.asked_tokens += total
             self.reused_tokens += held
@@ -196,13 +210,20 @@
     async def _advance(self):
         """Play steps until something happens."""
         spec = self.spec
-        reading = [job for job in self.running if job.unread]
+        now = trio.current_time()
+        reading = [
+            job for job in self.running if job.unread and job.copied_at <= now
+        ]
         making = [job for job in self.running if not job.unread]
         steps, chunk = 1, 0
         if reading:
             chunk = min(spec.chunk, sum(job.unread for job in reading))
-        else:
+        elif making:
             steps = min(self._count_steps(job) for job in making)
+        else:
+            copied_at = min(job.copied_at for job in self.running)
+            await trio.sleep(copied_at - now)
+            return
         step_ms = spec.step_ms + spec.slot_ms * len(self.running)
         milliseconds = steps * step_ms + chunk / spec.read_tokens
         await trio.sleep(milliseconds * self.factor * MS)
