--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -6,6 +6,7 @@
 from camphorhook import explanation
 from camphorhook import formatting
 from camphorhook import keys
+from camphorhook import report
 from camphorhook_common import checks
 from camphorhook_common import errors
 from camphorhook_common import timeline
@@ -281,6 +282,19 @@
     formatting.echo(story.cause)
 
 
+def write_report(_client, arguments):
+    """Write a page with plots of what log files tell of a day."""
+    files = [explanation.load(path) for path in arguments["FILE"]]
+    series = report.summarize(files)
+    if arguments["--json"]:
+        formatting.echo_json([one._asdict() for one in series])
+        return
+    page = report.render(series, f"{len(files)} log files")
+    with open(arguments["PAGE"], "w") as file:
+        file.write(page)
+    formatting.echo(f"wrote {arguments['PAGE']}")
+
+
 def make_keys(_client, arguments):
     """Make CURVE keys for instances."""
     names = arguments["NAMES"]
--- a/packages/client/src/camphorhook/main.py
+++ b/packages/client/src/camphorhook/main.py
@@ -15,13 +15,15 @@
     camphorhook [options] upstreams
     camphorhook [options] timeline [FILE...]
     camphorhook [options] explain REQUEST FILE...
+    camphorhook [options] report PAGE FILE...
     camphorhook [options] keys FOLDER NAMES...
     camphorhook [options] make-key
     camphorhook (-h | --help)
 
 Tables are client_accounts, services, routes, failure_domains, upstreams and
 instances. CELL is COLUMN=VALUE. A document holds all routes, services and
-client accounts at once; give a replica's control port as --server.
+client accounts at once; give a replica's control port as --server. A report
+is one HTML page with plots of what log files tell.
 
 Options:
     --server LIST     Operators' ports, ADDRESS:PORT with commas between;
@@ -68,6 +70,7 @@
     "upstreams": commands.show_upstreams,
     "timeline": commands.show_timeline,
     "explain": commands.explain_request,
+    "report": commands.write_report,
     "keys": commands.make_keys,
     "make-key": commands.make_bearer_key,
 }
--- a/tests/features/explaining.feature
+++ b/tests/features/explaining.feature
@@ -17,3 +17,9 @@
     Given log files of a day in which an instance was cut off
     When an operator asks to explain request r2
     Then it ends with exit code 1 and names r2
+
+  Scenario: A page with plots of a day
+    Given log files of a day in which an instance was cut off
+    When an operator asks for a report
+    Then the page holds a plot of: Refused, by reason
+    And it counts 1 of: answered 503: the configuration may be old
--- a/tests/features/steps/explaining.py
+++ b/tests/features/steps/explaining.py
@@ -127,3 +127,30 @@
     assert context.done.returncode == code
     assert word in context.done.stderr
     assert context.done.stderr.count("\n") == 1
+
+
+@behave.when("an operator asks for a report")
+def make_report(context):
+    context.page = pathlib.Path(context.folder) / "report.html"
+    context.page.unlink(missing_ok=True)
+    context.done = subprocess.run(
+        processes.run_program(
+            "camphorhook", "report", context.page, *context.logs
+        ),
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert context.done.returncode == 0, context.done.stderr
+
+
+@behave.then("the page holds a plot of: {title}")
+def check_plot(context, title):
+    _, _, rest = context.page.read_text().partition(f"<h2>{title}</h2>")
+    assert rest.lstrip().startswith('<img src="data:image/png'), rest[:200]
+
+
+@behave.then("it counts {count:d} of: {name}")
+def check_count(context, count, name):
+    row = f"<td>{name}</td><td>{count}</td>"
+    assert row in context.page.read_text(), row
