--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -37,3 +37,6 @@
   Scenario: An operator's command with wrong usage ends with 2
     When the operators' command runs with words that it does not know
     Then it ended with 2 and shows its usage
+
+  Scenario: The reference is that of the code
+    Then docs/reference.md is what tools.reference writes
--- a/tests/features/steps/settings.py
+++ b/tests/features/steps/settings.py
@@ -9,6 +9,7 @@
 from camphorhook import keys
 from tests.harness import plans
 from tests.harness import processes
+from tools import reference
 
 BASE_PORT = 23000
 
@@ -114,3 +115,9 @@
 def check_usage(context, code):
     assert context.done.returncode == code, context.done
     assert "Usage" in context.done.stderr, context.done
+
+
+@behave.then("docs/reference.md is what tools.reference writes")
+def check_reference(context):
+    page = reference.OUTPUT.read_text()
+    assert page == reference.render(), "run python -m tools.reference"
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,14 +1,17 @@
-"""Writes docs/reference.md: every setting and every cell.
+"""Writes docs/reference.md: every setting, every cell and every log line.
 
 Usage:
     reference
 """
 
+import ast
 import pathlib
 
 from camphorhook_common import settings
 from camphorhook_common import tables
 
+DAEMON = pathlib.Path("packages/daemon/src/camphorhook_daemon")
+LOGGERS = {"log": 2, "_log": 2}  # arguments before the fields, by name
 OUTPUT = pathlib.Path("docs/reference.md")
 HEAD = """# Reference
 
@@ -52,10 +55,71 @@
             yield f"| {name} | {default} | {allowed} | {column.help} |"
 
 
+def _show_text(node):
+    """Return a message as text, with `...` for what varies."""
+    if isinstance(node, ast.Constant):
+        return str(node.value)
+    if isinstance(node, ast.JoinedStr):
+        return "".join(
+            str(part.value) if isinstance(part, ast.Constant) else "..."
+            for part in node.values
+        )
+    return "..."
+
+
+def _read_call(call):
+    """Return (message, level, step, fields) of a call that logs, or None."""
+    name = getattr(call.func, "attr", getattr(call.func, "id", ""))
+    if name not in LOGGERS or len(call.args) < LOGGERS[name]:
+        return None
+    level, text = call.args[:2]
+    if name == "_log":
+        # The first argument is the request; the level is info by default.
+        text = call.args[1]
+        level = call.args[2] if len(call.args) > 2 else ast.Constant("info")
+    fields = {one.arg: one.value for one in call.keywords if one.arg}
+    step = fields.pop("step", ast.Constant("forward"))
+    inputs = fields.pop("inputs", None)
+    names = sorted(name for name in fields if name != "with_trace")
+    if name == "_log":
+        names = sorted({*names, "request", "account"})
+    if isinstance(inputs, ast.Dict):
+        names += [f"inputs.{_show_text(key)}" for key in inputs.keys]
+    elif inputs is not None:
+        names.append("inputs")
+    return _show_text(text), _show_text(level), _show_text(step), names
+
+
+def _list_lines():
+    """Yield a table of the log lines, by module."""
+    yield "\n## Log lines of the daemon\n"
+    yield "`...` stands for what varies. Each line also has time, level,"
+    yield "instance and message."
+    for path in sorted(DAEMON.rglob("*.py")):
+        found = [
+            _read_call(node)
+            for node in ast.walk(ast.parse(path.read_text()))
+            if isinstance(node, ast.Call)
+        ]
+        rows = sorted({(*one[:3], ", ".join(one[3])) for one in found if one})
+        if not rows:
+            continue
+        yield f"\n### {path.relative_to(DAEMON)}\n"
+        yield "| message | level | step | fields |"
+        yield "| --- | --- | --- | --- |"
+        for row in rows:
+            yield "| " + " | ".join(row) + " |"
+
+
+def render():
+    """Return the page's text."""
+    lines = [HEAD, *_list_settings(), *_list_tables(), *_list_lines()]
+    return "\n".join(lines) + "\n"
+
+
 def main():
     """Write the page."""
-    lines = [HEAD, *_list_settings(), *_list_tables()]
-    OUTPUT.write_text("\n".join(lines) + "\n")
+    OUTPUT.write_text(render())
 
 
 if __name__ == "__main__":
