--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -286,7 +286,7 @@
     outcomes: list[UpstreamOutcomes]
 
 
-class Digest(typing.NamedTuple):
+class Summary(typing.NamedTuple):
     """Sums up the notices of several instances; needs no answer.
 
     Attributes:
@@ -294,8 +294,8 @@
         group: the group of instances that it relays for.
         scope: group or whole, what is summed up.
         instances: how many were heard.
-        sums: loads and outcomes by upstream, as `digests` packs them.
-        placements: since its last digest.
+        sums: loads and outcomes by upstream, as `summaries` packs them.
+        placements: since its last summary.
     """
 
     sender: str
@@ -618,7 +618,7 @@
     "wu": WatchUpstreams,
     "uu": UpstreamsReply,
     "no": Notice,
-    "di": Digest,
+    "sm": Summary,
     "rp": ReadPlacements,
     "rr": PlacementsReply,
     "st": ShowStatus,
--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -17,8 +17,8 @@
 QUEUE_LENGTH = 200  # notices kept for a slow reader; the newest says all
 _KINDS = {
     ports.NOTICE: "no",
-    ports.GROUP_DIGEST: "di",
-    ports.WHOLE_DIGEST: "di",
+    ports.GROUP_SUMMARY: "sm",
+    ports.WHOLE_SUMMARY: "sm",
 }
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -1,26 +1,26 @@
 """What instances tell each other of loads, outcomes and placements.
 
 Each instance publishes a Notice of its own. In a small fleet all read it; in
-a large one the relays of `relays` do, which publish Digests.
+a large one the relays of `relays` do, which publish Summaries.
 """
 
 import collections
 
 from camphorhook_common import wire
-from camphorhook_daemon.domain.routing import digests
 from camphorhook_daemon.domain.routing import relays
+from camphorhook_daemon.domain.routing import summaries
 
-QUIET_SECONDS = 0.4  # longest time between two notices or digests
+QUIET_SECONDS = 0.4  # longest time between two notices or summaries
 INTERVAL_SECONDS = 0.01  # shortest time between two
 NOTICE_SECONDS = 0.003  # more for each instance that a reader reads
-DIGEST_SECONDS = 0.008  # more for each reader: 1 kB each, 1 Mbit/s in all
-GROUP, WHOLE = "group", "whole"  # whose sum a digest is
-MOST_PLACEMENTS = 256  # carried by one digest: 8 kB
+SUMMARY_SECONDS = 0.008  # more for each reader: 1 kB each, 1 Mbit/s in all
+GROUP, WHOLE = "group", "whole"  # whose sum a summary is
+MOST_PLACEMENTS = 256  # carried by one summary: 8 kB
 _ALL = "all"  # source of the load that a relay told of the whole fleet
 
 
 class _Pending:
-    """Placements and outcomes for the next digest."""
+    """Placements and outcomes for the next summary."""
 
     def __init__(self):
         self.placements = collections.OrderedDict()
@@ -100,11 +100,11 @@
         """Return the shortest time between two notices."""
         return INTERVAL_SECONDS + NOTICE_SECONDS * (self.plan.size - 1)
 
-    def measure_digest_seconds(self):
-        """Return the shortest time between two digests."""
+    def measure_summary_seconds(self):
+        """Return the shortest time between two summaries."""
         plan = self.plan
         readers = len(plan.members) + len(plan.list_peer_relays(self.name))
-        return INTERVAL_SECONDS + DIGEST_SECONDS * readers
+        return INTERVAL_SECONDS + SUMMARY_SECONDS * readers
 
     # --- notices ---------------------------------------------------------
 
@@ -134,10 +134,10 @@
         for pending in self._pending.values():
             pending.add(notice.placements, notice.outcomes)
 
-    # --- digests ---------------------------------------------------------
+    # --- summaries ---------------------------------------------------------
 
-    def make_digests(self):
-        """Return the Digests that this relay owes; none while not first.
+    def make_summaries(self):
+        """Return the Summaries that this relay owes; none while not first.
 
         What is pending is dropped while another relay comes before this
         one, as that one has told it.
@@ -152,48 +152,48 @@
             return []
         sources = {GROUP: plan.members, WHOLE: None}
         return [
-            self._make_digest(
+            self._make_summary(
                 scope, *self._loads.sum_sources(sources[scope]), pending[scope]
             )
             for scope in (GROUP, WHOLE)
         ]
 
-    def _make_digest(self, scope, instances, loads, pending):
+    def _make_summary(self, scope, instances, loads, pending):
         names = {*loads, *pending.good, *pending.bad}
         sums = {
-            name: digests.Sum(
+            name: summaries.Sum(
                 *loads.get(name, (0, 0)), pending.good[name], pending.bad[name]
             )
             for name in names
         }
-        return wire.Digest(
+        return wire.Summary(
             self.name,
             self.plan.group,
             scope,
             instances,
-            digests.pack(sums),
+            summaries.pack(sums),
             list(pending.placements),
         )
 
-    def adopt_digest(self, digest, upstreams):
-        """Take in a Digest, unless a relay before its sender is heard.
+    def adopt_summary(self, summary, upstreams):
+        """Take in a Summary, unless a relay before its sender is heard.
 
         Args:
-            digest: the wire.Digest.
+            summary: the wire.Summary.
             upstreams: names of the upstreams that are known here.
 
         Raises:
             struct.error: its sums can't be read.
         """
         now = self._now()
-        self._watch.note(digest.sender, now)
-        ranked = self.plan.relays.get(digest.group, ())
-        if self._watch.find_current(ranked, now) != digest.sender:
+        self._watch.note(summary.sender, now)
+        ranked = self.plan.relays.get(summary.group, ())
+        if self._watch.find_current(ranked, now) != summary.sender:
             return
-        is_own = digest.group == self.plan.group
-        if is_own == (digest.scope == GROUP):
+        is_own = summary.group == self.plan.group
+        if is_own == (summary.scope == GROUP):
             return
-        sums = digests.unpack(digest.sums, upstreams)
+        sums = summaries.unpack(summary.sums, upstreams)
         outcomes = [
             wire.UpstreamOutcomes(name, one.good, one.bad)
             for name, one in sums.items()
@@ -202,14 +202,14 @@
         if is_own:
             outcomes = self._leave_out_told(outcomes)
             loads = self._loads.subtract_told(sums)
-            self._loads.adopt(_ALL, loads, digest.instances - 1)
+            self._loads.adopt(_ALL, loads, summary.instances - 1)
         else:
             loads = {name: one[:2] for name, one in sums.items()}
-            self._loads.adopt(digest.group, loads, digest.instances)
-        self._homes.adopt(digest.placements, now)
+            self._loads.adopt(summary.group, loads, summary.instances)
+        self._homes.adopt(summary.placements, now)
         self._outcomes.adopt(outcomes)
         if self.plan.is_relay:
-            self._pending[WHOLE].add(digest.placements, outcomes)
+            self._pending[WHOLE].add(summary.placements, outcomes)
 
     def _leave_out_told(self, outcomes):
         """Return outcomes without own ones that have come back."""
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
@@ -1,4 +1,4 @@
-"""Publishes an instance's notices, and digests while it is a relay."""
+"""Publishes an instance's notices, and summaries while it is a relay."""
 
 import trio
 
@@ -28,19 +28,19 @@
 def _subscribe(exchange, told):
     plan = told.plan
     exchange.follow(notices.NOTICE, plan.members)
-    exchange.follow(notices.GROUP_DIGEST, plan.list_peer_relays(told.name))
-    exchange.follow(notices.WHOLE_DIGEST, plan.list_tellers())
+    exchange.follow(notices.GROUP_SUMMARY, plan.list_peer_relays(told.name))
+    exchange.follow(notices.WHOLE_SUMMARY, plan.list_tellers())
 
 
-async def publish_digests(told, exchange):
+async def publish_summaries(told, exchange):
     """Tell sums of what is heard, while this instance is a relay."""
     while True:
-        await trio.sleep(told.measure_digest_seconds())
+        await trio.sleep(told.measure_summary_seconds())
         if not told.plan.is_relay:
             await trio.sleep(dissemination.QUIET_SECONDS)
             continue
-        for digest in told.make_digests():
-            topic = notices.GROUP_DIGEST
-            if digest.scope == dissemination.WHOLE:
-                topic = notices.WHOLE_DIGEST
-            exchange.publish(topic, digest)
+        for summary in told.make_summaries():
+            topic = notices.GROUP_SUMMARY
+            if summary.scope == dissemination.WHOLE:
+                topic = notices.WHOLE_SUMMARY
+            exchange.publish(topic, summary)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/relays.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/relays.py
@@ -17,7 +17,7 @@
 GROUP_MOST = 16  # members of a group; as many notices as in the largest mesh
 RELAYS = 2  # of a group, so that one may be lost
 SILENCE_SECONDS = 1.0  # of a relay, until the next one counts; above
-# the longest time between two of its digests
+# the longest time between two of its summaries
 
 
 class Plan(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/digests.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/summaries.py
@@ -1,6 +1,6 @@
-"""The packed form of a digest: upstreams' loads and outcomes in 10 bytes.
+"""The packed form of a summary: upstreams' loads and outcomes in 10 bytes.
 
-An upstream is named by 32 bits of a hash of its name. A digest goes to every
+An upstream is named by 32 bits of a hash of its name. A summary goes to every
 member of a group several times a second, so its size bounds the link.
 """
 
@@ -21,8 +21,8 @@
     Attributes:
         in_flight: requests.
         unread_tokens: tokens of prompts that it probably has yet to read.
-        good: requests that went well since the last digest.
-        bad: requests that failed since the last digest.
+        good: requests that went well since the last summary.
+        bad: requests that failed since the last summary.
     """
 
     in_flight: int = 0
--- a/packages/daemon/src/camphorhook_daemon/ports/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/notices.py
@@ -4,4 +4,4 @@
 `follow(topic, names)`, which subscribes at exactly these instances.
 """
 
-NOTICE, GROUP_DIGEST, WHOLE_DIGEST = b"n", b"g", b"w"
+NOTICE, GROUP_SUMMARY, WHOLE_SUMMARY = b"n", b"g", b"w"
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -231,12 +231,12 @@
             self.dissemination.adopt_notice(message)
             return
         try:
-            self.dissemination.adopt_digest(message, self.roll.registrations)
+            self.dissemination.adopt_summary(message, self.roll.registrations)
         except struct.error as error:
             logs.log(
                 "warning",
-                f"digest dropped: {error}",
-                step="adopt digest",
+                f"summary dropped: {error}",
+                step="adopt summary",
                 peer=message.sender,
             )
 
@@ -307,7 +307,7 @@
             parts.notices,
         )
         nursery.start_soon(
-            publishing.publish_digests, parts.dissemination, parts.notices
+            publishing.publish_summaries, parts.dissemination, parts.notices
         )
         nursery.start_soon(
             homes.learn,
--- a/tests/features/steps/dissemination.py
+++ b/tests/features/steps/dissemination.py
@@ -6,11 +6,11 @@
 
 import behave
 
-from camphorhook_daemon.domain.routing import digests
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import homes
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import summaries
 
 TRAVEL_SECONDS = 0.002
 PART_TOKENS = 2000
@@ -51,7 +51,7 @@
             instance.told.follow(self.domains)
             start = self.time + 0.001 * (index % 100)
             self._plan(start, self._publish_notice, instance)
-            self._plan(start, self._publish_digests, instance)
+            self._plan(start, self._publish_summaries, instance)
 
     def read_time(self):
         """Return the test's time in seconds."""
@@ -91,14 +91,14 @@
         wait = instance.told.measure_notice_seconds()
         self._plan(self.time + wait, self._publish_notice, instance)
 
-    def _publish_digests(self, instance):
+    def _publish_summaries(self, instance):
         if instance.is_lost or not instance.told.plan.is_relay:
             return
-        for digest in instance.told.make_digests():
+        for summary in instance.told.make_summaries():
             for reader in self.instances.values():
                 plan = reader.told.plan
                 sources = plan.list_tellers()
-                if digest.scope == dissemination.GROUP:
+                if summary.scope == dissemination.GROUP:
                     sources = plan.list_peer_relays(reader.name)
                 if instance.name in sources:
                     self._plan(
@@ -106,13 +106,13 @@
                         self._deliver,
                         reader,
                         self._make_adopter(reader),
-                        digest,
+                        summary,
                     )
-        wait = instance.told.measure_digest_seconds()
-        self._plan(self.time + wait, self._publish_digests, instance)
+        wait = instance.told.measure_summary_seconds()
+        self._plan(self.time + wait, self._publish_summaries, instance)
 
     def _make_adopter(self, reader):
-        return lambda digest: reader.told.adopt_digest(digest, self.engines)
+        return lambda summary: reader.told.adopt_summary(summary, self.engines)
 
     def list_alive(self):
         """Return the instances that were not lost."""
@@ -130,7 +130,7 @@
     for index, instance in enumerate(fleet.instances.values()):
         engine = fleet.engines[index % len(fleet.engines)]
         for _ in range(count):
-            instance.loads.begin(engine, 2 * digests.UNREAD_STEP)
+            instance.loads.begin(engine, 2 * summaries.UNREAD_STEP)
             fleet.sent[engine] += 1
         part = f"part-{engine}"
         instance.homes.note(part, PART_TOKENS, engine, fleet.time)
@@ -184,7 +184,7 @@
         for engine in fleet.engines:
             in_flight, unread = instance.loads.sum_load(engine)
             assert in_flight == fleet.sent[engine], (instance.name, engine)
-            assert unread == in_flight * 2 * digests.UNREAD_STEP
+            assert unread == in_flight * 2 * summaries.UNREAD_STEP
 
 
 @behave.then("each of them knows where the shared parts are")
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -16,9 +16,9 @@
 
 import docopt
 
-from camphorhook_daemon.domain.routing import digests
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import relays
+from camphorhook_daemon.domain.routing import summaries
 
 OUTPUT = pathlib.Path("docs/CAPACITY.md")
 MEGABYTE = 1e6
@@ -399,13 +399,13 @@
     )
     groups = len(plans[0].relays)
     wait = dissemination.INTERVAL_SECONDS
-    wait += dissemination.DIGEST_SECONDS * readers
-    full = digests.Sum(1, digests.UNREAD_STEP, 1, 0)
+    wait += dissemination.SUMMARY_SECONDS * readers
+    full = summaries.Sum(1, summaries.UNREAD_STEP, 1, 0)
     sums = {f"server-{number}": full for number in range(target.upstreams)}
-    size = len(digests.pack(sums))
+    size = len(summaries.pack(sums))
     page.head("Entry instance on the platform: notices, B/s")
     page.work(
-        "digests read by a member",
+        "summaries read by a member",
         f"{target.upstreams} x {size // target.upstreams} B / {wait:.2f} s",
         size / wait,
         target.bytes_per_second,
@@ -413,7 +413,7 @@
         "region's services",
     )
     page.work(
-        "digests sent by a relay",
+        "summaries sent by a relay",
         f"{readers} readers x {size:,} B / {wait:.2f} s",
         readers * size / wait,
         None,
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -116,7 +116,7 @@
         if isinstance(message, wire.Notice):
             self.told.adopt_notice(message)
         else:
-            self.told.adopt_digest(message, self.roll.registrations)
+            self.told.adopt_summary(message, self.roll.registrations)
 
     def start(self, nursery):
         """Publish notices from now on."""
@@ -128,7 +128,7 @@
             self.exchange,
         )
         nursery.start_soon(
-            publishing.publish_digests, self.told, self.exchange
+            publishing.publish_summaries, self.told, self.exchange
         )
 
 
