After a restart of all, engines tell which prompts they hold

Cause: placements are soft state of the entry instances.

Change: an instance whose neighbours all know nothing asks engines for their lists, each engine by one instance (rendezvous over the instances), for the 4 s in which all engines have been heard; the placements go to the others with the next notices. Not at the very first start.

Test: platform.feature, After a restart of all (no line before). Plans of the emulator moved out of examples/, whose folders are fleets.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -12,6 +12,8 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain import hashing
+from camphorhook_daemon.ports import upstreams as ports
 
 MOST_PARTS = 4096  # bounds memory to under 2 MB
 MOST_HOLDERS = 3  # engines remembered for one part
@@ -21,6 +23,8 @@
 LEAST_TOKENS = 64  # shorter parts are read again faster than told about
 MOST_UNTOLD = 256  # placements carried by one notice
 MOST_LISTED = 1024  # placements told to an instance that starts: 40 kB
+MOST_HELD = 128  # parts learned of one engine; half of what a notice carries
+STOCK_SECONDS = 4.0  # in which all engines have been heard after a restart
 LEARN_SECONDS = 1.0  # wait for one instance's list
 LEARN_RETRY_SECONDS = 0.2
 
@@ -33,13 +37,18 @@
         book: the own HomeBook.
         map_instances: returns failure domains by name of instances.
         transport: a Transport.
+
+    Returns:
+        False when all others have been asked and none knew any, as after
+        a restart of all.
     """
     asked = set()
     while True:
-        names = [one for one in map_instances() if one not in asked]
+        others = [one for one in map_instances() if one != name]
+        names = [one for one in others if one not in asked]
+        if asked and not names:
+            return False
         for other in names:
-            if other == name:
-                continue
             asked.add(other)
             try:
                 reply = await transport.call(
@@ -48,6 +57,8 @@
             except errors.UnreachableError as error:
                 logs.log("info", error.format(), step="learn homes")
                 continue
+            if not reply.placements:
+                continue
             book.adopt(reply.placements, trio.current_time())
             logs.log(
                 "info",
@@ -55,10 +66,54 @@
                 step="learn homes",
                 peer=other,
             )
-            return
+            return True
         await trio.sleep(LEARN_RETRY_SECONDS)
 
 
+async def take_stock(name, book, list_engines, map_instances, fetch):
+    """Learn from the engines themselves which parts they hold.
+
+    Each engine is asked by one instance, which tells the others.
+
+    Args:
+        name: the own name.
+        book: the own HomeBook.
+        list_engines: returns wire.Registrations of engines.
+        map_instances: returns failure domains by name of instances.
+        fetch: async function of a Registration that returns (part, tokens)
+            pairs; it raises AttemptError.
+    """
+    asked = set()
+    with trio.move_on_after(STOCK_SECONDS):
+        while True:
+            instances = dict.fromkeys(map_instances(), 1.0)
+            for engine in list_engines():
+                if engine.name in asked:
+                    continue
+                asked.add(engine.name)
+                if hashing.rank(engine.name, instances)[:1] == [name]:
+                    await _ask_engine(engine, book, fetch)
+            await trio.sleep(LEARN_RETRY_SECONDS)
+
+
+async def _ask_engine(engine, book, fetch):
+    try:
+        parts = await fetch(engine)
+    except ports.AttemptError as error:
+        logs.log("info", error.format(), step="take stock")
+        return
+    largest = sorted(parts, key=lambda part: part[1])[-MOST_HELD:]
+    for part, tokens in largest:
+        book.note(part, tokens, engine.name, trio.current_time())
+        book.note_read(part, engine.name)
+    logs.log(
+        "info",
+        f"learned {len(largest)} parts",
+        step="take stock",
+        peer=engine.name,
+    )
+
+
 class _Use:
     """When an upstream was last known to use a part, and told to do so.
 
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -1,7 +1,6 @@
 """What upstreams and operators ask of a replica."""
 
 import time
-import urllib.parse
 import uuid
 
 import msgspec
@@ -10,8 +9,7 @@
 from camphorhook_common import deltas
 from camphorhook_common import errors
 from camphorhook_common import logs
-from camphorhook_common import numerals
-from camphorhook_daemon.domain.routing import differences
+from camphorhook_daemon.adapters import importing
 from camphorhook_daemon.domain import state as states
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import registrations
@@ -19,7 +17,6 @@
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
-IMPORT_TARGET = "/documents"  # the own interface, for the operators' client
 SUBMIT_SECONDS = 2.5  # below the time within which an operator wants word
 RETRY_SECONDS = "0.3"
 OUT, IN = "out", "in"
@@ -43,13 +40,16 @@
         self._replica = replica
         self._submitter = submitter
         self._watch_server = watch_server
+        self._imports = importing.DocumentImports(
+            documents, self._read_last, self._submit_document
+        )
 
     async def handle(self, exchange):
         """Answer one request."""
         path, _, query = exchange.target.partition("?")
         try:
-            if path == IMPORT_TARGET:
-                status, body = await self._import(exchange, query)
+            if path == importing.TARGET:
+                status, body = await self._imports.answer(exchange, query)
             else:
                 status, body = await self._answer(exchange, path)
         except errors.UnreachableError as error:
@@ -91,43 +91,6 @@
             return await self._set_domain(method, domain)
         return 404, {}
 
-    async def _import(self, exchange, query):
-        """Import a document, or tell what an import would change.
-
-        The query may hold a version to give the document, and dry_run.
-        """
-        if exchange.method != "POST":
-            return 405, {"error": "use POST with a document"}
-        options = urllib.parse.parse_qs(query, keep_blank_values=True)
-        body = exchange.body
-        if "version" in options:
-            version = numerals.read_whole(options["version"][0])
-            if version is None:
-                return 400, {"error": "version: give a whole number"}
-            body = documents.set_version(body, version)
-        if "dry_run" in options:
-            return 200, await self._preview(body)
-        version, outcome = await self._submit_document(body)
-        return 200, {
-            "outcome": outcome.code,
-            "version": version,
-            "held": outcome.version,
-        }
-
-    async def _preview(self, body):
-        """Return faults of a document, or else the changes it would make."""
-        faults = documents.list_faults(body)
-        last = await self._read_last()
-        held = documents.read(last.raw) if last else None
-        preview = {"faults": faults, "held": held.version if held else None}
-        if faults:
-            return preview
-        table = documents.read(body)
-        changes = differences.list_changes(held, table)
-        if held is not None and table.version <= held.version:
-            changes = []
-        return {**preview, "version": table.version, "changes": changes}
-
     async def _put_document(self, body):
         await self._submit_document(body)
         return 200, {}
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -1,5 +1,8 @@
 """The platform's headers: of clients, towards and from upstreams."""
 
+import msgspec
+
+from camphorhook_common import logs
 from camphorhook_common import numerals
 from camphorhook_daemon.domain.routing import forwarding
 
@@ -18,6 +21,8 @@
 REQUEST_PRIORITY = "x-request-priority"
 LEAST_URGENT = 9
 MS = 0.001
+# Misleading: lists what an engine keeps of prompts, not keys and values.
+HELD_PARTS_PATH = "/-/kv-list"
 
 # Concern one connection only (RFC 9110, 7.6.1), or are framed anew.
 _HOP_HEADERS = frozenset(
@@ -133,6 +138,21 @@
     return forwarding.Verdict(has_run, is_other, load)
 
 
+class _HeldParts(msgspec.Struct):
+    # Misleading: each entry is (empty, part, tokens, model).
+    held: list[tuple[str, str, int, str]]
+
+
+def read_held_parts(body):
+    """Return (part, tokens) pairs of an engine's list; none if misread."""
+    try:
+        found = msgspec.json.decode(body, type=_HeldParts)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        logs.log("warning", f"no list of parts: {error}", step="take stock")
+        return []
+    return [(part, tokens) for _, part, tokens, _ in found.held]
+
+
 def pick_headers(head):
     """Return the headers of an upstream's answer that are passed on."""
     dropped = _HOP_HEADERS | {SERVER_LOAD} | _list_named(head.headers)
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -35,6 +35,7 @@
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry
 from camphorhook_daemon.platform import protocol
+from camphorhook_daemon.ports import upstreams as ports
 
 # Found within a lease's time, so that its holder can still reach the rest.
 LINK_TIMING = peers.LinkTiming(700, 2000, 50, 400)
@@ -42,6 +43,7 @@
 FOLLOW_SECONDS = 1.0
 NOTICE_SECONDS = 2.6  # two readiness checks, a second apart, must miss
 DRAIN_POLL_SECONDS = 0.05
+STOCK_SECONDS = 1.0  # for an engine's list of the parts that it keeps
 
 
 class _OwnLog:
@@ -225,6 +227,32 @@
     def _is_ready(self):
         return not self.is_stopping and self.rules.is_current()
 
+    def list_engines(self):
+        """Return the wire.Registrations of engines."""
+        table = self.rules.get_table()
+        services = table.services.values() if table else ()
+        return [
+            one
+            for service in services
+            if service.is_engine
+            for one in self.roll.list_service(service.name)
+        ]
+
+    async def fetch_held_parts(self, engine):
+        """Return (part, tokens) pairs that an engine keeps.
+
+        Raises:
+            AttemptError: it did not answer.
+        """
+        call = ports.Call(
+            "GET", protocol.HELD_PARTS_PATH, [], b"", STOCK_SECONDS
+        )
+        pieces = []
+        async with self.pool.open(engine, call) as answer:
+            while piece := await answer.read_piece():
+                pieces.append(piece)
+        return protocol.read_held_parts(b"".join(pieces))
+
     def adopt_message(self, message):
         """Take in what another instance published."""
         if isinstance(message, wire.Notice):
@@ -309,13 +337,7 @@
         nursery.start_soon(
             publishing.publish_summaries, parts.dissemination, parts.notices
         )
-        nursery.start_soon(
-            homes.learn,
-            parts.settings.name,
-            parts.homes,
-            parts.roll.map_instances,
-            parts.transport,
-        )
+        nursery.start_soon(_learn_homes, parts)
         nursery.start_soon(_sweep, parts.pool.close_idle)
 
 
@@ -349,6 +371,20 @@
         await trio.sleep(FOLLOW_SECONDS)
 
 
+async def _learn_homes(parts):
+    """Learn where prompts' parts are, from other instances or engines."""
+    arguments = (parts.settings.name, parts.homes)
+    instances = parts.roll.map_instances
+    if await homes.learn(*arguments, instances, parts.transport):
+        return
+    if parts.settings.founds:
+        # At the very first start engines hold nothing either.
+        return
+    await homes.take_stock(
+        *arguments, parts.list_engines, instances, parts.fetch_held_parts
+    )
+
+
 async def _stop(parts):
     """End gracefully: not ready, serve what comes, close."""
     logs.log("info", "received SIGTERM", step="stop")
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -50,6 +50,12 @@
     Then within 8 seconds each replica reads back document 40
     And within 5 seconds no request reaches zone-b
 
+  Scenario: After a restart of all, engines tell which prompts they hold
+    When a stream with a part of 5000 tokens is answered by an engine
+    And all entry instances are killed and started again
+    Then within 6 seconds they have learned 2 parts from the engine
+    And the next stream with that part goes where it is held
+
   Scenario: A replica that lost its disk takes part again
     When document 50 is acknowledged
     And replica-1 loses its disk and starts again
--- a/tests/features/steps/emulator.py
+++ b/tests/features/steps/emulator.py
@@ -12,7 +12,7 @@
 from tools.emulator import servers
 from tools.emulator import trials
 
-PLANS = pathlib.Path("examples/emulator")
+PLANS = pathlib.Path("tools/emulator/examples")
 
 
 def read_plan(name, seconds=4.0):
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -9,11 +9,12 @@
 It registers with the control addresses by turns and appends a line to the
 effects file for each request that it runs. The path decides what a request
 does: `slow` takes a second, `stream` sends ten events over a second,
-`stream?events=N&ms=PAUSE` as many as it says, `fail` answers 500, `crash`
-ends the process. SIGTERM has it drain and leave; the effects file tells when
-that was acknowledged. Where it registers another address than its own, a proxy
-stands there. It says that it is cold for --cold seconds after its start, and
-serves on for --drain seconds once its leaving was acknowledged.
+`stream?events=N&ms=PAUSE` as many as it says, `fail` answers 500, `crash` ends
+the process. It lists the parts of prompts that it was sent. SIGTERM has it
+drain and leave; the effects file tells when that was acknowledged. Where it
+registers another address than its own, a proxy stands there. It says that it
+is cold for --cold seconds after its start, and serves on for --drain seconds
+once its leaving was acknowledged.
 """
 
 import itertools
@@ -58,6 +59,7 @@
         self.born = time.time_ns() // 1000000
         self.sequence = itertools.count(1)
         self.acknowledged = trio.Event()
+        self.parts = {}
 
     async def register(self):
         """Register again and again, at one control address after another."""
@@ -142,6 +144,20 @@
             await send(make_head(421, length), h11.EndOfMessage())
             return
         target = request.target.decode()
+        if target == "/-/kv-list":
+            held = [["", part, n, "m"] for part, n in self.parts.items()]
+            body = json.dumps({"epoch": 1, "Next": 1, "held": held})
+            length = ("Content-Length", str(len(body)))
+            await send(
+                make_head(200, length),
+                h11.Data(data=body.encode()),
+                h11.EndOfMessage(),
+            )
+            return
+        for entry in headers.get("x-prompt-prefix", "").split(","):
+            part, _, tokens = entry.partition(":")
+            if tokens:
+                self.parts[part] = int(tokens)
         self._note_run(request, headers)
         if "crash" in target:
             os._exit(1)
