--- a/tools/costs.py
+++ b/tools/costs.py
@@ -33,7 +33,7 @@
 CALLERS = 8
 FEW, MANY = 4, 44
 PAUSE_MS = 10
-LOG_LINES = 2000
+LOG_LINES = 20_000  # many times what a burst admits
 PROFILED = """
 import cProfile, signal, sys
 from camphorhook_daemon import main
