The key is checked again after the wait for a part; no event without a waiter

A placement held an event object each, up to 12,288 of them; now only one that somebody waits for. The wait is also bounded by a quarter of the time left, and a key whose confirmation ran out meanwhile is not used.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -25,6 +25,7 @@
 PATIENCE_OBJECTIVES = 3.0  # latency objectives after which another is tried
 PATIENCE_SHARE = 0.4  # of the time left; the rest is for the next attempt
 BUSY_SECONDS = 0.4  # in which a full service has usually made room
+BLIND_REASON = "the key's account is not confirmed"
 BLIND_SECONDS = 1.0  # in which a lost leader is usually replaced
 SERVER_ERROR = 500
 
@@ -217,9 +218,7 @@
         if now >= request.give_up_at:
             return Failure(504, "no upstream answered in time")
         if not self._is_allowed(request):
-            return Failure(
-                503, "the key's account is not confirmed", BLIND_SECONDS
-            )
+            return Failure(503, BLIND_REASON, BLIND_SECONDS)
         if progress.sends:
             if progress.sends >= MOST_SENDS:
                 return Failure(503, "every upstream rejects", BUSY_SECONDS)
@@ -255,7 +254,10 @@
         unread = _Unread(self._loads, target.name, request, choice)
         self.changed.set()
         try:
-            await self._selector.wait_until_read(request, choice)
+            await self._selector.wait_until_read(request, choice, now)
+            if not self._is_allowed(request):
+                progress.sends -= 1
+                return Failure(503, BLIND_REASON, BLIND_SECONDS)
             return await self._exchange(
                 request, choice, progress, reply, unread
             )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/homes.py
@@ -121,14 +121,18 @@
 
     Attributes:
         placed_at: when it got the part for the first time.
-        read: set once it surely has read it.
+        is_read: it surely has read it.
+        read: set when it has; None while nobody waits for that.
     """
 
+    __slots__ = ("used_at", "told_at", "placed_at", "is_read", "read")
+
     def __init__(self, now):
         self.used_at = float("-inf")
         self.told_at = float("-inf")
         self.placed_at = now
-        self.read = trio.Event()
+        self.is_read = False
+        self.read = None
 
 
 class HomeBook:
@@ -191,7 +195,9 @@
         """Take note that an upstream has read a part."""
         use = self._holders.get(part, {}).get(upstream)
         if use is not None:
-            use.read.set()
+            use.is_read = True
+            if use.read is not None:
+                use.read.set()
 
     async def wait_until_read(self, part, tokens, upstream, longest):
         """Wait while an upstream is probably still reading a part.
@@ -206,8 +212,10 @@
             longest: seconds.
         """
         use = self._holders.get(part, {}).get(upstream)
-        if use is None or use.read.is_set():
+        if use is None or use.is_read:
             return
+        if use.read is None:
+            use.read = trio.Event()
         ends_at = use.placed_at + tokens / READ_TOKENS
         deadline = min(ends_at, trio.current_time() + longest)
         with trio.move_on_at(deadline):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -6,8 +6,8 @@
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice as choices
 
-READING_SHARE = 0.25  # of the latency objective, waited for a part that is
-# being read; reading it once more takes as long
+READING_SHARE = 0.25  # of the latency objective, or of the time left, waited
+# for a part that is being read; reading it once more takes as long
 LEAST_CONNECTIONS = 2  # to an upstream, however many instances share it
 
 
@@ -119,13 +119,20 @@
             self._cold.spend(name, spec.cold_rate, instances, now)
         return choice
 
-    async def wait_until_read(self, request, choice):
-        """Wait while the chosen engine reads the shared part for another."""
+    async def wait_until_read(self, request, choice, now):
+        """Wait while the chosen engine reads the shared part for another.
+
+        Args:
+            request: with parts, route and give_up_at.
+            choice: the Choice.
+            now: seconds.
+        """
         if choice.was_held:
+            left = min(request.route.objective, request.give_up_at - now)
             await self._book.wait_until_read(
                 *choices.find_shared_part(request.parts),
                 choice.upstream.name,
-                READING_SHARE * request.route.objective,
+                READING_SHARE * left,
             )
 
     def note_read(self, request, upstream):
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -43,7 +43,7 @@
 FOLLOW_SECONDS = 1.0
 NOTICE_SECONDS = 2.6  # two readiness checks, a second apart, must miss
 DRAIN_POLL_SECONDS = 0.05
-STOCK_SECONDS = 1.0  # for an engine's list of the parts that it keeps
+LIST_SECONDS = 1.0  # for an engine's list of the parts that it keeps
 
 
 class _OwnLog:
@@ -245,7 +245,7 @@
             AttemptError: it did not answer.
         """
         call = ports.Call(
-            "GET", protocol.HELD_PARTS_PATH, [], b"", STOCK_SECONDS
+            "GET", protocol.HELD_PARTS_PATH, [], b"", LIST_SECONDS
         )
         pieces = []
         async with self.pool.open(engine, call) as answer:
