A stop waits for requests that are being read

A connection whose bytes had arrived in that moment was neither idle nor active yet. Its task ran next, passed the request on, and was cancelled with the process 5 ms later. Since requests are sent without a task switch, the passing on came before the end; the gap itself is old.

Ruled out: the accepting task (its scope holds no connections), the client (it waited), the route's timeout.

Change: a connection is active from the first byte of a request on; drain() in listeners.py lets woken tasks run before it counts, and a connection that was accepted in the last moment waits for no request.

--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -15,6 +15,7 @@
 from camphorhook_daemon.adapters import heads
 
 BACKLOG = 512
+DRAIN_POLL_SECONDS = 0.05  # a graceful stop ends so much later at most
 LINGER_SECONDS = 0.5  # longest wait for a client to take a last answer
 USER_TIMEOUT_MS = 10000  # unacknowledged bytes for so long: the peer is gone
 ACCEPT_PAUSE_SECONDS = 0.05  # wait for a descriptor to become free
@@ -119,6 +120,7 @@
     def __init__(self, connected, listener):
         self._connected = connected
         self._listener = listener
+        self._event = None
         limits = listener.read_limits()
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -136,22 +138,27 @@
         self.http.receive_data(data)
         return data
 
-    async def read_exchange(self, idle):
-        """Return the next Exchange, or None when the connection ends.
-
-        Args:
-            idle: scope that is cancelled to close an idle connection; not
-                any more once bytes of a request are here.
-        """
-        limits = self._listener.read_limits()
+    async def wait_for_request(self):
+        """Return whether bytes of a request came before the idle limit."""
         event = self.http.next_event()
         if event is h11.NEED_DATA:
+            limits = self._listener.read_limits()
             with trio.move_on_after(limits.idle_seconds) as unused:
                 await self._receive()
             if unused.cancelled_caught:
-                return None
+                return False
             event = self.http.next_event()
-        self._listener.note_busy(idle)
+        self._event = event
+        return True
+
+    async def read_exchange(self):
+        """Return the Exchange whose first bytes are here.
+
+        Returns:
+            None when the connection ends.
+        """
+        limits = self._listener.read_limits()
+        event = self._event
         with trio.move_on_after(limits.header_seconds) as slow:
             while event is h11.NEED_DATA:
                 await self._receive()
@@ -258,14 +265,12 @@
         self.is_stopping = is_stopping
         self.active = 0
         self._accepting = None
+        self._is_closed = False
         self._idle = set()
 
-    def note_busy(self, idle):
-        """Keep a connection open, as a request has begun to arrive."""
-        self._idle.discard(idle)
-
     def close(self):
         """Accept nothing more and close connections without a request."""
+        self._is_closed = True
         if self._accepting is not None:
             self._accepting.cancel()
         for scope in self._idle:
@@ -329,18 +334,14 @@
             connected.close()
 
     async def _serve_requests(self, connection):
-        while True:
-            exchange = None
-            with trio.CancelScope() as idle:
-                self._idle.add(idle)
-                try:
-                    exchange = await connection.read_exchange(idle)
-                finally:
-                    self._idle.discard(idle)
-            if exchange is None:
-                return
+        while await self._wait_for_request(connection):
+            # Active from its first byte on, so that a graceful stop waits
+            # for a request that is still being read.
             self.active += 1
             try:
+                exchange = await connection.read_exchange()
+                if exchange is None:
+                    return
                 await self._serve_exchange(connection, exchange)
             finally:
                 self.active -= 1
@@ -353,6 +354,19 @@
                 return
             http.start_next_cycle()
 
+    async def _wait_for_request(self, connection):
+        """Return whether a request has begun; False once closed."""
+        has_begun = False
+        if self._is_closed:
+            return False
+        with trio.CancelScope() as idle:
+            self._idle.add(idle)
+            try:
+                has_begun = await connection.wait_for_request()
+            finally:
+                self._idle.discard(idle)
+        return has_begun
+
     async def _serve_exchange(self, connection, exchange):
         """Handle a request; cancelled when its client leaves."""
         async with trio.open_nursery() as nursery:
@@ -366,6 +380,23 @@
             nursery.cancel_scope.cancel()
 
 
+async def drain(all_listeners):
+    """Close listeners and return once no request is left.
+
+    Requests whose bytes were here before the end are answered.
+
+    Args:
+        all_listeners: Listeners that run.
+    """
+    for listener in all_listeners:
+        listener.close()
+    while True:
+        # First, as a task may have been woken by bytes but not run yet.
+        await trio.sleep(DRAIN_POLL_SECONDS)
+        if not any(listener.active for listener in all_listeners):
+            return
+
+
 async def _answer_quietly(connection, error):
     """Answer an error; a client that has left needs no answer."""
     try:
--- a/packages/daemon/src/camphorhook_daemon/router.py
+++ b/packages/daemon/src/camphorhook_daemon/router.py
@@ -42,7 +42,6 @@
 SWEEP_SECONDS = 0.5
 FOLLOW_SECONDS = 1.0
 NOTICE_SECONDS = 2.6  # two readiness checks, a second apart, must miss
-DRAIN_POLL_SECONDS = 0.05
 LIST_SECONDS = 1.0  # for an engine's list of the parts that it keeps
 
 
@@ -398,7 +397,4 @@
         await trio.sleep(NOTICE_SECONDS)
         # From here a client that comes again must find another instance,
         # or the stop would never find the instance idle.
-        for listener in parts.listeners:
-            listener.close()
-        while parts.count_active():
-            await trio.sleep(DRAIN_POLL_SECONDS)
+        await listeners.drain(parts.listeners)
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -53,6 +53,10 @@
     When it closes beside an idle connection and a slow request
     Then the idle connection ends, the request gets its answer, and no new connection is taken
 
+  Scenario: A request that comes as the server stops is answered or not run
+    When 60 servers stop just as a request reaches them
+    Then each request that was handled got its answer
+
   Scenario: Events are passed on whole, in order and once
     Then events split at any byte come out whole and in order
     And a stream taken up again leaves out events up to the last one passed on
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -179,7 +179,9 @@
     "a body that ends early": GOOD[:-1],
     "nothing": b"",
     "a slow request": b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n",
+    "a brief request": b"GET /brief HTTP/1.1\r\nHost: h\r\n\r\n",
 }
+PAUSES = {"/slow": 1.0, "/brief": 0.02}  # seconds that handling takes
 
 
 class Server:
@@ -196,9 +198,9 @@
     async def handle(self, exchange):
         """Answer a request, slowly where its path says so."""
         self.handled += 1
-        if exchange.target == "/slow":
+        if exchange.target in PAUSES:
             try:
-                await trio.sleep(1.0)
+                await trio.sleep(PAUSES[exchange.target])
             except trio.Cancelled:
                 self.cancelled_at = trio.current_time()
                 raise
@@ -331,6 +333,46 @@
     assert context.outcome == (b"", b"HTTP/1.1 200", "refused")
 
 
+@behave.when("{count:d} servers stop just as a request reaches them")
+def stop_at_request(context, count):
+    async def act(server):
+        stream = await server.connect(b"")
+        await trio.sleep(0.01)
+        # Sending makes both tasks runnable; which runs first is drawn.
+        await stream.send_all(SENT["a brief request"])
+        await listeners.drain([server.listener])
+        return stream
+
+    context.outcomes = []
+    for _ in range(count):
+        run_stopping(context, act)
+
+
+def run_stopping(context, act):
+    """End a server as a graceful stop does; note what the client got."""
+
+    async def run():
+        async with trio.open_nursery() as outer:
+            async with trio.open_nursery() as nursery:
+                server = Server()
+                await server.start(nursery)
+                stream = await act(server)
+                nursery.cancel_scope.cancel()
+            data = await read_all(stream)
+            context.outcomes.append((server.handled, data[:12]))
+            outer.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.then("each request that was handled got its answer")
+def check_stopped(context):
+    handled = [one for one in context.outcomes if one[0]]
+    assert handled, context.outcomes
+    for _, data in handled:
+        assert data == b"HTTP/1.1 200", context.outcomes
+
+
 def make_events(first, last):
     """Return events with the ids from first to last."""
     return b"".join(
