While all replicas are avoided, ask the one that failed longest ago

When the old leader was cut off at 18.9 it was asked again and again, as its avoidance always ended first: the document of 20.03 was in force there at 23.96.

Ruled out: pings from one side (it watched all three again from 17.2 on), late commits (all other instances had the document within 0.1 s).

Change: among avoided replicas the longest failure ago comes first, and a watch that succeeds ends the avoidance.

Test: log_safety.feature, An instance that stood still: before, r2 was asked where r1 is due.

--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -256,13 +256,15 @@
         self._configuration = configuration
         self._transport = transport
         self._recorder = recorder
-        self._avoided_until = {}
+        self._failures = {}
 
     def choose_replica(self, now):
         """Return this instance, a replica near by, or any other.
 
         Among others each instance has an order of its own, so that all
-        replicas get about as many watchers.
+        replicas get about as many watchers. While all are avoided, the one
+        whose failure is the longest ago comes next: how long a failure took
+        says nothing of it where this instance itself stood still.
         """
         domains = {
             peer.name: peer.failure_domain for peer in self._settings.peers
@@ -275,8 +277,11 @@
                 place = 0
             elif domains.get(name) == self._settings.failure_domain:
                 place = 1
-            until = self._avoided_until.get(name, now)
-            return max(now, until), place, hashing.find_fraction(own, name)
+            failed_at, until = self._failures.get(name, (now, now))
+            fraction = hashing.find_fraction(own, name)
+            if until > now:
+                return 1, failed_at, fraction
+            return 0, place, fraction
 
         known = self._settings.list_replicas()
         return min({*known, *self._configuration.replicas}, key=rank)
@@ -292,13 +297,24 @@
                 stale = True
                 await trio.sleep(RETRY_SECONDS)
             if stale:
-                now = trio.current_time()
-                avoid = AVOID_SECONDS
-                # At the start nothing is missed by asking in vain, and the
-                # replica near by may be about to start too.
-                if self._configuration.index >= 0:
-                    avoid = max(avoid, AVOID_RATIO * (now - asked_at))
-                self._avoided_until[replica] = now + avoid
+                self.note_failure(replica, asked_at, trio.current_time())
+            else:
+                self._failures.pop(replica, None)
+
+    def note_failure(self, replica, asked_at, now):
+        """Avoid a replica for a while, after a watch in vain.
+
+        Args:
+            replica: its name.
+            asked_at: seconds, when the watch began.
+            now: seconds.
+        """
+        avoid = AVOID_SECONDS
+        # At the start nothing is missed by asking in vain, and the replica
+        # near by may be about to start too.
+        if self._configuration.index >= 0:
+            avoid = max(avoid, AVOID_RATIO * (now - asked_at))
+        self._failures[replica] = (now, now + avoid)
 
     async def _watch_once(self, replica):
         """Watch once; return whether the replica is in touch."""
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -22,3 +22,11 @@
   Scenario: Watchers spread over all replicas, not only the seeds
     When 64 instances choose one of 8 replicas
     Then no replica has more than 2 times its share of them
+
+  Scenario: An instance that stood still asks replicas in turn again
+    Given an instance that watches r1 and knows r2 and r3
+    When its watch of r1 took 9 seconds, as it stood still, and failed
+    And its watches of r2 and r3 took 1.9 seconds each and failed
+    Then it asks r1 next
+    When its watch of r1 took 1.9 seconds and failed
+    Then it asks r2 next
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -73,3 +73,49 @@
     total = sum(context.watched.values())
     most = max(context.watched.values())
     assert most <= share * total / 8, context.watched
+
+
+@behave.given("an instance that watches r1 and knows r2 and r3")
+def make_watcher(context):
+    settings = types.SimpleNamespace(
+        name="entry",
+        peers=(),
+        failure_domain="zone-a",
+        list_replicas=lambda: ["r1", "r2", "r3"],
+    )
+    configuration = types.SimpleNamespace(replicas=(), index=5)
+    context.watcher = configurations.Watcher(
+        settings, configuration, None, None
+    )
+    context.now = 100.0
+
+
+def fail_watch(context, name, seconds):
+    """Let a watch of a replica fail after a time."""
+    asked_at = context.now
+    context.now += seconds
+    context.watcher.note_failure(name, asked_at, context.now)
+
+
+@behave.when(
+    "its watch of {name:w} took {seconds:g} seconds, as it stood still, and "
+    "failed"
+)
+@behave.when("its watch of {name:w} took {seconds:g} seconds and failed")
+def fail_one(context, name, seconds):
+    fail_watch(context, name, seconds)
+
+
+@behave.when(
+    "its watches of {one:w} and {other:w} took {seconds:g} seconds each and "
+    "failed"
+)
+def fail_two(context, one, other, seconds):
+    fail_watch(context, one, seconds)
+    fail_watch(context, other, seconds)
+
+
+@behave.then("it asks {name:w} next")
+def check_next(context, name):
+    chosen = context.watcher.choose_replica(context.now)
+    assert chosen == name, chosen
