Leave out a count that nobody reads and an option that trio sets

forwarding.py took a send back just before it gave up, where only runs are read after; trio.SocketStream sets TCP_NODELAY itself.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -29,11 +29,11 @@
         Raises:
             OSError: the peer has left already.
         """
-        raw.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         raw.setsockopt(
             sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, user_timeout_ms
         )
         self._raw = raw
+        # This also has small writes sent at once.
         self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
 
     async def receive(self):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -256,7 +256,6 @@
         try:
             await self._selector.wait_until_read(request, choice, now)
             if not self._is_allowed(request):
-                progress.sends -= 1
                 return Failure(503, BLIND_REASON, BLIND_SECONDS)
             return await self._exchange(
                 request, choice, progress, reply, unread
