Send nothing to upstreams that leave or want a pause

A server says in its answers that it leaves, and one that rejects a request may ask for a pause; both headers were passed over, so requests went on to such servers.

Change: withdrawals.py records both by incarnation. The selector leaves such upstreams out, and the connection pool asks again just before the first byte is sent, which also covers a key that is revoked while its request waits for a prefill or a connection. If every upstream wants a pause, clients are refused at once with the time of the first that comes back, spread over 0.3 s. The repeat of a failed request to a service without engines goes to another upstream. The log line of a 5xx now names the upstream.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -354,6 +354,27 @@
     placements: list[Placement]
 
 
+class Departure(typing.NamedTuple):
+    """Records that an upstream said in an answer that it leaves.
+
+    Attributes:
+        upstream: name of the upstream.
+        incarnation: its incarnation.
+        age_ms: milliseconds since it said so.
+    """
+
+    upstream: str
+    incarnation: int
+    age_ms: int
+
+
+class Departures(typing.NamedTuple):
+    """Publishes departures that the sender has learned of; one-way."""
+
+    sender: str
+    departures: list[Departure]
+
+
 class WatchUpstreams(typing.NamedTuple):
     """Asks a replica for the registrations that changed.
 
@@ -693,6 +714,7 @@
     "uu": UpstreamsReply,
     "no": Notice,
     "sm": Summary,
+    "de": Departures,
     "rp": ReadPlacements,
     "rr": PlacementsReply,
     "st": ShowStatus,
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -157,8 +157,16 @@
         Raises:
             ports.AttemptError: no answer was received; `sent` says whether
                 any byte of the request may have been sent.
+            ports.SendWithheld: the call's `find_obstacle` named a reason
+                not to send it.
         """
         pooled = await self._acquire(target)
+        obstacle = call.find_obstacle()
+        if obstacle:
+            self._close(pooled)
+            raise ports.SendWithheld(
+                obstacle, step="send request", peer=target.name
+            )
         answer = AnswerReader(pooled, target)
         can_reuse = False
         try:
--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -1,8 +1,9 @@
 """Notices between instances over ZeroMQ's PUB and SUB sockets.
 
 A message has two frames, the topic, on which SUB sockets filter, and the
-body. There is one SUB socket for each topic, because a socket's
-subscriptions apply to every instance that it is connected to.
+body. A message that is not of the topic's usual kind names its kind in a
+frame between them. There is one SUB socket for each topic, because a
+socket's subscriptions apply to every instance that it is connected to.
 """
 
 import trio
@@ -96,10 +97,13 @@
 
         Args:
             topic: a topic of `ports.notices`.
-            message: a message of `wire`, of the kind that the topic has.
+            message: a message of `wire`.
         """
-        body = wire.encode(message)[1]
-        self._publisher.send_multipart([topic, body], zmq.NOBLOCK)
+        kind, body = wire.encode(message)
+        frames = [topic, body]
+        if kind != _KINDS[topic]:
+            frames.insert(1, kind.encode())
+        self._publisher.send_multipart(frames, zmq.NOBLOCK)
 
     async def receive(self, apply):
         """Pass each received message to a function until cancelled.
@@ -116,7 +120,10 @@
         while True:
             frames = await socket.receive()
             try:
-                message = wire.decode(_KINDS[topic], frames[-1])
+                kind = _KINDS[topic]
+                if len(frames) > 2:
+                    kind = frames[1].decode("ascii", "replace")
+                message = wire.decode(kind, frames[-1])
             except errors.ProtocolError as error:
                 logs.log("warning", error.format(), step="receive notice")
                 continue
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/cache_index.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/cache_index.py
@@ -88,7 +88,7 @@
         map_instances: function that returns the failure domain by name of
             the instances alive.
         fetch: async function that returns (part, tokens) pairs for a
-            Registration, or raises AttemptError.
+            Registration, or raises AttemptError or SendWithheld.
     """
     asked = set()
     with trio.move_on_after(ENGINE_LOAD_SECONDS):
@@ -107,7 +107,7 @@
 async def _ask_engine(engine, index, fetch):
     try:
         parts = await fetch(engine)
-    except ports.AttemptError as error:
+    except (ports.AttemptError, ports.SendWithheld) as error:
         logs.log("info", error.format(), step="take stock")
         return
     largest = sorted(parts, key=lambda part: part[1])[-MAX_PARTS_PER_ENGINE:]
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -2,7 +2,8 @@
 
 Each instance publishes a Notice about its own requests. In a small fleet all
 instances read it. In a large fleet only the relays of the instance's group
-read it, and publish Summaries; see `relays`.
+read it, and publish Summaries; see `relays`. Departures of upstreams go the
+same way, each passed on once by every relay that it reaches.
 """
 
 import collections
@@ -10,6 +11,7 @@
 from camphorhook_common import wire
 from camphorhook_daemon.domain.routing import relays
 from camphorhook_daemon.domain.routing import summaries
+from camphorhook_daemon.ports import notices
 
 MAX_INTERVAL_SECONDS = 0.4  # longest interval between notices or summaries
 MIN_INTERVAL_SECONDS = 0.01  # shortest interval between two of them
@@ -51,7 +53,7 @@
         plan: the current relays.Plan.
     """
 
-    def __init__(self, name, loads, cache_index, outcomes, now):
+    def __init__(self, name, loads, cache_index, outcomes, withdrawals, now):
         """Create the state of an instance that knows no others.
 
         Args:
@@ -59,12 +61,14 @@
             loads: the loads.FleetLoads.
             cache_index: the cache_index.CacheIndex.
             outcomes: the outcomes.Outcomes.
+            withdrawals: the withdrawals.Withdrawals.
             now: function that returns the time in seconds.
         """
         self.name = name
         self._loads = loads
         self._cache_index = cache_index
         self._outcomes = outcomes
+        self._withdrawals = withdrawals
         self._now = now
         self._relay_monitor = relays.RelayMonitor()
         self._published_outcomes = {}
@@ -140,6 +144,27 @@
         for pending in self._pending.values():
             pending.add(notice.placements, notice.outcomes)
 
+    # --- departures --------------------------------------------------------
+
+    def make_departures(self):
+        """Return the wire.Departures to publish now, or None."""
+        found = self._withdrawals.drain_unpublished()
+        return wire.Departures(self.name, found) if found else None
+
+    def list_departure_topics(self):
+        """Return the topics on which this instance publishes departures."""
+        if self.plan.is_relay:
+            return notices.TOPICS
+        return (notices.NOTICE,)
+
+    def apply_departures(self, message):
+        """Apply the wire.Departures of another instance.
+
+        Returns:
+            True if this instance has some to publish.
+        """
+        return self._withdrawals.merge(message.departures, self.plan.is_relay)
+
     # --- summaries ---------------------------------------------------------
 
     def make_summaries(self):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -50,6 +50,13 @@
     return data[:end], data[end:]
 
 
+def has_event(data):
+    """Return whether complete blocks contain an event, not just comments."""
+    return any(
+        line.startswith((b"data:", b"id:")) for line in data.splitlines()
+    )
+
+
 def _read_id(block):
     for line in block.splitlines():
         if line.startswith(b"id:"):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -73,11 +73,15 @@
         has_run: False if the upstream states that the request has not run.
         is_wrong_upstream: a different upstream now uses the address.
         load: (running, waiting) requests on the upstream, or None.
+        is_leaving: the upstream says that it leaves.
+        pause: seconds for which the upstream wants no requests.
     """
 
     has_run: bool
     is_wrong_upstream: bool
     load: tuple[int, int] | None
+    is_leaving: bool = False
+    pause: float = 0.0
 
 
 class AttemptResult(enum.Enum):
@@ -111,6 +115,7 @@
         self.sends = 0
         self.runs = 0
         self.excluded = set()
+        self.failed = set()
         self.fallback_answer = None
 
 
@@ -238,10 +243,12 @@
                 )
                 return Failure(503, "upstreams are busy", BUSY_RETRY_SECONDS)
         choice = self._selector.choose(
-            request, service, progress.excluded, now
+            request, service, progress.excluded, now, progress.failed
         )
         if isinstance(choice, selection.Refusal):
-            return Failure(503, choice.reason, BUSY_RETRY_SECONDS)
+            return Failure(
+                503, choice.reason, choice.retry_after or BUSY_RETRY_SECONDS
+            )
         target = choice.upstream
         self._log(
             request,
@@ -267,13 +274,11 @@
         self.changed.set()
         try:
             await self._selector.wait_for_prefill(request, choice, now)
-            if not self._is_allowed(request):
-                return Failure(
-                    503, UNCONFIRMED_REASON, UNCONFIRMED_RETRY_SECONDS
-                )
             return await self._exchange(
                 request, choice, progress, reply, pending_prefill
             )
+        except ports.SendWithheld as error:
+            return self._handle_withheld(request, progress, error)
         except ports.AttemptError as error:
             health = self._selector.health[target.name]
             return self._handle_failure(request, progress, health, error)
@@ -290,6 +295,26 @@
             return False
         return self._rules.get_table().find_account(request.key) is not None
 
+    def _find_obstacle(self, request, upstream):
+        """Return why a request may not be sent to an upstream now, or ""."""
+        if not self._is_allowed(request):
+            return UNCONFIRMED_REASON
+        return self._selector.withdrawals.find_obstacle(upstream)
+
+    def _handle_withheld(self, request, progress, error):
+        """Try another upstream, unless the client's key is not confirmed."""
+        progress.sends -= 1
+        self._log(
+            request,
+            f"request not sent: {error.message}",
+            "warning",
+            peer=error.peer,
+        )
+        if not self._is_allowed(request):
+            return Failure(503, UNCONFIRMED_REASON, UNCONFIRMED_RETRY_SECONDS)
+        progress.excluded.add(error.peer)
+        return AttemptResult.RETRY
+
     def _handle_failure(self, request, progress, health, error):
         """Record a failed attempt; return AttemptResult.RETRY or a Failure."""
         self._outcomes.record(error.peer, False)
@@ -332,6 +357,7 @@
             head_info = self._protocol.read_head_info(answer.head)
             if head_info.load is not None:
                 health.record_report(*head_info.load, self._now())
+            self.record_withdrawal(target, head_info)
             if not head_info.has_run:
                 await _read_whole(answer)
                 return self._handle_rejection(
@@ -355,17 +381,36 @@
             return AttemptResult.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
+    def record_withdrawal(self, target, head_info):
+        """Record that an upstream leaves or wants a pause.
+
+        Args:
+            target: wire.Registration of the upstream that answered.
+            head_info: the HeadInfo of its answer.
+        """
+        withdrawals = self._selector.withdrawals
+        if head_info.pause:
+            withdrawals.record_pause(target, head_info.pause)
+        if head_info.is_leaving and withdrawals.record_departure(target):
+            self._pool.close_idle_to(target.name)
+            self.changed.set()
+
     async def _answer_whole(self, request, answer, body, progress, reply):
         """Relay a complete answer, or keep an error in case retries fail."""
         head = answer.head
         headers = self._protocol.pick_response_headers(head)
         progress.runs += 1
         if head.status >= SERVER_ERROR:
-            # The upstream is not excluded: it has the prompt cached now,
-            # and its failure rate is compared with others on selection.
+            # An engine is not excluded: it has the prompt cached now, and
+            # its failure rate is compared with others on selection.
+            progress.failed.add(answer.upstream)
             self._outcomes.record(answer.upstream, False)
             self._counts.add("attempts_total", outcome="server error")
-            self._log(request, f"the upstream answered {head.status}")
+            self._log(
+                request,
+                f"the upstream answered {head.status}",
+                peer=answer.upstream,
+            )
             if request.route.is_idempotent and not progress.has_started:
                 progress.fallback_answer = (head.status, headers, body)
                 return AttemptResult.RETRY
@@ -426,6 +471,9 @@
             request.body,
             min(left, timeout),
             request_id=request.request,
+            find_obstacle=lambda: self._find_obstacle(
+                request, choice.upstream
+            ),
         )
 
     async def _relay_stream(self, request, answer, progress, reply):
@@ -451,6 +499,15 @@
         raise StreamBroken("the route's timeout or the deadline was reached")
 
     async def _relay_all(self, request, answer, progress, reply, timing):
+        """Relay a stream to its end, or raise AttemptError to resume it.
+
+        A silent stream that can't be resumed any more is read on: it may be
+        slow, and the client decides how long it waits.
+        """
+        may_resume = (
+            request.route.can_resume
+            and progress.runs + 1 < request.route.attempts
+        )
         while True:
             try:
                 await stream_relay.relay(
@@ -458,7 +515,7 @@
                 )
                 return
             except stream_relay.StreamSilent as error:
-                if request.route.can_resume:
+                if may_resume:
                     raise ports.AttemptError(
                         "the stream fell silent",
                         step="read stream",
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
@@ -1,4 +1,4 @@
-"""Publishes the notices of an instance, and summaries if it is a relay."""
+"""Publishes the notices of an instance, and what it relays for others."""
 
 import trio
 
@@ -24,10 +24,18 @@
         forwarder.changed = trio.Event()
         if disseminator.update_instances(map_instances()):
             _subscribe(exchange, disseminator)
+        _publish_departures(exchange, disseminator)
         exchange.publish(notices.NOTICE, disseminator.make_notice())
         await trio.sleep(disseminator.compute_notice_interval())
 
 
+def _publish_departures(exchange, disseminator):
+    departures = disseminator.make_departures()
+    if departures is not None:
+        for topic in disseminator.list_departure_topics():
+            exchange.publish(topic, departures)
+
+
 def _subscribe(exchange, disseminator):
     plan = disseminator.plan
     exchange.follow(notices.NOTICE, plan.members)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -264,6 +264,7 @@
     def __init__(self, now=trio.current_time):
         self._now = now
         self._views = {}
+        self._tombstones = {}
         self.registrations = {}
         self.cold_until = {}
         self.changed = trio.Event()
@@ -315,6 +316,7 @@
             for name, known in self.registrations.items():
                 if is_newer(known, merged.get(name)):
                     merged[name] = known
+        self._apply_tombstones(merged)
         by_endpoint = {}
         for registration in merged.values():
             endpoint = (registration.address, registration.port)
@@ -330,6 +332,28 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def _apply_tombstones(self, merged):
+        """Keep upstreams that leave or are gone from coming back.
+
+        The replica that knew of it may have restarted, while another one
+        holds, or receives late, an older registration of that incarnation.
+
+        Args:
+            merged: newest wire.Registration by name; it is changed.
+        """
+        now = self._now()
+        for name, (registration, seen_at) in list(self._tombstones.items()):
+            if now - seen_at > TOMBSTONE_SECONDS:
+                del self._tombstones[name]
+            elif name in merged and is_newer(registration, merged[name]):
+                merged[name] = registration
+        for name, registration in merged.items():
+            known = self._tombstones.get(name)
+            if registration.state == LIVE:
+                continue
+            if known is None or known[0] != registration:
+                self._tombstones[name] = (registration, now)
+
     def _has_complete_view(self):
         """Return whether a reachable replica knows every upstream.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from camphorhook_daemon.domain import hashing
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice as choices
 
@@ -10,12 +11,20 @@
 # part, which would take as long if repeated.
 PREFILL_WAIT_SHARE = 0.25
 MIN_CONNECTIONS = 2  # to an upstream, for any number of instances
+# Clients that are refused during a pause come back within it after the end.
+PAUSE_SPREAD_SECONDS = 0.3
 
 
 class Refusal(typing.NamedTuple):
-    """Why no upstream can be selected now."""
+    """Why no upstream can be selected now.
+
+    Attributes:
+        reason: one sentence.
+        retry_after: seconds until one can be selected; 0 if unknown.
+    """
 
     reason: str
+    retry_after: float = 0.0
 
 
 class Selector:
@@ -25,9 +34,19 @@
         health: UpstreamHealth by upstream.
         loads: the loads.FleetLoads.
         outcomes: the outcomes.Outcomes of requests to upstreams.
+        withdrawals: the withdrawals.Withdrawals of upstreams.
     """
 
-    def __init__(self, catalog, cache_index, loads, outcomes, rules, instance):
+    def __init__(
+        self,
+        catalog,
+        cache_index,
+        loads,
+        outcomes,
+        withdrawals,
+        rules,
+        instance,
+    ):
         """Create a selector.
 
         Args:
@@ -35,6 +54,7 @@
             cache_index: the cache_index.CacheIndex of shared parts.
             loads: the loads.FleetLoads.
             outcomes: the outcomes.Outcomes.
+            withdrawals: the withdrawals.Withdrawals.
             rules: the configuration in force: `get_table`,
                 `list_excluded_domains`.
             instance: (name, failure domain) of this instance.
@@ -43,6 +63,7 @@
         self._cache_index = cache_index
         self.loads = loads
         self.outcomes = outcomes
+        self.withdrawals = withdrawals
         self._rules = rules
         self._failure_domain = instance[1]
         self._cold_limiter = budgets.ColdStartLimiter(instance[0])
@@ -52,7 +73,7 @@
         """Return the number of instances that share the upstreams."""
         return self._catalog.count_instances()
 
-    def choose(self, request, service, excluded, now):
+    def choose(self, request, service, excluded, now, failed=()):
         """Return a Choice, or a Refusal if no upstream can be selected.
 
         Args:
@@ -60,14 +81,28 @@
             service: name of the service.
             excluded: names of upstreams to leave out.
             now: current time in seconds.
+            failed: names of upstreams that ran this request and failed. An
+                engine may be chosen again, as it has the prompt cached; of
+                other upstreams, all others are preferred.
         """
         known = self._catalog.list_service(service)
-        upstreams = choices.list_available(
-            known, excluded, self._rules.list_excluded_domains()
-        )
+        candidates = [
+            one
+            for one in choices.list_available(
+                known, (), self._rules.list_excluded_domains()
+            )
+            if not self.withdrawals.is_leaving(one)
+        ]
+        pauses = {
+            one.name: self.withdrawals.measure_pause(one) for one in candidates
+        }
+        upstreams = [
+            one
+            for one in candidates
+            if one.name not in excluded and not pauses[one.name]
+        ]
         if not upstreams:
-            text = f"service {service} has no upstream that takes requests"
-            return Refusal(text)
+            return self._refuse(request, service, pauses)
         spec = self._rules.get_table().services.get(service)
         if spec is None:
             return Refusal(f"service {service} is no longer configured")
@@ -87,6 +122,9 @@
         available = choices.prefer_healthy(
             available, self.health, failure_rates, now
         )
+        if not spec.is_engine:
+            others = [one for one in available if one.name not in failed]
+            available = others or available
         demand = choices.Demand(request.request, request.parts)
         loads = self._estimate_loads(known, instances, now)
         mean = choices.find_mean(loads, self.health, now)
@@ -123,6 +161,24 @@
             self._cold_limiter.spend(name, spec.cold_rate, instances, now)
         return choice
 
+    def _refuse(self, request, service, pauses):
+        """Return the Refusal if no upstream of a service may be selected.
+
+        Args:
+            request: request with `request`.
+            service: name of the service.
+            pauses: seconds until each of its upstreams accepts requests;
+                0 for those that do, which were excluded for this request.
+        """
+        if not pauses or not all(pauses.values()):
+            text = f"service {service} has no upstream that takes requests"
+            return Refusal(text)
+        spread = hashing.hash_to_fraction(service, request.request)
+        return Refusal(
+            f"every upstream of {service} wants a pause",
+            min(pauses.values()) + PAUSE_SPREAD_SECONDS * spread,
+        )
+
     async def wait_for_prefill(self, request, choice, now):
         """Wait while the engine prefills the shared part for another request.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
@@ -8,7 +8,7 @@
 
 
 class StreamSilent(Exception):
-    """The upstream has sent nothing for EVENT_SILENCE_SECONDS."""
+    """The upstream has sent no event for EVENT_SILENCE_SECONDS."""
 
 
 class Position:
@@ -54,17 +54,22 @@
         timing: an events.StreamTiming.
 
     Raises:
-        StreamSilent: the upstream sent nothing for EVENT_SILENCE_SECONDS.
+        StreamSilent: the upstream sent no event for EVENT_SILENCE_SECONDS.
+            Comments and parts of an event are none.
     """
+    left = EVENT_SILENCE_SECONDS
     with trio.CancelScope() as silence:
         while True:
-            silence.deadline = trio.current_time() + EVENT_SILENCE_SECONDS
+            silence.deadline = trio.current_time() + left
             piece = await answer.read_chunk()
+            left = silence.deadline - trio.current_time()
             # The time a slow client takes does not count as silence.
             silence.deadline = float("inf")
             if not piece:
                 break
             whole = position.feed(piece)
+            if events.has_event(whole):
+                left = EVENT_SILENCE_SECONDS
             if whole:
                 timing.record_arrival()
                 await reply.send_chunk(whole)
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -1,5 +1,7 @@
 """The platform's HTTP headers, of clients and of upstreams."""
 
+import math
+
 import msgspec
 
 from camphorhook_common import logs
@@ -17,9 +19,13 @@
 COPY_FROM = "kv-fetch"
 # Also sent when the upstream read the request and then rejected it.
 NOT_EXECUTED = "x-not-executed"
+SERVER_LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
+MAX_PAUSE_SECONDS = 3600.0  # a longer one is taken for an error
 REQUEST_PRIORITY = "x-request-priority"
 MAX_PRIORITY = 9  # 0 is the most urgent
 SECONDS_PER_MS = 0.001
+MAX_LOGGED_CHARACTERS = 80
 # Despite its name, it lists an engine's cached parts, not keys and values.
 HELD_PARTS_PATH = "/-/kv-list"
 
@@ -139,7 +145,43 @@
         load = (numbers[0], numbers[1])
     is_wrong_upstream = head.status == 421
     has_run = not is_wrong_upstream and not head.get(NOT_EXECUTED)
-    return forwarding.HeadInfo(has_run, is_wrong_upstream, load)
+    return forwarding.HeadInfo(
+        has_run,
+        is_wrong_upstream,
+        load,
+        _read_leaving(head.get(SERVER_LEAVING)),
+        _read_pause(head.get(RETRY_AFTER)) if head.status == 503 else 0.0,
+    )
+
+
+def _read_leaving(text):
+    """Return whether an upstream says that it leaves."""
+    if text.strip() in ("", "0", "1"):
+        return text.strip() == "1"
+    _log_malformed(SERVER_LEAVING, text)
+    return False
+
+
+def _read_pause(text):
+    """Return the seconds for which an upstream wants no requests, or 0."""
+    if not text:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if 0 <= seconds <= MAX_PAUSE_SECONDS:
+        return seconds
+    _log_malformed(RETRY_AFTER, text)
+    return 0.0
+
+
+def _log_malformed(name, text):
+    logs.log(
+        "warning",
+        f"ignored a header: {name} is {text[:MAX_LOGGED_CHARACTERS]!r}",
+        step="read answer",
+    )
 
 
 class _HeldParts(msgspec.Struct):
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -30,6 +30,7 @@
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import selection
+from camphorhook_daemon.domain.routing import withdrawals
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.platform import control
 from camphorhook_daemon.platform import documents
@@ -174,11 +175,13 @@
         self.cache_index = cache_index.CacheIndex()
         self.loads = loads.FleetLoads(settings.name, trio.current_time)
         self.outcomes = outcomes.Outcomes(trio.current_time)
+        self.withdrawals = withdrawals.Withdrawals(trio.current_time)
         self.dissemination = dissemination.Dissemination(
             settings.name,
             self.loads,
             self.cache_index,
             self.outcomes,
+            self.withdrawals,
             trio.current_time,
         )
         self.notices = notices.NoticeExchange(
@@ -193,6 +196,7 @@
             self.cache_index,
             self.loads,
             self.outcomes,
+            self.withdrawals,
             self.rules,
             (settings.name, settings.failure_domain),
         )
@@ -257,6 +261,7 @@
 
         Raises:
             ports.AttemptError: the engine did not answer completely.
+            ports.SendWithheld: the engine leaves or wants a pause.
         """
         call = ports.Call(
             "GET",
@@ -264,18 +269,25 @@
             [],
             b"",
             HELD_PARTS_TIMEOUT_SECONDS,
+            find_obstacle=lambda: self.withdrawals.find_obstacle(engine),
         )
         pieces = []
         async with self.pool.open(engine, call) as answer:
+            head_info = protocol.read_head_info(answer.head)
+            self.forwarder.record_withdrawal(engine, head_info)
             while piece := await answer.read_chunk():
                 pieces.append(piece)
         return protocol.read_held_parts(b"".join(pieces))
 
     def apply_message(self, message):
-        """Apply a Notice or a Summary that another instance published."""
+        """Apply a message that another instance published."""
         if isinstance(message, wire.Notice):
             self.dissemination.apply_notice(message)
             return
+        if isinstance(message, wire.Departures):
+            if self.dissemination.apply_departures(message):
+                self.forwarder.changed.set()
+            return
         try:
             self.dissemination.apply_summary(
                 message, self.catalog.registrations
--- a/packages/daemon/src/camphorhook_daemon/ports/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/notices.py
@@ -6,3 +6,4 @@
 """
 
 NOTICE, GROUP_SUMMARY, FLEET_SUMMARY = b"n", b"g", b"w"
+TOPICS = (NOTICE, GROUP_SUMMARY, FLEET_SUMMARY)
--- a/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
@@ -20,6 +20,14 @@
         self.connection_broken = connection_broken
 
 
+class SendWithheld(errors.CamphorhookError):
+    """A request was not sent, since it may no longer be sent."""
+
+
+def _find_no_obstacle():
+    return ""
+
+
 class Call(typing.NamedTuple):
     """An HTTP request to an upstream.
 
@@ -34,6 +42,8 @@
             whether the upstream received the request.
         request_id: id of the client's request, which shows that a
             late answer belongs to an earlier one; empty to accept any.
+        find_obstacle: function called just before the first byte is sent;
+            it returns why the request may no longer be sent, or "".
     """
 
     method: str
@@ -43,6 +53,7 @@
     read_timeout_seconds: float
     uses_new_connection: bool = False
     request_id: str = ""
+    find_obstacle: typing.Callable[[], str] = _find_no_obstacle
 
 
 class Answer(typing.NamedTuple):
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -61,9 +61,27 @@
     Then events split at any byte are put together again in order
     And a resumed stream leaves out events up to the last one relayed
 
-  Scenario: An upstream that falls silent is found, a slow client is none
+  Scenario Outline: A slow stream is complete, and a stalled one is resumed
+    When a stream's upstreams send an event every <pause> seconds, <behavior>
+    Then the client gets all 6 events in order, from <count> upstreams
+
+    Examples:
+      | pause | behavior         | count |
+      | 1.9   | all of them      | 1     |
+      | 2.6   | all of them      | 2     |
+      | 0.4   | the first stalls | 2     |
+
+  Scenario Outline: An upstream that falls silent is found, a slow client is none
     When an upstream sends two events and then nothing, on a simulated clock
     Then the silence is detected after 2 seconds
+    When an upstream sends two events and then <what> every 0.7 seconds
+    Then the silence is detected after 2 seconds
     When a client takes 30 seconds for each of two events
     Then the client receives both events
     And after a silence a partly relayed event continues where it was cut
+
+    Examples: bytes that are no event
+      | what               |
+      | a comment          |
+      | a byte of an event |
+      | an empty line      |
--- a/tests/features/registrations.feature
+++ b/tests/features/registrations.feature
@@ -42,6 +42,22 @@
     When the clock advances by 6 seconds
     Then no upstream is known
 
+  Scenario: An upstream that leaves stays so if its replica restarts
+    Given an upstream registered with incarnation 5, sequence 1 and state live
+    And another replica has the same registration
+    When it registers with incarnation 5, sequence 2 and state leaving
+    And the replica restarts without a registration of the upstream
+    Then the upstream is leaving
+
+  Scenario: A late registration of an upstream that left is not used
+    Given an upstream registered with incarnation 5, sequence 1 and state live
+    When it deregisters
+    And the replica restarts without a registration of the upstream
+    And it registers with incarnation 5, sequence 2 and state live
+    Then no upstream is known
+    When it registers with incarnation 6, sequence 1 and state live
+    Then the upstream is live
+
   Scenario Outline: Registrations that name no upstream are refused
     Then a registration of <body> is refused
 
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -1,5 +1,6 @@
 """Step definitions for connections, with scripted peers on loopback."""
 
+import contextlib
 import struct
 
 import behave
@@ -12,6 +13,7 @@
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import stream_relay
 from camphorhook_daemon.ports import upstreams as ports
+from tests.harness import routers
 
 LIMITS = listeners.Limits(1000, 100, 0.3, 0.6)
 TIMEOUT_SECONDS = 5.0
@@ -403,17 +405,21 @@
 
 
 class ScriptedStream:
-    """An upstream's stream and its client, with pauses in seconds."""
+    """An upstream's stream and its client, with pauses in seconds.
+
+    The pause before each piece is the same, or an entry of a list.
+    """
 
     def __init__(self, pieces, pause=0.0, send_pause=0.0):
         self._pieces = list(pieces)
-        self._pause = pause
+        is_list = isinstance(pause, list)
+        self._pauses = list(pause) if is_list else [pause] * len(pieces)
         self._send_pause = send_pause
         self.sent = b""
 
     async def read_chunk(self):
         """Return the next piece; None in the script is a pause of 60 s."""
-        await trio.sleep(self._pause)
+        await trio.sleep(self._pauses.pop(0))
         piece = self._pieces.pop(0)
         if piece is None:
             await trio.sleep(60.0)
@@ -450,6 +456,22 @@
     context.outcome = relay_script(ScriptedStream(pieces, 1.5))
 
 
+TRICKLES = {
+    "a comment": b": ping\n\n",
+    "a byte of an event": b"i",
+    "an empty line": b"\n\n",
+}
+
+
+@behave.when(
+    "an upstream sends two events and then {what} every {pause:g} seconds"
+)
+def relay_trickling_upstream(context, what, pause):
+    pieces = [make_events(1, 1), make_events(2, 2)] + [TRICKLES[what]] * 9
+    pauses = [1.5, 1.5] + [pause] * 9
+    context.outcome = relay_script(ScriptedStream(pieces, pauses))
+
+
 @behave.then("the silence is detected after {seconds:g} seconds")
 def check_silence(context, seconds):
     # Each of the two events takes 1.5 s; the silence follows them.
@@ -480,3 +502,93 @@
     rest = ScriptedStream([second[5:], b""])
     relay_script(rest, position)
     assert script.sent + rest.sent == first + second, rest.sent
+
+
+class ScriptedStreams:
+    """A pool whose upstreams answer with six events, slowly or not at all.
+
+    Attributes:
+        upstreams: names of the upstreams that were asked, in order.
+    """
+
+    def __init__(self, pause, stalls):
+        self._pause = pause
+        self._stalls = stalls
+        self.upstreams = []
+
+    def close_idle_to(self, upstream):
+        """Do nothing: there are no connections."""
+
+    @contextlib.asynccontextmanager
+    async def open(self, target, call):
+        """Yield a ScriptedAnswer that follows the last event sent."""
+        self.upstreams.append(target.name)
+        last = int(dict(call.headers).get("last-event-id", "0"))
+        stalls = self._stalls and len(self.upstreams) == 1
+        yield ScriptedAnswer(target.name, last, self._pause, stalls)
+
+
+class ScriptedAnswer:
+    """An answer with the events that follow a given one."""
+
+    def __init__(self, upstream, last, pause, stalls):
+        self.upstream = upstream
+        self.head = connection_pool.Head(200, [])
+        self._next = last + 1
+        self._pause = pause
+        self._due = trio.current_time() + pause
+        self._stalls = stalls
+
+    async def read_chunk(self):
+        """Return the next event; only comments after a stall."""
+        await trio.sleep_until(self._due)  # it may be cancelled and repeated
+        self._due += self._pause
+        if self._stalls and self._next > 2:
+            return b": waiting\n\n"
+        if self._next > 6:
+            return b""
+        self._next += 1
+        return make_events(self._next - 1, self._next - 1)
+
+
+class StreamClient(routers.Client):
+    """Receives a stream."""
+
+    async def start(self, status, _headers):
+        """Receive the head."""
+        self.status = status
+
+    async def send_chunk(self, data):
+        """Receive events."""
+        self.body += data
+
+    async def finish(self):
+        """Note the complete end."""
+        self.is_complete = True
+
+
+@behave.when(
+    "a stream's upstreams send an event every {pause:g} seconds, {behavior}"
+)
+def relay_scripted_stream(context, pause, behavior):
+    context.pool = ScriptedStreams(pause, "stalls" in behavior)
+    context.client = StreamClient()
+
+    async def run():
+        router = routers.Router(3, True, context.pool)
+        router.route = router.route._replace(
+            is_stream=True, can_resume=True, timeout=30.0
+        )
+        router.register()
+        await router.send(context.client)
+
+    trio.run(run, clock=testing.MockClock(autojump_threshold=0))
+
+
+@behave.then("the client gets all 6 events in order, from {count:d} upstreams")
+def check_scripted_stream(context, count):
+    body = context.client.body.replace(b": waiting\n\n", b"")
+    assert body == make_events(1, 6), body
+    assert context.client.is_complete
+    asked = context.pool.upstreams
+    assert len(asked) == len(set(asked)) == count, asked
--- a/tests/features/steps/dissemination.py
+++ b/tests/features/steps/dissemination.py
@@ -11,6 +11,8 @@
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import summaries
+from camphorhook_daemon.domain.routing import withdrawals
+from camphorhook_daemon.ports import notices
 
 NETWORK_DELAY_SECONDS = 0.002
 PART_TOKENS = 2000
@@ -24,9 +26,16 @@
         self.loads = loads.FleetLoads(name, now)
         self.cache_index = cache_index.CacheIndex()
         self.outcomes = outcomes.Outcomes(now)
+        self.withdrawals = withdrawals.Withdrawals(now)
         self.disseminator = dissemination.Dissemination(
-            name, self.loads, self.cache_index, self.outcomes, now
+            name,
+            self.loads,
+            self.cache_index,
+            self.outcomes,
+            self.withdrawals,
+            now,
         )
+        self.departure_reads = 0
         self.reads = collections.Counter()
         self.is_lost = False
 
@@ -78,6 +87,9 @@
     def _publish_notice(self, instance):
         if instance.is_lost:
             return
+        departures = instance.disseminator.make_departures()
+        if departures:
+            self._publish_departures(instance, departures)
         notice = instance.disseminator.make_notice()
         for reader in self.instances.values():
             if instance.name in reader.disseminator.plan.members:
@@ -91,6 +103,28 @@
         wait = instance.disseminator.compute_notice_interval()
         self._schedule(self.time + wait, self._publish_notice, instance)
 
+    def _publish_departures(self, instance, departures):
+        for topic in instance.disseminator.list_departure_topics():
+            for reader in self.instances.values():
+                plan = reader.disseminator.plan
+                sources = {
+                    notices.NOTICE: plan.members,
+                    notices.GROUP_SUMMARY: plan.list_peer_relays(reader.name),
+                    notices.FLEET_SUMMARY: plan.list_summary_sources(),
+                }
+                if instance.name in sources[topic]:
+                    self._schedule(
+                        self.time + NETWORK_DELAY_SECONDS,
+                        self._deliver_departures,
+                        reader,
+                        departures,
+                    )
+
+    def _deliver_departures(self, reader, departures):
+        if not reader.is_lost:
+            reader.departure_reads += 1
+            reader.disseminator.apply_departures(departures)
+
     def _publish_summaries(self, instance):
         if instance.is_lost or not instance.disseminator.plan.is_relay:
             return
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self.time = 1000.0
         self.registry = None
+        self.other_registry = None
         self.catalog = registry.UpstreamCatalog(self.read_time)
         self.restart_replica()
 
@@ -50,13 +51,24 @@
         self.registry.evict_expired()
 
         async def watch():
-            view = self.catalog.get_view("replica")
-            request = wire.WatchUpstreams("entry", "zone-a", *view, 0)
-            reply = await self.registry.answer(request)
-            self.catalog.apply_reply("replica", reply)
+            for name, one in (
+                ("replica", self.registry),
+                ("other", self.other_registry),
+            ):
+                if one is not None:
+                    view = self.catalog.get_view(name)
+                    request = wire.WatchUpstreams("entry", "zone-a", *view, 0)
+                    self.catalog.apply_reply(name, await one.answer(request))
 
         trio.run(watch)
 
+    def add_replica(self):
+        """Add a replica with the same registrations, up for some time."""
+        self.other_registry, self.registry = self.registry, None
+        self.restart_replica()
+        self.time += registry.COMPLETE_AFTER_SECONDS + 0.1
+        self.synchronize()
+
 
 def make_registration(name, incarnation, sequence, state):
     """Return a registration; all of them have the same address."""
@@ -83,6 +95,11 @@
     register(context, incarnation, sequence, state)
 
 
+@behave.given("another replica has the same registration")
+def add_replica(context):
+    context.simulation.add_replica()
+
+
 @behave.when(
     "it registers with incarnation {incarnation:d}, sequence {sequence:d} "
     "and state {state}"
--- /dev/null
+++ b/tests/harness/routers.py
@@ -0,0 +1,227 @@
+"""The product's forwarder with scripted upstreams, in one process."""
+
+import functools
+import types
+
+import trio
+
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import connection_pool
+from camphorhook_daemon.domain.routing import budgets
+from camphorhook_daemon.domain.routing import cache_index
+from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import loads
+from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import selection
+from camphorhook_daemon.domain.routing import table as tables
+from camphorhook_daemon.domain.routing import withdrawals
+from camphorhook_daemon.platform import protocol
+
+SERVICE = "service"
+
+
+class ScriptedUpstream:
+    """An upstream on loopback whose answers a scenario chooses.
+
+    Attributes:
+        requests: ids of the requests it got.
+        status: HTTP status of its answers.
+        headers: additional header lines of its answers.
+    """
+
+    def __init__(self, number):
+        self.name = f"upstream-{number}"
+        self.incarnation = 1
+        self.requests = []
+        self.status = 200
+        self.headers = ""
+        self.port = number  # until it listens
+
+    async def serve(self, stream):
+        """Answer the requests of one connection."""
+        async with stream:
+            data = b""
+            while True:
+                while b"\r\n\r\n" not in data:
+                    piece = await stream.receive_some()
+                    if not piece:
+                        return
+                    data += piece
+                head, _, data = data.partition(b"\r\n\r\n")
+                fields = dict(
+                    line.split(": ", 1)
+                    for line in head.decode().lower().splitlines()[1:]
+                )
+                request = fields["x-request-id"]
+                self.requests.append(request)
+                body = self.name.encode()
+                await stream.send_all(
+                    f"HTTP/1.1 {self.status} Status\r\n"
+                    f"X-Request-Id: {request}\r\n{self.headers}"
+                    f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+                )
+
+    def register(self):
+        """Return its wire.Registration."""
+        return wire.Registration(
+            self.name,
+            SERVICE,
+            "zone-a",
+            "127.0.0.1",
+            self.port,
+            self.incarnation,
+            len(self.requests),
+            registry.LIVE,
+            64,
+            0,
+        )
+
+
+class Client:
+    """Receives the answer to one request."""
+
+    def __init__(self):
+        self.status = 0
+        self.body = b""
+        self.retry_after = 0.0
+        self.is_complete = False
+        self.seconds = 0.0
+
+    async def send_answer(self, status, _headers, body):
+        """Receive a complete answer."""
+        self.status, self.body = status, body
+
+
+class Router:
+    """The product's forwarder, its pool, and scripted upstreams.
+
+    Attributes:
+        upstreams: the ScriptedUpstreams.
+        table: the RoutingTable in force.
+        route: the Route of all requests.
+        cache_index: the instance's CacheIndex.
+        withdrawals: the instance's Withdrawals.
+    """
+
+    def __init__(self, count, is_engine, pool=None):
+        """Create the router; trio must be running, for the clock.
+
+        Args:
+            count: number of upstreams.
+            is_engine: whether they are engines.
+            pool: replaces the product's connection pool.
+        """
+        now = trio.current_time
+        self.upstreams = [ScriptedUpstream(n + 1) for n in range(count)]
+        service = tables.Service(
+            SERVICE, "/health", 600, 0.0, is_engine, 64, 10**6
+        )
+        limits = tables.ClientLimits(16384, 1 << 22, 10, 30)
+        account = tables.Account("account", None)
+        self.table = tables.RoutingTable(
+            1, [], [service], limits, {"key": account}
+        )
+        self.catalog = registry.UpstreamCatalog(now)
+        self.cache_index = cache_index.CacheIndex()
+        self.withdrawals = withdrawals.Withdrawals(now)
+        rules = types.SimpleNamespace(
+            get_table=lambda: self.table,
+            is_current=lambda: True,
+            list_excluded_domains=frozenset,
+            make_retry_budget=lambda: budgets.RetryBudget(1.0, 1000, 10.0),
+        )
+        selector = selection.Selector(
+            self.catalog,
+            self.cache_index,
+            loads.FleetLoads("instance", now),
+            outcomes.Outcomes(now),
+            self.withdrawals,
+            rules,
+            ("instance", "zone-a"),
+        )
+        counts = types.SimpleNamespace(
+            add=lambda *a, **k: None, observe=lambda *a, **k: None
+        )
+        self.forwarder = forwarding.Forwarder(
+            selector,
+            pool or connection_pool.ConnectionPool(),
+            protocol,
+            rules,
+            counts,
+            now,
+        )
+        self.route = tables.Route(
+            "route",
+            "host",
+            "/",
+            True,
+            False,
+            False,
+            5.0,
+            1.0,
+            0,
+            (tables.Share(SERVICE, 1.0),),
+            2,
+            False,
+            is_engine,
+        )
+        self._sent = 0
+
+    async def open(self, nursery):
+        """Start the upstreams and register them."""
+        for upstream in self.upstreams:
+            listeners = await nursery.start(
+                functools.partial(trio.serve_tcp, host="127.0.0.1"),
+                upstream.serve,
+                0,
+            )
+            upstream.port = listeners[0].socket.getsockname()[1]
+        self.register()
+
+    def register(self):
+        """Give the catalog the present registration of each upstream."""
+        changed = [one.register() for one in self.upstreams]
+        self.catalog.apply_reply(
+            "replica",
+            wire.UpstreamsReply("e", 1, True, changed, [], 10_000, None, 0),
+        )
+
+    async def send(self, client=None, part=None):
+        """Send a request; return the Client, with its answer."""
+        client = client or Client()
+        self._sent += 1
+        now = trio.current_time()
+        request = f"request-{self._sent}"
+        own = (f"own-{self._sent}", 10)
+        failure = await self.forwarder.forward(
+            forwarding.Request(
+                request,
+                "GET",
+                "/",
+                [("x-request-id", request)],
+                b"",
+                self.route,
+                "key",
+                "account",
+                0,
+                (part, own) if part else (own,),
+                "",
+                now,
+                now + self.route.timeout,
+            ),
+            client,
+        )
+        client.seconds = trio.current_time() - now
+        if failure is not None:
+            client.status = failure.status
+            client.retry_after = failure.retry_after
+        return client
+
+    async def send_together(self, count):
+        """Send requests at the same time; return their Clients."""
+        clients = [Client() for _ in range(count)]
+        async with trio.open_nursery() as nursery:
+            for client in clients:
+                nursery.start_soon(self.send, client)
+        return clients
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -15,6 +15,7 @@
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import table as tables
+from camphorhook_daemon.domain.routing import withdrawals
 from tools.emulator import network
 from tools.emulator import plans
 from tools.emulator import servers
@@ -94,8 +95,14 @@
         self.cache_index = cache_index.CacheIndex()
         self.loads = loads.FleetLoads(name, now)
         self.outcomes = outcomes.Outcomes(now)
+        self.withdrawals = withdrawals.Withdrawals(now)
         self.dissemination = dissemination.Dissemination(
-            name, self.loads, self.cache_index, self.outcomes, now
+            name,
+            self.loads,
+            self.cache_index,
+            self.outcomes,
+            self.withdrawals,
+            now,
         )
         self.exchange = fleet.bus.join(name, self._apply_message)
         self.pool = network.Pool(
@@ -107,6 +114,7 @@
             self.cache_index,
             self.loads,
             self.outcomes,
+            self.withdrawals,
             rules,
             (name, domain),
         )
@@ -117,6 +125,9 @@
     def _apply_message(self, message):
         if isinstance(message, wire.Notice):
             self.dissemination.apply_notice(message)
+        elif isinstance(message, wire.Departures):
+            if self.dissemination.apply_departures(message):
+                self.forwarder.changed.set()
         else:
             self.dissemination.apply_summary(
                 message, self.catalog.registrations
