Start with less: leave out unused parts of libraries on the platform

Memory is the dearest price.

Change: omissions.py puts empty modules in place of ssl, idna, absl.flags and four modules of trio before the libraries are imported; an instance on the platform uses none of them. The build compiles without doc strings and assertions, under the usual names, and without a comparison with the sources at each start. Decoders of messages are built at their first use. The standard HTTP part of protocol.py moves to header_codec.py.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,4 +10,4 @@
     cp -R "packages/$package/src/." target/deps/
 done
 find target/deps -name tests -type d -prune -exec rm -rf {} +
-python3 -m compileall -q target/deps
+python3 deploy/compile.py target/deps
--- a/packages/common/src/camphorhook_common/codec.py
+++ b/packages/common/src/camphorhook_common/codec.py
@@ -15,11 +15,9 @@
             kinds: NamedTuple types by kind, a short string.
         """
         self._kind_of = {type_: kind for kind, type_ in kinds.items()}
+        self._types = dict(kinds)
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoders = {
-            kind: msgspec.msgpack.Decoder(type_)
-            for kind, type_ in kinds.items()
-        }
+        self._decoders = {}
 
     def encode(self, value):
         """Return a value as (kind, MessagePack body)."""
@@ -32,10 +30,19 @@
             errors.ProtocolError: the kind is unknown, or the body does not
                 match its type.
         """
-        decoder = self._decoders.get(kind)
-        if decoder is None:
-            raise errors.ProtocolError(f"unknown kind {kind!r}", step="decode")
         try:
-            return decoder.decode(body)
+            return self._get_decoder(kind).decode(body)
         except msgspec.MsgspecError as error:
             raise errors.ProtocolError(str(error), step="decode") from error
+
+    def _get_decoder(self, kind):
+        """Return the decoder of a kind; it is built at its first use."""
+        decoder = self._decoders.get(kind)
+        if decoder is None:
+            if kind not in self._types:
+                raise errors.ProtocolError(
+                    f"unknown kind {kind!r}", step="decode"
+                )
+            decoder = msgspec.msgpack.Decoder(self._types[kind])
+            self._decoders[kind] = decoder
+        return decoder
--- a/packages/common/src/camphorhook_common/numerals.py
+++ b/packages/common/src/camphorhook_common/numerals.py
@@ -1,4 +1,4 @@
-"""Parsing of unsigned integers in untrusted text."""
+"""Parsing of numbers in untrusted text."""
 
 MAX_DIGITS = 18  # fits in 64 bits; no valid value is longer
 
@@ -14,3 +14,12 @@
     if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     return int(text)
+
+
+def parse_number(text, most):
+    """Return the number from 0 to `most` in a text, or None."""
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number <= most else None
--- a/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
@@ -1,5 +1,37 @@
 """Converts HTTP headers between text and the bytes that h11 uses."""
 
+# Headers of one connection (RFC 9110, 7.6.1) and of the body's framing.
+_HOP_BY_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+def list_hop_by_hop(headers):
+    """Return the names of the headers that concern one connection only.
+
+    These include the names that Connection headers list.
+
+    Args:
+        headers: (name, value) pairs; names are in lower case.
+    """
+    options = set(_HOP_BY_HOP_HEADERS)
+    for name, value in headers:
+        if name == "connection":
+            options.update(word.strip().lower() for word in value.split(","))
+    return options
+
 
 def decode_headers(pairs):
     """Return (name, value) pairs of bytes as pairs of text.
--- a/packages/daemon/src/camphorhook_daemon/main.py
+++ b/packages/daemon/src/camphorhook_daemon/main.py
@@ -24,10 +24,8 @@
 BEGAN_AT = time.clock_gettime(time.CLOCK_BOOTTIME)
 
 import docopt  # noqa: E402
-import trio  # noqa: E402
 
 from camphorhook_common import errors  # noqa: E402
-from camphorhook_common import logs  # noqa: E402
 
 
 def main(argv=None):
@@ -52,6 +50,11 @@
     if arguments["--platform"]:
         _run_on_platform(arguments["--check"])
         return
+    # Imported here since each process needs only one of the compositions, and
+    # unused modules cost memory and start-up time.
+    import trio
+
+    from camphorhook_common import logs
     from camphorhook_common import settings as settings_module
     from camphorhook_daemon import composition
 
@@ -68,8 +71,12 @@
 
 
 def _run_on_platform(only_check):
-    # Imported here because each process needs only one of the two
-    # compositions, and unused modules cost memory and start-up time.
+    from camphorhook_daemon import omissions
+
+    omissions.omit()
+    import trio
+
+    from camphorhook_common import logs
     from camphorhook_daemon.platform import settings as platform_settings
     from camphorhook_daemon import platform_composition
 
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -1,11 +1,10 @@
 """The platform's HTTP headers, of clients and of upstreams."""
 
-import math
-
 import msgspec
 
 from camphorhook_common import logs
 from camphorhook_common import numerals
+from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.domain.routing import forwarding
 
 REQUEST_ID = "x-request-id"
@@ -25,26 +24,9 @@
 REQUEST_PRIORITY = "x-request-priority"
 MAX_PRIORITY = 9  # 0 is the most urgent
 SECONDS_PER_MS = 0.001
-MAX_LOGGED_CHARACTERS = 80
 # Despite its name, it lists an engine's cached parts, not keys and values.
 HELD_PARTS_PATH = "/-/kv-list"
 
-# Headers of one connection (RFC 9110, 7.6.1) and of the body's framing.
-_HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 # Headers that only this system sets; those of clients are dropped.
 _RESERVED_HEADERS = frozenset(
     (
@@ -64,22 +46,9 @@
 )
 
 
-def _list_connection_options(headers):
-    """Return the header names that Connection headers list."""
-    options = set()
-    for name, value in headers:
-        if name == "connection":
-            options.update(word.strip().lower() for word in value.split(","))
-    return options
-
-
 def pick_request_headers(headers):
     """Return the client's headers to pass on to an upstream."""
-    dropped = (
-        _HOP_BY_HOP_HEADERS
-        | _RESERVED_HEADERS
-        | _list_connection_options(headers)
-    )
+    dropped = _RESERVED_HEADERS | header_codec.list_hop_by_hop(headers)
     return [pair for pair in headers if pair[0] not in dropped]
 
 
@@ -145,43 +114,27 @@
         load = (numbers[0], numbers[1])
     is_wrong_upstream = head.status == 421
     has_run = not is_wrong_upstream and not head.get(NOT_EXECUTED)
+    is_busy = head.status == 503
     return forwarding.HeadInfo(
         has_run,
         is_wrong_upstream,
         load,
-        _read_leaving(head.get(SERVER_LEAVING)),
-        _read_pause(head.get(RETRY_AFTER)) if head.status == 503 else 0.0,
+        _read_number(head, SERVER_LEAVING, 1) == 1,
+        is_busy and _read_number(head, RETRY_AFTER, MAX_PAUSE_SECONDS),
     )
 
 
-def _read_leaving(text):
-    """Return whether an upstream says that it leaves."""
-    if text.strip() in ("", "0", "1"):
-        return text.strip() == "1"
-    _log_malformed(SERVER_LEAVING, text)
-    return False
-
-
-def _read_pause(text):
-    """Return the seconds for which an upstream wants no requests, or 0."""
-    if not text:
-        return 0.0
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = math.nan
-    if 0 <= seconds <= MAX_PAUSE_SECONDS:
-        return seconds
-    _log_malformed(RETRY_AFTER, text)
-    return 0.0
-
-
-def _log_malformed(name, text):
-    logs.log(
-        "warning",
-        f"ignored a header: {name} is {text[:MAX_LOGGED_CHARACTERS]!r}",
-        step="read answer",
-    )
+def _read_number(head, name, most):
+    """Return the number in a header from 0 to `most`, or 0."""
+    text = head.get(name, "0")
+    number = numerals.parse_number(text, most)
+    if number is None:
+        logs.log(
+            "warning",
+            f"ignored the header {name}: {text[:80]!r}",
+            step="read answer",
+        )
+    return number or 0.0
 
 
 class _HeldParts(msgspec.Struct):
@@ -201,9 +154,5 @@
 
 def pick_response_headers(head):
     """Return the headers of an upstream's answer to pass on to the client."""
-    dropped = (
-        _HOP_BY_HOP_HEADERS
-        | {SERVER_LOAD}
-        | _list_connection_options(head.headers)
-    )
+    dropped = {SERVER_LOAD} | header_codec.list_hop_by_hop(head.headers)
     return [pair for pair in head.headers if pair[0] not in dropped]
--- a/tests/features/boundary.feature
+++ b/tests/features/boundary.feature
@@ -10,6 +10,15 @@
   Scenario: A lean instance imports no heavy library
     Then an instance on the platform imports neither asyncio, hypercorn, OpenTelemetry nor expression
 
+  Scenario: An instance on the platform loads no part that is left out
+    When the modules of an instance on the platform are imported
+    Then each module that is left out is empty, and none below it is loaded
+    And the process holds under 18 MB, which is printed
+
+  Scenario: Byte code without doc strings is loaded under the usual names
+    When a package is compiled as for the platform
+    Then its modules have no doc strings, except for the usage message
+
   Scenario: Logs never wait for their reader
     When 5000 lines are logged to a pipe that is not read
     Then it takes under 2 seconds of processor time and lines are counted as dropped
--- a/tests/features/steps/boundary.py
+++ b/tests/features/steps/boundary.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import re
+import shutil
 import subprocess
 import sys
 import time
@@ -12,6 +13,7 @@
 
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import metrics
+from camphorhook_daemon import omissions
 from camphorhook_daemon.platform import settings as platform_settings
 from tests.harness import platforms
 
@@ -97,6 +99,81 @@
     )
 
 
+IMPORT_PROGRAM = """
+import json, sys
+from camphorhook_daemon import omissions
+omissions.omit()
+import camphorhook_daemon.main
+import camphorhook_daemon.platform.settings
+import camphorhook_daemon.platform_composition
+with open("/proc/self/status") as status:
+    fields = dict(line.split(":", 1) for line in status)
+print(json.dumps({
+    "kinds": {n: type(m).__name__ for n, m in sys.modules.items()},
+    "anonymous_kb": int(fields["RssAnon"].split()[0]),
+}))
+"""
+
+
+@behave.when("the modules of an instance on the platform are imported")
+def import_modules(context):
+    done = subprocess.run(
+        [sys.executable, "-S", "-P", "-c", IMPORT_PROGRAM],
+        env={"PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.imported = json.loads(done.stdout)
+
+
+@behave.then(
+    "each module that is left out is empty, and none below it is loaded"
+)
+def check_omitted(context):
+    kinds = context.imported["kinds"]
+    for name in omissions.OMITTED:
+        assert kinds[name] == "_OmittedModule", (name, kinds[name])
+        assert not [n for n in kinds if n.startswith(name + ".")], name
+
+
+@behave.then("the process holds under {megabytes:d} MB, which is printed")
+def check_memory(context, megabytes):
+    held = context.imported["anonymous_kb"] / 1024
+    print(f"anonymous memory after the imports: {held:.1f} MB")
+    assert held < megabytes, held
+
+
+@behave.when("a package is compiled as for the platform")
+def compile_package(context):
+    folder = pathlib.Path(context.folder) / "compiled"
+    shutil.rmtree(folder, ignore_errors=True)
+    package = folder / "example"
+    package.mkdir(parents=True)
+    for name in ("__init__.py", "main.py", "other.py"):
+        (package / name).write_text('"""Text."""\n')
+    subprocess.run(
+        [sys.executable, "deploy/compile.py", str(folder)], check=True
+    )
+    program = (
+        "import example, example.main, example.other;"
+        "print(example.__doc__, example.main.__doc__, example.other.__doc__)"
+    )
+    done = subprocess.run(
+        [sys.executable, "-S", "-P", "-c", program],
+        env={"PYTHONPATH": str(folder)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    context.docs = done.stdout.split()
+
+
+@behave.then("its modules have no doc strings, except for the usage message")
+def check_docs(context):
+    assert context.docs == ["None", "Text.", "None"], context.docs
+
+
 @behave.when("{count:d} lines are logged to a pipe that is not read")
 def log_unread(context, count):
     _, writer = os.pipe()
