Deny no route or key by a document that may be outdated

An instance denied routes and keys as long as its document was confirmed within RevokeMs (4.25 s), while documents must be in force within ConfigApplyMs.

Change: 404 and 401 need a confirmation younger than .9 of ConfigApplyMs; otherwise the answer is 503.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
@@ -11,7 +11,8 @@
         """Create the state without a table.
 
         Args:
-            settings: settings with `key_seconds` and the retry budget.
+            settings: settings with `key_seconds`, `apply_seconds` and the
+                retry budget.
             configuration: the Configuration.
             read_document: function that returns the RoutingTable of a
                 document.
@@ -44,6 +45,15 @@
         age = self._configuration.measure_confirmed_age()
         return self._table is not None and age < self._settings.key_seconds
 
+    def may_deny(self):
+        """Return whether a missing route or key is certainly missing.
+
+        A newer document that has both may be in force elsewhere if this one
+        was last confirmed as the newest more than `apply_seconds` ago.
+        """
+        age = self._configuration.measure_confirmed_age()
+        return self._table is not None and age < self._settings.apply_seconds
+
     def list_excluded_domains(self):
         """Return the failure domains that are taken out of service."""
         return self._excluded_domains
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -11,6 +11,9 @@
 DEFAULT_DEADLINE_SECONDS = 30.0  # for clients that send no deadline
 DEADLINE_MARGIN_SECONDS = 0.02  # for the answer to reach the client
 UNCONFIRMED_RETRY_SECONDS = 1.0  # a configuration usually arrives by then
+OUTDATED = forwarding.Failure(
+    503, "the configuration may be old", UNCONFIRMED_RETRY_SECONDS
+)
 
 
 class EntryApp:
@@ -62,27 +65,26 @@
         path = exchange.target.partition("?")[0]
         route = table.find_route(host, path)
         if route is None:
-            if not rules.is_current():
-                return forwarding.Failure(
-                    503,
-                    "the configuration may be old",
-                    UNCONFIRMED_RETRY_SECONDS,
-                )
-            return forwarding.Failure(404, "no route matches")
+            return self._deny(404, "no route matches")
         account, key = None, ""
         if table.has_accounts and not route.is_public:
             if not rules.is_current():
-                return forwarding.Failure(
-                    503,
-                    "the configuration may be old",
-                    UNCONFIRMED_RETRY_SECONDS,
-                )
+                return OUTDATED
             key = _read_key(exchange)
             account = table.find_account(key)
             if account is None:
-                return forwarding.Failure(401, "the key is unknown")
+                return self._deny(401, "the key is unknown")
         return self._build_request(exchange, route, account, key)
 
+    def _deny(self, status, reason):
+        """Return a Failure with a status that a newer document may rule out.
+
+        It is 503 if this document may be outdated.
+        """
+        if self._rules.may_deny():
+            return forwarding.Failure(status, reason)
+        return OUTDATED
+
     def _build_request(self, exchange, route, account, key):
         now = trio.current_time()
         deadline = protocol.read_seconds(
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -30,6 +30,7 @@
 
 class _Bounds(msgspec.Struct, rename="pascal"):
     revoke_ms: float = 5000
+    config_apply_ms: float = 2000
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 50
@@ -82,6 +83,8 @@
         most_voters: maximum number of replicas that vote.
         key_seconds: longest time that clients' keys may be used without
             confirmation of the configuration.
+        apply_seconds: time after its acknowledgement from which a
+            configuration is in force everywhere.
         retry_ratio, retry_slack, retry_window: the retry budget.
         stop_seconds: longest duration of a graceful shutdown.
         timing: the Timing.
@@ -102,6 +105,7 @@
     heartbeat_seconds: float
     most_voters: int
     key_seconds: float
+    apply_seconds: float
     retry_ratio: float
     retry_slack: float
     retry_window: float
@@ -136,6 +140,7 @@
 
 
 REVOCATION_SHARE = 0.85  # of RevokeMs; the rest covers the last hop
+APPLY_SHARE = 0.9  # of ConfigApplyMs, likewise
 GRACE_SHARE = 0.9  # of GraceS, after which the platform kills the process
 MIN_VOTERS = 3
 
@@ -198,6 +203,7 @@
         heartbeat_seconds=file.heartbeat_ms * SECONDS_PER_MS,
         most_voters=max(MIN_VOTERS, 2 * file.fault_tolerance.machines + 1),
         key_seconds=bounds.revoke_ms * SECONDS_PER_MS * REVOCATION_SHARE,
+        apply_seconds=bounds.config_apply_ms * SECONDS_PER_MS * APPLY_SHARE,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_slack,
         retry_window=bounds.retry_window_s,
--- a/tests/features/steps/malformed.py
+++ b/tests/features/steps/malformed.py
@@ -290,6 +290,10 @@
         """Return True: the keys may be used."""
         return True
 
+    def may_deny(self):
+        """Return True: there is no newer document."""
+        return True
+
 
 @behave.when("a server answers with the header value {value}")
 def answer_with_header(context, value):
