Leave upstreams that reject most requests to the others

Cause: a rejection without a run changed nothing in what instances believe of an upstream. One that shed 70 % of its requests stayed the first choice for its cached prompts; retries used up the budget, and callers were refused with room elsewhere. Of two upstreams, the limit on failures followed the worse one, so that it was never left out.

Change: a rejection counts as a failure in the outcomes that instances share, unless another upstream has the address now.

'use leaving' is no defect to the soak any more, since the notices in answers bind earlier than a departure is acknowledged; 'forget leaving' takes its place before check_departures and breaks both.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -150,7 +150,7 @@
     up = [one for one in upstreams if health[one.name].avoid_until <= now]
     up = up or upstreams
     rates = sorted(failure_rates[one.name] for one in up)
-    median = rates[len(rates) // 2]
+    median = rates[(len(rates) - 1) // 2]  # of two, the better one
     limit = max(FAILURE_RATE_LIMIT, median + FAILURE_RATE_MARGIN)
     return [one for one in up if failure_rates[one.name] < limit] or up
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -433,7 +433,11 @@
         self._selector.health[upstream].record_success()
 
     def _handle_rejection(self, request, target, head_info, progress):
-        """Record that an upstream rejected a request without running it."""
+        """Record that an upstream rejected a request without running it.
+
+        It counts as a failure, so that an upstream which rejects much more
+        than the others is left to them.
+        """
         health = self._selector.health[target.name]
         self._log(
             request,
@@ -444,6 +448,8 @@
         self._counts.add("attempts_total", outcome="not run")
         if head_info.is_wrong_upstream:
             health.record_connection_error(self._now(), is_down=True)
+        else:
+            self._outcomes.record(target.name, False)
         progress.excluded.add(target.name)
         return AttemptResult.RETRY
 
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -19,6 +19,8 @@
       | an instance goes back to an old document   | check_documents   |
       | a revoked key was accepted                 | check_keys        |
       | a server that left got a request           | check_departures  |
+      | a server that said that it leaves got a request | check_leaving |
+      | a server that wanted a pause got requests  | check_pauses      |
       | a failure domain that is out got a request | check_evacuations |
       | a cold server got too much                 | check_cold        |
       | too many requests were sent again          | check_retries     |
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -52,6 +52,7 @@
         [],
         [make_effect(one.request_id, one.sent_at) for one in answers],
         [],
+        [],
         histories.FinalState(1.0, (2, 2, 2)),
     )
 
@@ -108,6 +109,41 @@
     return _add(history, make_answer("d", "/safe/d", START_SECONDS + 13))
 
 
+def reach_leaving_server(history):
+    history.notices.append(
+        {
+            "server": "server-1",
+            "request": "a",
+            "leaving": True,
+            "at": START_SECONDS + 1,
+            "born": 0.0,
+        }
+    )
+    return _add(history, make_answer("d", "/safe/d", START_SECONDS + 4))
+
+
+def reach_paused_server(history):
+    _add(
+        history, make_answer("e", "/safe/e", START_SECONDS), server="server-2"
+    )
+    history.notices.append(
+        {
+            "server": "server-1",
+            "request": "e",
+            "rejected": True,
+            "at": START_SECONDS + 10,
+            "born": 0.0,
+            "pause": 1.5,
+        }
+    )
+    for number in range(3):
+        answer = make_answer(
+            f"d{number}", "/safe/d", START_SECONDS + 10.8 + number / 10
+        )
+        _add(history, answer._replace(body="server-1 /safe/d"))
+    return history
+
+
 def reach_evacuated_domain(history):
     history.operator_requests.append(
         histories.OperatorRequest(
@@ -163,6 +199,8 @@
     "an instance goes back to an old document": revert_document,
     "a revoked key was accepted": use_old_key,
     "a server that left got a request": reach_departed_server,
+    "a server that said that it leaves got a request": reach_leaving_server,
+    "a server that wanted a pause got requests": reach_paused_server,
     "a failure domain that is out got a request": reach_evacuated_domain,
     "a cold server got too much": overload_cold_server,
     "too many requests were sent again": retry_too_often,
--- a/tests/features/steps/withdrawals.py
+++ b/tests/features/steps/withdrawals.py
@@ -158,6 +158,16 @@
     run_actions(context)
 
 
+@behave.then("upstream {number:d} got at most {count:d} requests")
+def check_got_few(context, number, count):
+    async def check(router):
+        got = router.upstreams[number - 1].requests
+        assert len(got) <= count, len(got)
+
+    add_action(context, check)
+    run_actions(context)
+
+
 @behave.then("each of the {count:d} requests was answered 200 by {name}")
 def check_count_answered(context, count, name):
     assert len(context.clients) == count
--- a/tests/features/withdrawals.feature
+++ b/tests/features/withdrawals.feature
@@ -31,6 +31,18 @@
     When requests are sent for 0.9 seconds
     Then upstream 1 got more than 1 request
 
+  Scenario Outline: An upstream that rejects without a pause is left to others
+    Given 2 upstreams of a service that has <kind>
+    And upstream 1 answers with status 503 without a run and Note: full
+    When 60 requests are sent one after the other
+    Then upstream 1 got at most 12 requests
+    And each of these requests was answered 200 by upstream 2
+
+    Examples:
+      | kind       |
+      | no engines |
+      | engines    |
+
   Scenario: If every upstream wants a pause, the client gets the true time
     Given 2 upstreams of a service that has no engines
     And upstream 1 answers with status 503 without a run and Retry-After: 1.5
--- a/tests/harness/platforms.py
+++ b/tests/harness/platforms.py
@@ -208,7 +208,15 @@
 
     def list_effects(self):
         """Return the requests that servers executed, as dictionaries."""
-        return [one for one in self._read_effects() if "request" in one]
+        return [one for one in self._read_effects() if "target" in one]
+
+    def list_notices(self):
+        """Return the answers that said that a server leaves or pauses."""
+        return [
+            one
+            for one in self._read_effects()
+            if "leaving" in one or "rejected" in one
+        ]
 
     def list_departures(self):
         """Return when the departure of each server was acknowledged."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -82,6 +82,7 @@
         injector.fault_periods,
         world.platform.list_effects(),
         world.platform.list_departures(),
+        world.platform.list_notices(),
         final_state,
     )
 
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -29,10 +29,18 @@
     "cut answers": ("check_own", _DOCUMENTS),
     "take up late": ("check_documents", _DOCUMENTS),
     "keep keys": ("check_keys", _DOCUMENTS),
-    "use leaving": (
+    "forget leaving servers": (
         "check_departures",
         [_Fault(1.0, "terminate", "server-1", 0.5)],
     ),
+    "forget leaving": (
+        "check_leaving",
+        [_Fault(1.0, "terminate", "server-1", 0.5)],
+    ),
+    "forget pauses": (
+        "check_pauses",
+        [_Fault(1.0, "reject", "server-1", 4.0)],
+    ),
     "use leaving domains": (
         "check_evacuations",
         [_Fault(1.0, "evacuate", "zone-a", 9.0)],
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -17,6 +17,7 @@
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import table
+from camphorhook_daemon.domain.routing import withdrawals
 
 STALE_SECONDS = 6.0  # longer than a document may take to be in force
 
@@ -89,6 +90,17 @@
     choice.list_available = list_available
 
 
+def _forget_leaving():
+    """Send requests to upstreams that leave, whoever says so."""
+    _use_leaving()
+    withdrawals.Withdrawals.is_leaving = lambda self, upstream: False
+
+
+def _forget_pauses():
+    """Send requests to upstreams that want a pause."""
+    withdrawals.Withdrawals.measure_pause = lambda self, upstream: 0.0
+
+
 def _crowd_cold():
     """Disable the limit on requests to cold upstreams."""
     budgets.ColdStartLimiter.is_allowed = lambda *arguments: True
@@ -106,6 +118,8 @@
     "take up late": _take_up_late,
     "keep keys": _keep_keys,
     "use leaving": _use_leaving,
+    "forget leaving": _forget_leaving,
+    "forget pauses": _forget_pauses,
     "crowd cold": _crowd_cold,
     "write nothing": _write_nothing,
 }
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -11,6 +11,8 @@
 APPLY_SECONDS = 2.0  # until a document is in force
 REVOKE_SECONDS = 3.0  # until a revoked key is no longer accepted
 DRAIN_SECONDS = 2.0  # until a leaving server gets no more requests
+PAUSE_GRACE_SECONDS = 0.5  # after which the pause of a server binds
+MOST_IN_PAUSE = 2
 EVACUATE_SECONDS = 5.0  # until an evacuated failure domain gets no more
 RECOVER_SECONDS = 12.0  # until requests are served again
 SLACK_SECONDS = 0.25
@@ -200,6 +202,78 @@
     return violations
 
 
+def _list_arrivals(history):
+    """Return (server, instance, sent at, arrived at, start of the server)."""
+    answers = {one.request_id: one for one in history.answers}
+    rejections = [one for one in history.notices if "rejected" in one]
+    return [
+        (
+            one["server"],
+            answers[one["request"]].entry,
+            answers[one["request"]].sent_at,
+            one["at"],
+            one["born"],
+        )
+        for one in (*history.effects, *rejections)
+        if one["request"] in answers
+    ]
+
+
+def check_leaving(history):
+    """Check that an instance sends nothing to a server that leaves.
+
+    It is bound from the first answer that says so, whether it has a fault or
+    not, unless its process was restarted or paused since.
+    """
+    answers = {one.request_id: one for one in history.answers}
+    first = {}
+    for notice in history.notices:
+        answer = answers.get(notice["request"])
+        if "leaving" in notice and answer is not None:
+            place = notice["server"], answer.entry, notice["born"]
+            passed_on = max(notice["at"], answer.ended_at)
+            first[place] = min(first.get(place, passed_on), passed_on)
+    violations = []
+    for server, entry, sent_at, at, born in _list_arrivals(history):
+        since = first.get((server, entry, born), float("inf"))
+        if sent_at > since + DRAIN_SECONDS and not _overlaps_fault(
+            history, entry, since, at
+        ):
+            violations.append(
+                f"{entry} sent a request to {server} {sent_at - since:.2f} s "
+                f"after it said that it leaves"
+            )
+    return violations
+
+
+def check_pauses(history):
+    """Check that a server that wants a pause gets at most two requests."""
+    answers = {one.request_id: one for one in history.answers}
+    arrivals = _list_arrivals(history)
+    violations = []
+    for notice in history.notices:
+        answer = answers.get(notice["request"])
+        if "rejected" not in notice or answer is None:
+            continue
+        begin = notice["at"] + PAUSE_GRACE_SECONDS
+        end = notice["at"] + notice["pause"]
+        late = [
+            at
+            for server, entry, _, at, born in arrivals
+            if (server, entry, born)
+            == (notice["server"], answer.entry, notice["born"])
+            and begin < at < end
+        ]
+        if len(late) > MOST_IN_PAUSE and not _overlaps_fault(
+            history, answer.entry, notice["at"], end
+        ):
+            violations.append(
+                f"{answer.entry} sent {len(late)} requests to "
+                f"{notice['server']} in its pause"
+            )
+    return violations
+
+
 def check_evacuations(history):
     """Check that an evacuated failure domain gets no more requests."""
     answers_by_id = {one.request_id: one for one in history.answers}
@@ -337,6 +411,8 @@
     check_documents,
     check_keys,
     check_departures,
+    check_leaving,
+    check_pauses,
     check_evacuations,
     check_cold,
     check_retries,
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -85,6 +85,8 @@
         effects: requests that servers executed: server, request, tenant, at,
             cold, zone.
         departures: acknowledged departures of servers: server, left.
+        notices: answers of servers that were leaving, or that rejected a
+            request and wanted a pause: server, request, at, pause.
         final_state: state at the end.
     """
 
@@ -93,4 +95,5 @@
     fault_periods: list[FaultPeriod]
     effects: list[dict]
     departures: list[dict]
+    notices: list[dict]
     final_state: FinalState
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -80,6 +80,12 @@
         time.sleep(fault.seconds)
         self._world.send_signal(fault.target, signal.SIGCONT)
 
+    def reject(self, fault):
+        """Make a server reject all requests and ask for a pause."""
+        self._world.send_signal(fault.target, signal.SIGUSR1)
+        time.sleep(fault.seconds)
+        self._world.send_signal(fault.target, signal.SIGUSR1)
+
     def reload(self, fault):
         """Make a process reload its settings."""
         self._world.send_signal(fault.target, signal.SIGHUP)
@@ -179,6 +185,7 @@
     ),
     "pause": Injector.pause,
     "reload": Injector.reload,
+    "reject": Injector.reject,
     "link": Injector.disturb_link,
     "lose disk": Injector.lose_disk,
     "torn write": Injector.tear_journal,
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -11,7 +11,10 @@
 answer: `slow` takes a second, `stream` sends ten events over a second,
 `stream?events=N&ms=PAUSE` sends N events with pauses of PAUSE milliseconds,
 `fail` answers 500, `crash` ends the process. The path `/-/kv-list` lists the
-prompt parts of all requests so far. On SIGTERM the server drains and leaves;
+prompt parts of all requests so far. On SIGUSR1 the server starts to reject
+all requests with a pause of PAUSE_SECONDS, on the next one it stops doing so;
+the effects file records each rejection. On SIGTERM the server drains and
+leaves, which its answers say;
 the effects file records when its departure was acknowledged. The advertised
 address is that of a proxy if it differs from the own one. The server registers
 as cold for --cold seconds after its start, and continues to serve for --drain
@@ -31,6 +34,7 @@
 
 REGISTER_INTERVAL_SECONDS = 0.3
 DRAIN_SECONDS = 1.0
+PAUSE_SECONDS = 1.5
 EVENTS = 10
 EVENT_INTERVAL_SECONDS = 0.1
 
@@ -57,6 +61,7 @@
         self.control = arguments["--control"].split(",")
         self.effects = arguments["--effects"]
         self.state = "ready"
+        self.rejects = False
         self.started_ms = time.time_ns() // 1000000
         self.sequence = itertools.count(1)
         self.acknowledged = trio.Event()
@@ -103,6 +108,12 @@
         except (OSError, trio.BrokenResourceError, trio.TooSlowError):
             return False
 
+    async def toggle_rejections(self):
+        """Start or stop rejecting requests at each SIGUSR1."""
+        with trio.open_signal_receiver(signal.SIGUSR1) as signals:
+            async for _ in signals:
+                self.rejects = not self.rejects
+
     async def serve(self, stream):
         """Serve the requests of one connection."""
         async with stream:
@@ -138,6 +149,9 @@
         def make_head(status, *more):
             pairs = [("X-Request-Id", headers.get("x-request-id", ""))]
             pairs += [("X-Response-Seal", f"seal-{self.name}"), *more]
+            if self.state != "ready":
+                pairs.append(("Server-Leaving", "1"))
+                self._record(headers, "leaving")
             return h11.Response(status_code=status, headers=pairs)
 
         if headers.get("x-expect-instance") not in (None, self.name):
@@ -155,6 +169,18 @@
                 h11.EndOfMessage(),
             )
             return
+        if self.rejects:
+            self._record(headers, "rejected")
+            await send(
+                make_head(
+                    503,
+                    ("Content-Length", "0"),
+                    ("X-Not-Executed", "1"),
+                    ("Retry-After", str(PAUSE_SECONDS)),
+                ),
+                h11.EndOfMessage(),
+            )
+            return
         for entry in headers.get("x-prompt-prefix", "").split(","):
             part, _, tokens = entry.partition(":")
             if tokens:
@@ -181,6 +207,19 @@
             make_head(status, length), h11.Data(data=body), h11.EndOfMessage()
         )
 
+    def _record(self, headers, what):
+        """Record an answer that was not the effect of a run."""
+        self._write(
+            {
+                "server": self.name,
+                "request": headers.get("x-request-id"),
+                what: True,
+                "at": time.time(),
+                "born": self.started_ms / 1000,
+                "pause": PAUSE_SECONDS,
+            }
+        )
+
     def _record_run(self, request, headers):
         effect = {
             "server": self.name,
@@ -212,6 +251,7 @@
             )
         )
         nursery.start_soon(server.register)
+        nursery.start_soon(server.toggle_rejections)
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
                 break
