Tell instances the changes of the list of instances, not the list

Change: a replica remembers when each instance came or went, and answers with these changes; the whole list only to an instance that knows none, was away for more than a minute, or is of an older version (it does not ask for changes). Upgrade replicas before entry instances: an older replica does not read the new request.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -386,6 +386,8 @@
         known_watchers_version: version of the list of watchers that the
             sender knows.
         wait_ms: longest time to wait for a change, in milliseconds.
+        reads_changes: the sender can read changes of the list of watchers;
+            instances of older versions can't.
     """
 
     sender: str
@@ -394,6 +396,7 @@
     after: int
     known_watchers_version: int
     wait_ms: int
+    reads_changes: bool = False
 
 
 class UpstreamsReply(typing.NamedTuple):
@@ -407,7 +410,9 @@
         removed: names of upstreams that no longer register here.
         age_ms: uptime of the replica's process, in milliseconds.
         watchers: failure domain by name of the instances that recently
-            watched this replica; None if the sender knows this list.
+            watched this replica; None if the sender knows this list. If the
+            sender reads changes and the reply is not full, these are the
+            changes of the list, with an empty domain for each removed one.
         watchers_version: version of the list of watchers.
     """
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -66,6 +66,66 @@
     position: int
 
 
+class _Watchers:
+    """The instances that watch a replica, and how their list changed.
+
+    Attributes:
+        domains: failure domain by name.
+        version: number of changes so far.
+    """
+
+    def __init__(self):
+        self.domains = {}
+        self.version = 0
+        self._seen_at = {}
+        self._changes = {}
+        self._removed_at = {}
+        self._forgotten_version = 0
+
+    def record(self, name, failure_domain, now):
+        """Record a watch of an instance at `now`, in seconds."""
+        self._seen_at[name] = now
+        if name not in self.domains:
+            self.domains[name] = failure_domain
+            self._removed_at.pop(name, None)
+            self._record_change(name)
+
+    def evict_expired(self, now):
+        """Remove instances and tombstones that have expired."""
+        for name, seen_at in list(self._seen_at.items()):
+            if now - seen_at > WATCHER_TTL_SECONDS:
+                del self._seen_at[name], self.domains[name]
+                self._removed_at[name] = now
+                self._record_change(name)
+        for name, removed_at in list(self._removed_at.items()):
+            if now - removed_at > TOMBSTONE_SECONDS:
+                del self._removed_at[name]
+                forgotten = self._changes.pop(name)
+                self._forgotten_version = max(
+                    self._forgotten_version, forgotten
+                )
+
+    def _record_change(self, name):
+        self.version += 1
+        self._changes[name] = self.version
+
+    def has_changes(self, version):
+        """Return whether all changes after a version are still known."""
+        return version >= self._forgotten_version
+
+    def list_changes(self, version):
+        """Return the changes after a version.
+
+        Returns:
+            Failure domain by name; it is empty for an instance that is gone.
+        """
+        return {
+            name: self.domains.get(name, "")
+            for name, changed in self._changes.items()
+            if changed > version
+        }
+
+
 class Registry:
     """Registrations that one replica received from upstreams.
 
@@ -90,9 +150,7 @@
         self._entries = {}
         self._removed = {}
         self._position = 1
-        self._watchers = {}
-        self._watchers_seen = {}
-        self._watchers_version = 0
+        self._watchers = _Watchers()
         self.changed = trio.Event()
 
     def register(self, registration):
@@ -182,16 +240,23 @@
 
         It is delayed by at most `wait_ms` until there is a change.
         """
-        self._record_watcher(request.sender, request.failure_domain)
+        self._watchers.record(
+            request.sender, request.failure_domain, self._now()
+        )
         if request.epoch == self._epoch:
             with trio.move_on_after(request.wait_ms * SECONDS_PER_MS):
                 while self._position <= request.after:
                     await self.changed.wait()
                 # Changes often come together; one reply covers them all.
                 await trio.sleep(
-                    BATCH_SECONDS_PER_WATCHER * len(self._watchers)
+                    BATCH_SECONDS_PER_WATCHER * len(self._watchers.domains)
                 )
-        whole = request.epoch != self._epoch
+        watchers = self._watchers
+        watchers.evict_expired(self._now())
+        known_version = request.known_watchers_version
+        whole = request.epoch != self._epoch or (
+            request.reads_changes and not watchers.has_changes(known_version)
+        )
         after = -1 if whole else request.after
         now = self._now()
         changed = [
@@ -204,8 +269,14 @@
             for name, position in self._removed.items()
             if position > after and not whole
         ]
-        self._evict_watchers(now)
-        is_known = request.known_watchers_version == self._watchers_version
+        if whole:
+            listed = watchers.domains
+        elif known_version == watchers.version:
+            listed = None
+        elif request.reads_changes:
+            listed = watchers.list_changes(known_version)
+        else:
+            listed = watchers.domains
         return wire.UpstreamsReply(
             self._epoch,
             self._position,
@@ -213,23 +284,10 @@
             changed,
             removed,
             int((now - self._began_at) / SECONDS_PER_MS),
-            None if is_known and not whole else dict(self._watchers),
-            self._watchers_version,
+            None if listed is None else dict(listed),
+            watchers.version,
         )
 
-    def _record_watcher(self, name, failure_domain):
-        self._watchers_seen[name] = self._now()
-        if name not in self._watchers:
-            self._watchers[name] = failure_domain
-            self._watchers_version += 1
-
-    def _evict_watchers(self, now):
-        for name, seen_at in list(self._watchers_seen.items()):
-            if now - seen_at > WATCHER_TTL_SECONDS:
-                del self._watchers_seen[name]
-                del self._watchers[name]
-                self._watchers_version += 1
-
 
 def _count_down_cold_time(entry, now):
     """Return a registration with its cold time reduced by its age."""
@@ -250,6 +308,16 @@
         self.watchers = {}
         self.watchers_version = -1
 
+    def update_watchers(self, reply):
+        """Apply the list of watchers in a reply, or its changes."""
+        if reply.is_full:
+            self.watchers = {}
+        self.watchers |= reply.watchers
+        for name, failure_domain in reply.watchers.items():
+            if not failure_domain:
+                del self.watchers[name]
+        self.watchers_version = reply.watchers_version
+
 
 class UpstreamCatalog:
     """The upstreams known to an instance, merged from all replicas.
@@ -290,8 +358,7 @@
         has_completed = is_complete and not view.is_complete
         view.is_complete = is_complete
         if reply.watchers is not None:
-            view.watchers = reply.watchers
-            view.watchers_version = reply.watchers_version
+            view.update_watchers(reply)
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._record_cold_time(registration)
@@ -394,6 +461,19 @@
         ]
 
 
+def make_watch(instance, replica, catalog, wait_ms):
+    """Return the wire.WatchUpstreams that an instance sends to a replica.
+
+    Args:
+        instance: (name, failure domain) of the instance.
+        replica: name of the replica.
+        catalog: the UpstreamCatalog.
+        wait_ms: longest time to wait for a change, in milliseconds.
+    """
+    view = catalog.get_view(replica)
+    return wire.WatchUpstreams(*instance, *view, wait_ms, True)
+
+
 async def follow_replica(instance, replica, catalog, transport):
     """Apply the changes of one replica to an UpstreamCatalog, until cancelled.
 
@@ -405,8 +485,7 @@
     """
     is_connected = None
     while True:
-        view = catalog.get_view(replica)
-        request = wire.WatchUpstreams(*instance, *view, WATCH_MS)
+        request = make_watch(instance, replica, catalog, WATCH_MS)
         try:
             reply = await transport.call(
                 replica,
--- a/tests/features/registrations.feature
+++ b/tests/features/registrations.feature
@@ -58,6 +58,22 @@
     When it registers with incarnation 6, sequence 1 and state live
     Then the upstream is live
 
+  Scenario: Each instance hears of every other one once
+    When 230 instances start to watch a replica within 3 seconds
+    Then each of them knows all 230
+    And each of them was told of at most 460 instances
+    When 30 of them fall silent
+    Then each of the others knows 200
+
+  Scenario: An instance that was away for long gets the whole list
+    When 20 instances start to watch a replica within 3 seconds
+    And one of them is away for 100 seconds, while 5 others leave for good
+    Then it knows 15
+
+  Scenario: An older instance gets the whole list of instances
+    When 20 instances start to watch a replica within 3 seconds
+    Then a watch that does not ask for changes gets all 20
+
   Scenario Outline: Registrations that name no upstream are refused
     Then a registration of <body> is refused
 
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -437,3 +437,111 @@
     command = commands.ImportDocument(70, delta, 0.0, 50)
     entry = commands.Entry(7, 1, *commands.encode(command))
     assert context.state.apply(entry).code == "stale"
+
+
+class WatchSimulation:
+    """Instances that watch one replica on a simulated clock."""
+
+    INTERVAL_SECONDS = 1.5
+
+    def __init__(self):
+        self.time = 1000.0
+        self.registry = registry.Registry(
+            HEARTBEAT_SECONDS, NULL_RECORDER, self.read_time
+        )
+        self.catalogs = {}
+        self.told = {}
+
+    def read_time(self):
+        """Return the simulated time in seconds."""
+        return self.time
+
+    def watch(self, name):
+        """Watch once, without waiting."""
+        catalog = self.catalogs.setdefault(
+            name, registry.UpstreamCatalog(self.read_time)
+        )
+        request = registry.make_watch((name, "zone-a"), "replica", catalog, 0)
+        reply = trio.run(self.registry.answer, request)
+        self.told[name] = self.told.get(name, 0) + len(reply.watchers or ())
+        catalog.apply_reply("replica", reply)
+
+    def run(self, seconds, names):
+        """Let instances watch at intervals, each at its own moment."""
+        rounds = int(seconds / self.INTERVAL_SECONDS)
+        for _ in range(max(1, rounds)):
+            for name in names:
+                self.time += self.INTERVAL_SECONDS / len(names)
+                self.watch(name)
+
+
+@behave.when(
+    "{count:d} instances start to watch a replica within {seconds:d} seconds"
+)
+def start_watching(context, count, seconds):
+    context.watching = simulation = WatchSimulation()
+    names = [f"10.0.0.{number}" for number in range(count)]
+    # Each watches again and again while the others arrive.
+    step = max(1, count // 10)
+    for arrived in range(step, count + step, step):
+        simulation.time += seconds * step / count
+        for name in names[:arrived]:
+            simulation.watch(name)
+    simulation.run(3.0, names)
+
+
+@behave.when("{count:d} of them fall silent")
+def fall_silent(context, count):
+    names = list(context.watching.catalogs)[count:]
+    context.watching.run(9.0, names)
+    context.remaining = names
+
+
+@behave.when(
+    "one of them is away for {seconds:d} seconds, while {count:d} others "
+    "leave for good"
+)
+def go_away(context, seconds, count):
+    names = list(context.watching.catalogs)
+    context.watching.run(seconds, names[count + 1 :])
+    context.watching.watch(names[0])
+    context.returned = names[0]
+
+
+@behave.then("each of them knows all {count:d}")
+def check_known(context, count):
+    for name, catalog in context.watching.catalogs.items():
+        known = catalog.map_instances()
+        assert len(known) == count, (name, len(known))
+
+
+@behave.then("each of the others knows {count:d}")
+def check_others_known(context, count):
+    for name in context.remaining:
+        known = context.watching.catalogs[name].map_instances()
+        assert len(known) == count, (name, len(known))
+
+
+@behave.then("it knows {count:d}")
+def check_returned(context, count):
+    known = context.watching.catalogs[context.returned].map_instances()
+    assert len(known) == count, known
+
+
+@behave.then("each of them was told of at most {count:d} instances")
+def check_told(context, count):
+    most = max(context.watching.told.values())
+    assert most <= count, most
+
+
+@behave.then("a watch that does not ask for changes gets all {count:d}")
+def check_old_watch(context, count):
+    simulation = context.watching
+    view = simulation.catalogs["10.0.0.1"].get_view("replica")
+    epoch, position, version = view
+    request = wire.WatchUpstreams(
+        "10.0.0.1", "zone-a", epoch, position, version - 1, 0
+    )
+    reply = trio.run(simulation.registry.answer, request)
+    assert not reply.is_full
+    assert len(reply.watchers) == count, reply.watchers
