--- a/packages/daemon/src/camphorhook_daemon/domain/limits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/limits.py
@@ -19,7 +19,8 @@
 MIN_SHARE_FACTOR = 0.25
 BURST_SECONDS = 2.0
 IDLE_REQUESTS_PER_SECOND = 0.05
-ANNOUNCED_GROWTH = 2.0  # times the demand announced last
+# Factor over the demand announced last from which it is announced again.
+ANNOUNCED_GROWTH = 2.0
 
 
 class Refusal(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
@@ -7,8 +7,8 @@
 SECONDS_PER_MS = 0.001
 ELECTIONS_AT_START = 2.0  # election timeouts until a leader, if all restart
 FIRST_TABLE_SECONDS = 0.4  # from its election until its table is here
-MIN_START_WAIT_SECONDS = 0.3
-# Clients that come before the first table return within it, not together.
+MIN_START_WAIT_SECONDS = 0.3  # shortest Retry-After before the first table
+# Range of the waits of clients that come before the first table.
 START_SPREAD_SECONDS = 0.4
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -11,7 +11,7 @@
 # part, which would take as long if repeated.
 PREFILL_WAIT_SHARE = 0.25
 MIN_CONNECTIONS = 2  # to an upstream, for any number of instances
-# Clients that are refused during a pause come back within it after the end.
+# Range of the additional waits of clients that are refused during a pause.
 PAUSE_SPREAD_SECONDS = 0.3
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/withdrawals.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/withdrawals.py
@@ -12,7 +12,7 @@
 from camphorhook_common import wire
 
 SECONDS_PER_MS = 0.001
-# Longer than an upstream that leaves continues to answer.
+# How long a departure is remembered; longer than the upstream still answers.
 DEPARTURE_TTL_SECONDS = 300.0
 
 
@@ -68,7 +68,11 @@
 
     def record_pause(self, upstream, seconds):
         """Record that an upstream wants no requests for some seconds."""
-        until = self._now() + seconds
+        now = self._now()
+        self._pauses = {
+            name: one for name, one in self._pauses.items() if one.until > now
+        }
+        until = now + seconds
         known = self._pauses.get(upstream.name)
         if known is not None and known.incarnation == upstream.incarnation:
             until = max(until, known.until)
@@ -84,11 +88,7 @@
         known = self._pauses.get(upstream.name)
         if known is None or upstream.incarnation > known.incarnation:
             return 0.0
-        left = known.until - self._now()
-        if left <= 0:
-            del self._pauses[upstream.name]
-            return 0.0
-        return left
+        return max(0.0, known.until - self._now())
 
     def find_obstacle(self, upstream):
         """Return why nothing may be sent to an upstream now, or ""."""
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -114,13 +114,15 @@
         load = (numbers[0], numbers[1])
     is_wrong_upstream = head.status == 421
     has_run = not is_wrong_upstream and not head.get(NOT_EXECUTED)
-    is_busy = head.status == 503
+    pause = 0.0
+    if head.status == 503:
+        pause = _read_number(head, RETRY_AFTER, MAX_PAUSE_SECONDS)
     return forwarding.HeadInfo(
         has_run,
         is_wrong_upstream,
         load,
         _read_number(head, SERVER_LEAVING, 1) == 1,
-        is_busy and _read_number(head, RETRY_AFTER, MAX_PAUSE_SECONDS),
+        pause,
     )
 
 
--- a/tests/features/boundary.feature
+++ b/tests/features/boundary.feature
@@ -13,7 +13,10 @@
   Scenario: An instance on the platform loads no part that is left out
     When the modules of an instance on the platform are imported
     Then each module that is left out is empty, and none below it is loaded
-    And the process holds under 18 MB, which is printed
+
+  Scenario: An instance on the platform holds 16.5 MB after the imports
+    When the modules of an instance on the platform are imported
+    Then the process holds at most 16.5 MB, which is printed
 
   Scenario: Byte code without doc strings is loaded under the usual names
     When a package is compiled as for the platform
--- a/tests/features/limits.feature
+++ b/tests/features/limits.feature
@@ -7,11 +7,11 @@
     When <count> requests reach each of them within 0.7 seconds
     Then the fleet admits at most <most> of them
 
-    Examples: the bound of the surge in routing.feature
+    Examples: twice the burst of two seconds, and what is due meanwhile
       | instances | concurrency | count | most |
-      | 3         | 4           | 40    | 30   |
-      | 6         | 4           | 40    | 30   |
-      | 6         | 30          | 40    | 30   |
+      | 3         | 4           | 40    | 24   |
+      | 6         | 4           | 40    | 24   |
+      | 6         | 30          | 40    | 24   |
 
   Scenario: A lone caller of an idle account gets its whole burst
     Given 6 instances that exchange usages every 0.3 seconds
--- a/tests/features/steps/boundary.py
+++ b/tests/features/steps/boundary.py
@@ -137,11 +137,11 @@
         assert not [n for n in kinds if n.startswith(name + ".")], name
 
 
-@behave.then("the process holds under {megabytes:d} MB, which is printed")
+@behave.then("the process holds at most {megabytes:g} MB, which is printed")
 def check_memory(context, megabytes):
     held = context.imported["anonymous_kb"] / 1024
     print(f"anonymous memory after the imports: {held:.1f} MB")
-    assert held < megabytes, held
+    assert held <= megabytes, held
 
 
 @behave.when("a package is compiled as for the platform")
--- a/tests/features/steps/withdrawals.py
+++ b/tests/features/steps/withdrawals.py
@@ -8,6 +8,7 @@
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.domain.routing import table as tables
+from camphorhook_daemon.domain.routing import withdrawals
 from camphorhook_daemon.platform import protocol
 from camphorhook_daemon.ports import upstreams as ports
 from tests.harness import routers
@@ -114,27 +115,42 @@
     add_action(context, send)
 
 
-@behave.when(
-    "upstream {number:d} registers a new incarnation and answers normally"
-)
-def restart(context, number):
+def register_again(context, number, incarnations):
     async def register(router):
         upstream = router.upstreams[number - 1]
-        upstream.incarnation += 1
+        upstream.incarnation += incarnations
         upstream.status, upstream.headers = 200, ""
         router.register()
 
     add_action(context, register)
 
 
+@behave.when(
+    "upstream {number:d} registers a new incarnation and answers normally"
+)
+def restart(context, number):
+    register_again(context, number, 1)
+
+
 @behave.when("upstream {number:d} answers normally and registers again")
 def recover(context, number):
-    async def register(router):
-        upstream = router.upstreams[number - 1]
-        upstream.status, upstream.headers = 200, ""
-        router.register()
+    register_again(context, number, 0)
 
-    add_action(context, register)
+
+@behave.when(
+    "{count:d} upstreams want a pause of {seconds:d} second, one every second"
+)
+def pause_many(context, count, seconds):
+    clock = iter(range(10 * count))
+    context.withdrawals = withdrawals.Withdrawals(lambda: next(clock))
+    for number in range(count):
+        upstream = routers.ScriptedUpstream(number).register()
+        context.withdrawals.record_pause(upstream, seconds)
+
+
+@behave.then("at most {count:d} pauses are kept")
+def check_pauses_kept(context, count):
+    assert len(context.withdrawals._pauses) <= count
 
 
 @behave.then("upstream {number:d} got {count:d} request")
--- a/tests/features/withdrawals.feature
+++ b/tests/features/withdrawals.feature
@@ -65,6 +65,10 @@
     And a request is sent
     Then upstream 1 got 2 requests
 
+  Scenario: Pauses of upstreams that are gone are not kept
+    When 1000 upstreams want a pause of 1 second, one every second
+    Then at most 2 pauses are kept
+
   Scenario Outline: A chosen request that waits is not sent after all
     Given 2 upstreams of a service that has engines
     When a request waits for a prefill on its engine, which <event>
