Soak: pauses are checked with all servers of a service rejecting

Cause: soak.breaks on missed 'forget pauses' (it had found it before rejections counted as failures): one server that rejects alone is left to the others, so the broken build sent it nothing more.

Change: the case has all three servers of the service reject. The checker is unchanged. Found now (19 requests in a pause); the sound build with the same faults breaks nothing.

--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -39,7 +39,8 @@
     ),
     "forget pauses": (
         "check_pauses",
-        [_Fault(1.0, "reject", "server-1", 4.0)],
+        # All of a service, as one that rejects alone is left to the others.
+        [_Fault(1.0, "reject", name, 4.0) for name in schedules.SERVERS[:3]],
     ),
     "use leaving domains": (
         "check_evacuations",
