--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -14,3 +14,16 @@
       | a length                  | after an event              | complete | length 0 |
       | neither length nor chunks | after a comment             | complete | close 6  |
       | neither length nor chunks | with a reset after an event | cut off  | no end   |
+
+  Scenario Outline: A stream that ends inside an event is not delivered as complete
+    Given upstreams whose streams have <framing> and end inside an event
+    When a client requests a stream that <may> be resumed
+    Then it gets the events 1 to <last>, and its answer is <seen>
+
+    Examples: by framing
+      | framing                   | may     | last | seen     |
+      | neither length nor chunks | may not | 3    | cut off  |
+      | chunks                    | may not | 3    | cut off  |
+      | a length                  | may not | 3    | cut off  |
+      | neither length nor chunks | may     | 6    | complete |
+      | chunks                    | may     | 6    | complete |
