Find events whose lines end with CR or with mixed line ends

Cause: split_events looked for two LF or two CRLF only. Events that end otherwise, as the format of event streams allows, were held back until the end of the stream, and a part of three bytes with its end too. Change: one expression for two line ends of any kind, used to split and to drop known events.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -1,7 +1,12 @@
 """Parsing of server-sent events, and timing of their delivery."""
 
+import re
+
 from camphorhook_common import numerals
 
+# Two line ends; the group is atomic, so that a CRLF counts as one of them.
+_EVENT_END = re.compile(rb"(?>\r\n|\r|\n){2}")
+
 
 class StreamTiming:
     """Measures when the events of a stream arrive and are sent.
@@ -50,9 +55,9 @@
 
 def split_events(data):
     """Return (complete events, start of an incomplete one) as bytes."""
-    end = max(data.rfind(b"\n\n") + 2, data.rfind(b"\r\n\r\n") + 4)
-    if end < 4 and not data.startswith(b"\n\n"):
-        end = 0
+    end = 0
+    for match in _EVENT_END.finditer(data):
+        end = match.end()
     return data[:end], data[end:]
 
 
@@ -71,8 +76,7 @@
 
 
 def _split_blocks(data):
-    normal = data.replace(b"\r\n", b"\n")
-    return [block for block in normal.split(b"\n\n") if block]
+    return [block for block in _EVENT_END.split(data) if block]
 
 
 def find_last_id(data, default):
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -27,3 +27,6 @@
       | a length                  | may not | 3    | cut off  |
       | neither length nor chunks | may     | 6    | complete |
       | chunks                    | may     | 6    | complete |
+
+  Scenario: Events with any line ends are found wherever their bytes are split
+    Then events with the line ends LF, CRLF, CR and both mixed are put together again
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -9,6 +9,7 @@
 import trio
 
 from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import events
 from tests.features.steps import connections
 from tests.harness import routers
 
@@ -21,6 +22,7 @@
     "after a comment": b": bye\n",
 }
 HOST = "host"
+LINE_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r", b"\n\r\n")
 
 
 class StreamUpstream(routers.ScriptedUpstream):
@@ -185,3 +187,20 @@
     framing, rest = what.split()
     assert inputs["framing"] == framing, inputs
     assert inputs["rest_bytes"] == int(rest), inputs
+
+
+@behave.then(
+    "events with the line ends LF, CRLF, CR and both mixed are put together "
+    "again"
+)
+def check_line_ends(context):
+    for end in LINE_ENDS:
+        parts = [b"id: 1\ndata: one" + end, b"id: 2\ndata: two" + end]
+        data = b"".join(parts)
+        for cut in range(len(data) + 1):
+            whole, rest = events.split_events(data[:cut])
+            more, left = events.split_events(rest + data[cut:])
+            assert whole + more + left == data, (end, cut)
+            assert not left.strip(b"\r\n"), (end, cut, left)
+        assert events.drop_known_events(data, "1").count(b"id:") == 1, end
+        assert events.find_last_id(data, "") == "2", end
