Reset connections of unfinished answers to clients without chunks

Cause: an unfinished answer was told by closing the connection inside its chunks. Change: such a connection is reset.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -5,7 +5,9 @@
 without waiting saves a task switch; trio's streams do neither.
 """
 
+import contextlib
 import socket as sockets
+import struct
 
 import trio
 
@@ -88,6 +90,13 @@
             return False
         return False
 
+    def reset(self):
+        """Close the connection so that the peer sees an error, not an end."""
+        linger = struct.pack("ii", 1, 0)  # on, without waiting
+        with contextlib.suppress(OSError):
+            self._raw.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, linger)
+        self.close()
+
     def close(self):
         """Close the connection without waiting for the peer."""
         self._stream.socket.close()
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -244,6 +244,19 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
+    def close(self):
+        """Close the connection.
+
+        A client before HTTP/1.1 has no chunks: it takes the end of the
+        connection for the end of the answer, so an unfinished one is reset.
+        """
+        version = self.http.their_http_version
+        is_unfinished = self.http.our_state is h11.SEND_BODY
+        if is_unfinished and version is not None and version < b"1.1":
+            self._tcp_connection.reset()
+        else:
+            self._tcp_connection.close()
+
     async def answer_error(self, error):
         """Answer an invalid request; the connection must be closed then.
 
@@ -379,7 +392,7 @@
                 step="serve",
             )
         finally:
-            tcp_connection.close()
+            connection.close()
 
     async def _serve_requests(self, connection):
         while await self._wait_for_request(connection):
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -35,3 +35,13 @@
 
   Scenario: Events with any line ends are found wherever their bytes are split
     Then events with the line ends LF, CRLF, CR and both mixed are put together again
+
+  Scenario Outline: A client that knows no chunks sees that its stream was cut off
+    Given upstreams whose streams have chunks and end <where>
+    When a client of HTTP/1.0 requests a stream that may not be resumed
+    Then it gets the events 1 to 3, and its answer is <seen>
+
+    Examples: by end
+      | where           | seen     |
+      | inside an event | cut off  |
+      | after an event  | complete |
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -151,6 +151,23 @@
 
 @behave.when("a client requests a stream that {may} be resumed")
 def request_stream(context, may):
+    send_request(context, may == "may", "1.1")
+
+
+@behave.when("a client of HTTP/1.0 requests a stream that may not be resumed")
+def request_without_chunks(context):
+    send_request(context, False, "1.0")
+
+
+def send_request(context, can_resume, version):
+    """Send a request through an instance; keep its outcome and log lines.
+
+    Args:
+        context: behave's context.
+        can_resume: whether the route resumes broken streams.
+        version: of HTTP that the client speaks.
+    """
+
     async def run():
         async with trio.open_nursery() as nursery:
             router = routers.Router(2, True)
@@ -165,13 +182,13 @@
             ]
             router.route = router.route._replace(
                 is_stream=True,
-                is_idempotent=may == "may",
-                can_resume=may == "may",
+                is_idempotent=can_resume,
+                can_resume=can_resume,
             )
             await router.open(nursery)
             port = await router.listen(nursery)
             with trio.fail_after(RUN_SECONDS):
-                context.outcome = await exchange(port)
+                context.outcome = await exchange(port, version)
             nursery.cancel_scope.cancel()
 
     lines = LogLines()
