Bound the memory and time that answers without end take

Cause: bytes of an upstream were held until the end of an answer that may not come: bodies of plain answers and of failures, one event of a stream, the body of an answer to an earlier request, an engine's list of parts. The body of a rejection was read without any time limit, though its head says all. Change: bodies.py reads at most 256 KiB of a body. A larger answer is relayed as it comes, at the client's pace, and can't be retried any more; a larger failure is a failed attempt. An event above 256 KiB breaks the stream off, to be resumed where the route allows it. Events are searched for in new bytes only.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -23,6 +23,7 @@
 KEEPALIVE_MARGIN_SECONDS = 0.5  # not reused this close to the timeout
 MAX_IDLE_CONNECTIONS = 24  # per upstream
 MAX_HEAD_BYTES = 65536
+MAX_SKIPPED_BYTES = 256 * 1024  # of an answer to another request
 EVENT_STREAM = "text/event-stream"
 
 
@@ -55,6 +56,12 @@
         is_other = media_type and media_type.lower() != EVENT_STREAM
         return self.status < 300 and not is_other
 
+    def get_length(self):
+        """Return the body's length in bytes; None if there is none."""
+        if self.describe_framing() != "length":
+            return None
+        return numerals.parse_unsigned(self.get("content-length"))
+
     def describe_framing(self):
         """Return what marks the body's end: chunks, length or close."""
         if self.get("transfer-encoding"):
@@ -318,9 +325,22 @@
             await self._skip_answer()
 
     async def _skip_answer(self):
-        """Discard an answer to another request; reset the state of HTTP."""
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
-            continue
+        """Discard an answer to another request; reset the state of HTTP.
+
+        Raises:
+            ports.AttemptError: it is incomplete or too large.
+        """
+        size = 0
+        while not isinstance(
+            event := await self._next_event(), h11.EndOfMessage
+        ):
+            size += len(event.data) if isinstance(event, h11.Data) else 0
+            if size > MAX_SKIPPED_BYTES:
+                raise self._make_error(
+                    "an answer to another request exceeds "
+                    f"{MAX_SKIPPED_BYTES} bytes",
+                    None,
+                )
         rest, is_closed = self._pooled.http.trailing_data
         if is_closed:
             raise self._make_error(
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -6,6 +6,7 @@
 
 # Two line ends; the group is atomic, so that a CRLF counts as one of them.
 _EVENT_END = re.compile(rb"(?>\r\n|\r|\n){2}")
+_MAX_EVENT_END_BYTES = 4
 
 
 class StreamTiming:
@@ -53,10 +54,16 @@
         }
 
 
-def split_events(data):
-    """Return (complete events, start of an incomplete one) as bytes."""
+def split_events(data, searched=0):
+    """Return (complete events, start of an incomplete one) as bytes.
+
+    Args:
+        data: bytes of a stream.
+        searched: number of first bytes that hold no complete event.
+    """
     end = 0
-    for match in _EVENT_END.finditer(data):
+    begin = max(0, searched - _MAX_EVENT_END_BYTES + 1)
+    for match in _EVENT_END.finditer(data, begin):
         end = match.end()
     return data[:end], data[end:]
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -3,8 +3,9 @@
 A request that is not idempotent is retried only if it has certainly not run.
 Answers that are not streams are read completely before the first byte is
 sent to the client, so that a request whose answer is cut off can be retried
-at another upstream. Streams are relayed event by event; if the route allows
-it, a broken stream resumes at another upstream after the last event relayed.
+at another upstream; one that is too large for that is relayed as it comes.
+Streams are relayed event by event; if the route allows it, a broken stream
+resumes at another upstream after the last event relayed.
 """
 
 import enum
@@ -14,6 +15,7 @@
 import trio
 
 from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import selection
@@ -111,6 +113,7 @@
 
     def __init__(self, resume_after):
         self.has_started = False
+        self.can_retry = True
         self.position = stream_relay.Position(resume_after)
         self.sends = 0
         self.runs = 0
@@ -335,7 +338,7 @@
                 return Failure(503, "no upstream can be reached", 0.5)
             return AttemptResult.RETRY
         progress.runs += 1
-        if request.route.is_idempotent:
+        if request.route.is_idempotent and progress.can_retry:
             return AttemptResult.RETRY
         return Failure(502, error.message)
 
@@ -359,7 +362,7 @@
                 health.record_report(*head_info.load, self._now())
             self.record_withdrawal(target, head_info)
             if not head_info.has_run:
-                await _read_whole(answer)
+                await bodies.discard(answer)
                 return self._handle_rejection(
                     request, target, head_info, progress
                 )
@@ -369,20 +372,67 @@
             if is_stream:
                 await self._relay_stream(request, answer, progress, reply)
             else:
-                with trio.move_on_at(request.deadline) as scope:
-                    body = await _read_whole(answer)
-                if scope.cancelled_caught:
-                    raise ports.AttemptError(
-                        "the answer did not end in time",
-                        step="read answer",
-                        peer=target.name,
-                        sent=True,
-                    )
-        if is_stream:
+                body = await self._read_body(request, answer, progress, reply)
+        if is_stream or body is None:
             self._record_success(target.name)
             return AttemptResult.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
+    async def _read_body(self, request, answer, progress, reply):
+        """Return a whole body, or None if it was large and is relayed."""
+        with trio.move_on_at(request.deadline):
+            body, is_whole = await bodies.read_start(answer)
+            if is_whole:
+                return body
+            await self._relay_large(request, answer, body, progress, reply)
+            return None
+        raise ports.AttemptError(
+            "the answer did not end in time",
+            step="read answer",
+            peer=answer.upstream,
+            sent=True,
+        )
+
+    async def _relay_large(self, request, answer, body, progress, reply):
+        """Relay an answer that is too large to be held in memory.
+
+        Args:
+            request: the Request.
+            answer: the upstream's answer.
+            body: what was read of its body.
+            progress: the request's _Progress; it can't be retried any more.
+            reply: sends the answer to the client.
+
+        Raises:
+            ports.AttemptError: it is a failure, or can't follow what the
+                client has; or its body is incomplete.
+        """
+        head = answer.head
+        if progress.has_started or head.status >= SERVER_ERROR:
+            raise ports.AttemptError(
+                f"the body of the answer {head.status} exceeds "
+                f"{bodies.MAX_BUFFERED_BYTES} bytes",
+                step="read answer",
+                peer=answer.upstream,
+                sent=True,
+            )
+        progress.has_started = True
+        progress.can_retry = False
+        headers = self._protocol.pick_response_headers(head)
+        await reply.start(head.status, headers, head.get_length())
+        size = 0
+        while body:
+            size += len(body)
+            await reply.send_chunk(body)
+            body = await answer.read_chunk()
+        await reply.finish()
+        self._log(
+            request,
+            f"relayed a large answer {head.status} of the upstream",
+            peer=answer.upstream,
+            inputs={"bytes": size},
+        )
+
     def record_withdrawal(self, target, head_info):
         """Record that an upstream leaves or wants a pause.
 
@@ -525,7 +575,7 @@
                     answer, reply, progress.position, timing
                 )
                 return
-            except stream_relay.StreamCutOff as error:
+            except stream_relay.StreamInvalid as error:
                 raise ports.AttemptError(
                     f"{error} (framing: {answer.head.describe_framing()})",
                     step="read stream",
@@ -551,11 +601,3 @@
             step="forward",
             **fields,
         )
-
-
-async def _read_whole(answer):
-    """Return the complete body of an answer."""
-    pieces = []
-    while piece := await answer.read_chunk():
-        pieces.append(piece)
-    return b"".join(pieces)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
@@ -5,14 +5,15 @@
 from camphorhook_daemon.domain.routing import events
 
 EVENT_SILENCE_SECONDS = 2.0  # clients disconnect after the same time
+MAX_EVENT_BYTES = 256 * 1024  # held in memory until the event is complete
 
 
 class StreamSilent(Exception):
     """The upstream has sent no event for EVENT_SILENCE_SECONDS."""
 
 
-class StreamCutOff(Exception):
-    """The upstream's answer ended inside an event."""
+class StreamInvalid(Exception):
+    """The upstream's answer ended inside an event, or one is too large."""
 
 
 class Position:
@@ -33,8 +34,18 @@
         self._skips_known = True
 
     def feed(self, piece):
-        """Add bytes of the answer; return the complete events to relay."""
-        whole, self._buffer = events.split_events(self._buffer + piece)
+        """Add bytes of the answer; return the complete events to relay.
+
+        Raises:
+            StreamInvalid: an event is larger than MAX_EVENT_BYTES.
+        """
+        whole, self._buffer = events.split_events(
+            self._buffer + piece, len(self._buffer)
+        )
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise StreamInvalid(
+                f"an event is larger than {MAX_EVENT_BYTES} bytes"
+            )
         if whole and self._skips_known:
             whole = events.drop_known_events(whole, self.last_event)
             self._skips_known = not whole
@@ -60,8 +71,8 @@
     Raises:
         StreamSilent: the upstream sent no event for EVENT_SILENCE_SECONDS.
             Comments and parts of an event are none.
-        StreamCutOff: the answer ended inside an event. The partial event
-            is not relayed.
+        StreamInvalid: the answer ended inside an event, or one is larger
+            than MAX_EVENT_BYTES. The partial event is not relayed.
     """
     left = EVENT_SILENCE_SECONDS
     with trio.CancelScope() as silence:
@@ -83,7 +94,7 @@
         rest = position.flush()
         timing.record_rest(len(rest))
         if events.is_event_part(rest):
-            raise StreamCutOff(
+            raise StreamInvalid(
                 "the stream ended inside an event, "
                 f"{len(rest)} bytes after the last complete one"
             )
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -21,6 +21,7 @@
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import cache_index
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import forwarding
@@ -46,6 +47,7 @@
 # Two readiness checks, one second apart, must fail before the drain begins.
 SHUTDOWN_DELAY_SECONDS = 2.6
 HELD_PARTS_TIMEOUT_SECONDS = 1.0  # for one engine
+MAX_HELD_PARTS_BYTES = 4 * 1024 * 1024  # tens of thousands of parts
 
 
 class _LocalReplicaView:
@@ -272,13 +274,22 @@
             HELD_PARTS_TIMEOUT_SECONDS,
             find_obstacle=lambda: self.withdrawals.find_obstacle(engine),
         )
-        pieces = []
-        async with self.pool.open(engine, call) as answer:
-            head_info = protocol.read_head_info(answer.head)
-            self.forwarder.record_withdrawal(engine, head_info)
-            while piece := await answer.read_chunk():
-                pieces.append(piece)
-        return protocol.read_held_parts(b"".join(pieces))
+        with trio.move_on_after(HELD_PARTS_TIMEOUT_SECONDS):
+            async with self.pool.open(engine, call) as answer:
+                head_info = protocol.read_head_info(answer.head)
+                self.forwarder.record_withdrawal(engine, head_info)
+                body, is_whole = await bodies.read_start(
+                    answer, MAX_HELD_PARTS_BYTES
+                )
+                if is_whole:
+                    return protocol.read_held_parts(body)
+        raise ports.AttemptError(
+            f"the list of parts did not end within {MAX_HELD_PARTS_BYTES} "
+            f"bytes and {HELD_PARTS_TIMEOUT_SECONDS:g} s",
+            step="take stock",
+            peer=engine.name,
+            sent=True,
+        )
 
     def apply_message(self, message):
         """Apply a message that another instance published."""
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -45,3 +45,40 @@
       | where           | seen     |
       | inside an event | cut off  |
       | after an event  | complete |
+
+  Scenario Outline: Bytes without end take bounded memory and time
+    Given upstreams of which the first answers with <what> without end
+    When a client requests <route> with a timeout of 1.5 seconds
+    Then the client is answered <status>, <seen>, within 2 seconds
+    And the upstream's connection is closed, and at most 4 MiB were in use
+
+    Examples: by answer
+      | what                        | route              | status | seen     |
+      | a header                    | a plain answer     | 502    | complete |
+      | header lines                | a plain answer     | 502    | complete |
+      | interim answers             | a plain answer     | 502    | complete |
+      | the size of a chunk         | a plain answer     | 502    | complete |
+      | an answer to another request | a plain answer    | 502    | complete |
+      | a rejection                 | a plain answer     | 200    | complete |
+      | a server error              | a plain answer     | 502    | complete |
+      | a server error              | a repeatable answer | 200   | complete |
+      | a body                      | a plain answer     | 200    | cut off  |
+      | an event                    | a stream           | 200    | cut off  |
+      | a comment                   | a stream           | 200    | cut off  |
+      | an event                    | a resumable stream | 200    | complete |
+      | events                      | a stream           | 200    | cut off  |
+
+  Scenario Outline: A large answer is delivered whole or visibly cut off
+    Given upstreams whose answer of 3000000 bytes has <framing> and <end>
+    When a client requests a repeatable answer with a timeout of 5 seconds
+    Then the client is answered 200, <seen>, within 5 seconds
+    And <count> upstreams were asked
+
+    Examples: by framing
+      | framing                   | end    | seen     | count |
+      | a length                  | ends   | complete | 1     |
+      | chunks                    | ends   | complete | 1     |
+      | neither length nor chunks | ends   | complete | 1     |
+      | a length                  | breaks | cut off  | 1     |
+      | chunks                    | breaks | cut off  | 1     |
+      | neither length nor chunks | breaks | cut off  | 1     |
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -10,6 +10,7 @@
 
 from camphorhook_common import logs
 from camphorhook_daemon.domain.routing import events
+from camphorhook_daemon.domain.routing import stream_relay
 from tests.features.steps import connections
 from tests.harness import routers
 
@@ -47,13 +48,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                piece = await stream.receive_some()
-                if not piece:
-                    return
-                data += piece
-            fields = _read_fields(data)
+            fields = await read_fields(stream)
             self.requests.append(fields["x-request-id"])
             last = int(fields.get("last-event-id", "0"))
             body = connections.make_events(last + 1, EVENTS)
@@ -81,8 +76,14 @@
         await stream.send_all(head.encode() + body)
 
 
-def _read_fields(data):
-    """Return the headers of a request's bytes, names in lower case."""
+async def read_fields(stream):
+    """Return the headers of a request without a body, in lower case."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = await stream.receive_some()
+        if not piece:
+            raise EOFError(f"got {len(data)} bytes of a request")
+        data += piece
     lines = data.partition(b"\r\n\r\n")[0].decode().splitlines()[1:]
     pairs = [line.partition(": ")[::2] for line in lines]
     return {name.lower(): value for name, value in pairs}
@@ -101,13 +102,16 @@
         self.inputs[line["message"]] = line.get("inputs", {})
 
 
-async def exchange(port, version="1.1", seconds=RUN_SECONDS):
+async def exchange(
+    port, version="1.1", seconds=RUN_SECONDS, counts_only=False
+):
     """Send a request; return (status, body, whether it ended completely).
 
     Args:
         port: of the instance's listener.
         version: of HTTP that the client speaks.
         seconds: limit of the client's patience.
+        counts_only: whether to drop the body, which may have no end.
     """
     http = h11.Connection(h11.CLIENT)
     stream = await trio.open_tcp_stream("127.0.0.1", port)
@@ -128,7 +132,7 @@
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
-                    body += event.data
+                    body += b"" if counts_only else event.data
                 else:
                     return status, body, isinstance(event, h11.EndOfMessage)
         except (h11.RemoteProtocolError, trio.BrokenResourceError):
@@ -243,5 +247,9 @@
             more, left = events.split_events(rest + data[cut:])
             assert whole + more + left == data, (end, cut)
             assert not events.is_event_part(left), (end, cut, left)
+        position = stream_relay.Position()
+        fed = [position.feed(data[at : at + 1]) for at in range(len(data))]
+        assert b"".join(fed) + position.flush() == data, end
+        assert position.last_event == "2", end
         assert events.drop_known_events(data, "1").count(b"id:") == 1, end
         assert events.find_last_id(data, "") == "2", end
