Replay no part of an answer that was too large to be recorded

Cause: the outcome was cut to 1 MiB before it was recorded, without a mark. Change: of such an answer only its status is recorded (state oversized); a repeat gets 410 answer_not_recorded with the disposition run, and the status route says finished.

--- a/packages/common/src/camphorhook_common/commands.py
+++ b/packages/common/src/camphorhook_common/commands.py
@@ -73,7 +73,8 @@
         account: client account.
         key: idempotency key that the caller chose.
         attempt: id of the attempt that made the claim.
-        state: finished, unknown or abandoned.
+        state: finished, oversized (finished with an answer too large to be
+            recorded), unknown or abandoned.
         status: HTTP status of the answer; 0 if there is none.
         content_type: media type of the answer.
         body: body of the answer.
@@ -176,12 +177,13 @@
 
     Attributes:
         code: done, conflict or refused; of a document also kept or stale;
-            of a claim also replay, running, mismatch, unknown or abandoned.
+            of a claim also replay, oversized, running, mismatch, unknown or
+            abandoned.
         index: log index at which the command was applied.
         version: version of the row or document after the command; 0 if
             there is none.
         detail: explanation for a user.
-        status: HTTP status of a replayed answer.
+        status: HTTP status of a replayed or oversized answer.
         content_type: media type of a replayed answer.
         body: body of a replayed answer.
     """
--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -154,7 +154,7 @@
     """Asks the leader for the state of a claimed request.
 
     The reply is a commands.Outcome with the code none, abandoned, running,
-    unknown, replay, or not_leader with the leader's name as detail.
+    unknown, oversized, replay, or not_leader with the leader's name as detail.
     """
 
     account: str
--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -457,15 +457,18 @@
         dispositions = {
             "none": "not-run",
             "abandoned": "not-run",
+            "oversized": "run",
             "replay": "run",
         }
+        is_finished = outcome.code in ("oversized", "replay")
         answer = {
             "key": key,
-            "state": "finished" if outcome.code == "replay" else outcome.code,
+            "state": "finished" if is_finished else outcome.code,
             "disposition": dispositions.get(outcome.code, "maybe-run"),
         }
-        if outcome.code == "replay":
+        if is_finished:
             answer["status"] = outcome.status
+        if outcome.code == "replay":
             answer["body"] = outcome.body.decode("utf-8", "replace")
         status = 404 if outcome.code == "none" else 200
         await http.send_json(send, status, answer, headers)
--- a/packages/daemon/src/camphorhook_daemon/domain/services.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -28,7 +28,7 @@
 MAX_ATTEMPTS = 3
 AVOID_SECONDS = 2.0
 RETRYABLE_STATUSES = (502, 503, 504)
-MAX_RECORDED_BYTES = 1024 * 1024
+MAX_RECORDED_BYTES = 1024 * 1024  # of an answer's body, in the log
 SECONDS_PER_HOUR = 3600.0
 
 
@@ -294,6 +294,15 @@
                 "this key was used with another request; use a new key",
                 "not-run",
             )
+        if outcome.code == "oversized":
+            return wire.RequestFailure(
+                410,
+                "answer_not_recorded",
+                f"the request ran and was answered {outcome.status}; the "
+                f"answer exceeded {MAX_RECORDED_BYTES} bytes and was not "
+                "recorded; ask the service",
+                "run",
+            )
         return describe_open_claim(request.key, outcome.code)
 
     async def _attempt_once(self, request, claim):
@@ -349,7 +358,13 @@
             excluded.add(reservation.record.name)
 
     async def _settle(self, claim, state, answer=None):
-        """Record an outcome, continuing in the background if it takes long."""
+        """Record an outcome, continuing in the background if it takes long.
+
+        Of an answer too large for the log only the status is recorded.
+        """
+        body = answer.body if answer else b""
+        if len(body) > MAX_RECORDED_BYTES:
+            state, body = "oversized", b""
         message = commands.SettleAttempt(
             claim.account,
             claim.key,
@@ -357,7 +372,7 @@
             state,
             answer.status if answer else 0,
             answer.content_type if answer else "",
-            answer.body[:MAX_RECORDED_BYTES] if answer else b"",
+            body,
             time.time(),
         )
         try:
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -41,7 +41,7 @@
             was applied.
         attempt: id of the attempt that holds the claim.
         instance: name of the instance that runs the attempt.
-        state: running, finished, unknown or abandoned.
+        state: running, finished, oversized, unknown or abandoned.
         overdue_at: seconds since the epoch after which the outcome of a
             running attempt is taken as unknown.
         expires_at: seconds since the epoch at which the claim is deleted.
@@ -334,6 +334,8 @@
             content_type=record.content_type,
             body=record.body,
         )
+    if record.state == "oversized":
+        return commands.Outcome("oversized", index, status=record.status)
     code = record.state
     if code == "running" and now > record.overdue_at:
         code = "unknown"
@@ -362,7 +364,7 @@
         return commands.Outcome(
             "refused", state.index, detail="no such attempt"
         )
-    if record.state in ("finished", "abandoned"):
+    if record.state in ("finished", "oversized", "abandoned"):
         return commands.Outcome("done", state.index)
     settled = record._replace(
         state=command.state,
--- a/tests/features/bookings.feature
+++ b/tests/features/bookings.feature
@@ -58,3 +58,11 @@
     When the processes desk-a, desk-b, desk-c start again
     And the booking "once-8" is sent again at b1 until it succeeds
     Then the booking "once-8" took effect 1 times
+
+  Scenario: An answer too large to be recorded is not replayed in part
+    When a booking with key "once-9" is answered with 2000000 bytes at a1
+    Then the answer is a whole booking
+    When the booking "once-9" is sent again at b1
+    Then the answer is 410 with code answer_not_recorded and disposition run
+    And the booking "once-9" took effect 1 times
+    And the status of "once-9" at c1 is finished with disposition run
--- a/tests/features/steps/bookings.py
+++ b/tests/features/steps/bookings.py
@@ -110,6 +110,23 @@
     context.replies.append(_post(context, "a1", key, context.fields))
 
 
+@behave.when(
+    'a booking with key "{key:Word}" is answered with {size:d} bytes at '
+    "{name:Word}"
+)
+def book_with_large_answer(context, key, size, name):
+    context.fields = {"filler": size}
+    context.replies.append(_post(context, name, key, context.fields))
+
+
+@behave.then("the answer is a whole booking")
+def check_large_answer(context):
+    reply = context.replies[-1]
+    assert reply.status == 201, reply.status
+    filler = reply.json()["filler"]
+    assert len(filler) == context.fields["filler"], len(filler)
+
+
 @behave.when('the booking "{key:Word}" is sent again at {name:Word}')
 def resend(context, key, name):
     fields = getattr(context, "fields", {})
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -7,7 +7,8 @@
 POST /bookings makes a booking and appends a line to the effects file. The
 body may hold `delay` (seconds before the line is written), `delay_after`
 (seconds after it), `crash` (`before` or `after` it: the process exits there)
-and `status` (status code of the answer).
+`status` (status code of the answer) and `filler` (bytes that the answer holds
+in addition).
 GET /bookings lists the number of effects.
 """
 
@@ -67,6 +68,8 @@
         await trio.sleep(booking.get("delay_after", 0))
         status = booking.get("status", 201)
         answer = {"booked": booking.get("what"), "server": self.name}
+        if booking.get("filler"):
+            answer["filler"] = "x" * booking["filler"]
         await serving.send_json(send, status, answer)
 
 
