Take no part of a chat's document for its answer

Cause: where an engine's answer has no length, HTTP cannot tell a crash from an end, and a body that could not be parsed was passed on unchanged. Change: a successful answer must be a complete JSON object, else the attempt has failed and the next engine is tried. Result: upstreams.feature, 6 of 6 pass; for "a part without length" the client returned the part as a whole answer before.

--- a/packages/daemon/src/camphorhook_daemon/domain/answers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -15,6 +15,32 @@
 DONE = "[DONE]"
 
 
+def check_completion(answer, upstream):
+    """Check that an answer that is not streamed is a whole document.
+
+    An answer without a length may have been cut off without a sign in HTTP.
+
+    Args:
+        answer: the ports.Answer.
+        upstream: name of the engine that it came from.
+
+    Raises:
+        ports.AttemptError: it succeeds and is no complete JSON object.
+    """
+    if answer.status != 200:
+        return
+    try:
+        msgspec.json.decode(answer.body, type=dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ports.AttemptError(
+            "the answer is no complete JSON object, "
+            f"got {len(answer.body)} bytes: {error}",
+            step="read",
+            peer=upstream,
+            sent=True,
+        ) from error
+
+
 class Progress:
     """What was received of one answer, over all attempts.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -399,6 +399,7 @@
             raise _make_status_error(
                 reservation.record, answer.status, answer.body
             )
+        answers.check_completion(answer, reservation.record.name)
         return answer
 
 
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -2,7 +2,6 @@
 
 import json
 import logging
-import struct
 
 import behave
 import h11
@@ -60,7 +59,7 @@
             await self._send(stream, fields["x-request-id"], body)
             if "reset" in self.ending:
                 await trio.sleep(RESET_DELAY_SECONDS)
-                stream.setsockopt(1, 13, struct.pack("ii", 1, 0))  # SO_LINGER
+                routers.set_reset_on_close(stream)
 
     async def _send(self, stream, request, body):
         framing = ""
--- a/tests/features/steps/unbounded.py
+++ b/tests/features/steps/unbounded.py
@@ -1,6 +1,5 @@
 """Step definitions for answers that are large or have no end."""
 
-import struct
 import tracemalloc
 
 import behave
@@ -114,8 +113,7 @@
             await stream.send_all(data)
             if self.breaks:
                 await trio.sleep(endings.RESET_DELAY_SECONDS)
-                linger = struct.pack("ii", 1, 0)
-                stream.setsockopt(1, 13, linger)  # SO_LINGER
+                routers.set_reset_on_close(stream)
 
 
 @behave.given("upstreams of which the first answers with {what} without end")
--- /dev/null
+++ b/tests/features/upstreams.feature
@@ -0,0 +1,16 @@
+@no_fleet
+Feature: Answers of upstreams at the clients' own interface
+
+  Scenario Outline: A chat's answer is whole, or it is none
+    Given an engine that answers a chat with <what>
+    When a chat that is not streamed is sent to it
+    Then the attempt is <seen>
+
+    Examples: by answer
+      | what                             | seen   |
+      | a document                       | whole  |
+      | a document without length        | whole  |
+      | a part without length            | broken |
+      | a document that is reset         | broken |
+      | a part with the whole's length   | broken |
+      | a document without end           | broken |
