Bound events at the own interface, and read any line ends there

Cause: the reader of an engine's stream looked for two LF only: a stream with CRLF gave no event, an event without end was held until the read timed out, and bytes that are no text ended in an unexpected error. Change: the reader shares split_events, split_blocks and MAX_EVENT_BYTES with the platform's relay; both faults are failed attempts.

--- a/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -1,10 +1,12 @@
 """Requests to upstreams over HTTP/1.1, made with httpcore."""
 
 import contextlib
+import re
 import ssl
 
 import httpcore
 
+from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.ports import upstreams as ports
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -23,6 +25,7 @@
         "upgrade",
     )
 )
+_LINE_END = re.compile(r"\r\n|\r|\n")
 _CONNECT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -191,18 +194,35 @@
 
 
 async def _read_events(response, record):
-    """Yield the ports.ServerEvent of each event that has data."""
-    buffer = b""
+    """Yield the ports.ServerEvent of each event that has data.
+
+    Raises:
+        ports.AttemptError: the connection broke, or an event is too large
+            or not valid text.
+    """
+    rest = b""
     with _convert_errors(record):
         async for chunk in response.aiter_stream():
-            buffer += chunk
-            while b"\n\n" in buffer:
-                block, buffer = buffer.split(b"\n\n", 1)
-                event = parse_event(block.decode())
+            whole, rest = events.split_events(rest + chunk, len(rest))
+            if len(rest) > events.MAX_EVENT_BYTES:
+                raise _make_event_error(
+                    f"an event exceeds {events.MAX_EVENT_BYTES} bytes", record
+                )
+            for block in events.split_blocks(whole):
+                try:
+                    event = parse_event(block.decode())
+                except UnicodeDecodeError as error:
+                    raise _make_event_error(
+                        f"an event is not valid text: {error}", record
+                    ) from error
                 if event.data:
                     yield event
 
 
+def _make_event_error(text, record):
+    return ports.AttemptError(text, step="read", peer=record.name, sent=True)
+
+
 def parse_event(block):
     """Return the ServerEvent of an event's lines.
 
@@ -211,7 +231,8 @@
     """
     event_id = ""
     data = []
-    for line in block.split("\n"):
+    # str.splitlines would also split at separators inside the text.
+    for line in _LINE_END.split(block):
         field, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if field == "id":
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -7,6 +7,7 @@
 # Two line ends; the group is atomic, so that a CRLF counts as one of them.
 _EVENT_END = re.compile(rb"(?>\r\n|\r|\n){2}")
 _MAX_EVENT_END_BYTES = 4
+MAX_EVENT_BYTES = 256 * 1024  # held in memory until an event is complete
 
 
 class StreamTiming:
@@ -89,13 +90,14 @@
     return ""
 
 
-def _split_blocks(data):
+def split_blocks(data):
+    """Return the blocks of complete events, without the ends of events."""
     return [block for block in _EVENT_END.split(data) if block]
 
 
 def find_last_id(data, default):
     """Return the id of the last event that has one, else the default."""
-    for block in reversed(_split_blocks(data)):
+    for block in reversed(split_blocks(data)):
         event_id = _read_id(block)
         if event_id:
             return event_id
@@ -115,7 +117,7 @@
     if known is None:
         return data
     kept = []
-    for block in _split_blocks(data):
+    for block in split_blocks(data):
         number = numerals.parse_unsigned(_read_id(block))
         if number is not None and number <= known:
             continue
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
@@ -5,7 +5,6 @@
 from camphorhook_daemon.domain.routing import events
 
 EVENT_SILENCE_SECONDS = 2.0  # clients disconnect after the same time
-MAX_EVENT_BYTES = 256 * 1024  # held in memory until the event is complete
 
 
 class StreamSilent(Exception):
@@ -37,14 +36,14 @@
         """Add bytes of the answer; return the complete events to relay.
 
         Raises:
-            StreamInvalid: an event is larger than MAX_EVENT_BYTES.
+            StreamInvalid: an event exceeds events.MAX_EVENT_BYTES.
         """
         whole, self._buffer = events.split_events(
             self._buffer + piece, len(self._buffer)
         )
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if len(self._buffer) > events.MAX_EVENT_BYTES:
             raise StreamInvalid(
-                f"an event is larger than {MAX_EVENT_BYTES} bytes"
+                f"an event exceeds {events.MAX_EVENT_BYTES} bytes"
             )
         if whole and self._skips_known:
             whole = events.drop_known_events(whole, self.last_event)
@@ -71,8 +70,8 @@
     Raises:
         StreamSilent: the upstream sent no event for EVENT_SILENCE_SECONDS.
             Comments and parts of an event are none.
-        StreamInvalid: the answer ended inside an event, or one is larger
-            than MAX_EVENT_BYTES. The partial event is not relayed.
+        StreamInvalid: the answer ended inside an event, or one exceeds
+            events.MAX_EVENT_BYTES. The partial event is not relayed.
     """
     left = EVENT_SILENCE_SECONDS
     with trio.CancelScope() as silence:
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -12,7 +12,8 @@
 from tests.harness import routers
 
 DOCUMENT = b'{"id": "chat", "choices": [{"message": {"content": "whole"}}]}'
-EVENT = b"id: 1\ndata: {}\n\n"
+TEXT = "one\u2028line"  # U+2028 ends no line of an event
+EVENT = f"id: 1\ndata: {TEXT}\n\n".encode()
 OK = b"HTTP/1.1 200 OK\r\n"
 LENGTH = b"Content-Length: %d\r\n" % len(DOCUMENT)
 ANSWERS = {
@@ -95,7 +96,7 @@
         try:
             async with client.stream(record, call) as (_, _, events):
                 async for event in events:
-                    assert (event.id, event.data) == ("1", "{}"), event
+                    assert (event.id, event.data) == ("1", TEXT), event
                     count += 1
         except ports.AttemptError:
             return "broken", count
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -14,3 +14,16 @@
       | a document that is reset         | broken |
       | a part with the whole's length   | broken |
       | a document without end           | broken |
+
+  Scenario Outline: A stream's events are whole, or the stream is broken off
+    Given an engine that answers a chat with <what>
+    When a chat that is streamed is sent to it
+    Then the attempt is <seen>, after <count> events
+
+    Examples: by stream
+      | what                     | seen   | count |
+      | three events             | ended  | 3     |
+      | three events with CRLF   | ended  | 3     |
+      | three events and a part  | ended  | 3     |
+      | an event without end     | broken | 0     |
+      | an event that is no text | broken | 0     |
