Soak: servers that answer without framing, break off and don't end

Change: a new fault, garble: between two SIGUSR2 a server answers with neither length nor chunks, breaks streams off inside an event, resets plain answers, or sends a head or an event without end. The proxy had turned a server's reset into a close, which no instance can tell from an end; it now passes resets on, and a cut link resets too, as a lost connection does. The promise and its checker are unchanged.

--- a/tests/features/steps/unbounded.py
+++ b/tests/features/steps/unbounded.py
@@ -7,6 +7,7 @@
 
 from tests.features.steps import endings
 from tests.harness import routers
+from tests.standins import serving
 
 MAX_MEMORY_BYTES = 4 * 1024 * 1024
 BLOCK = b"x" * 65536
@@ -113,7 +114,7 @@
             await stream.send_all(data)
             if self.breaks:
                 await trio.sleep(endings.RESET_DELAY_SECONDS)
-                routers.set_reset_on_close(stream)
+                serving.set_reset_on_close(stream)
 
 
 @behave.given("upstreams of which the first answers with {what} without end")
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -1,8 +1,6 @@
 """The product's forwarder with scripted upstreams, in one process."""
 
 import functools
-import socket
-import struct
 import types
 
 import trio
@@ -26,12 +24,6 @@
 SERVICE = "service"
 
 
-def set_reset_on_close(stream):
-    """Make a trio stream reset its connection when it is closed."""
-    linger = struct.pack("ii", 1, 0)  # on, without waiting
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 class ScriptedUpstream:
     """An upstream on loopback whose answers a scenario chooses.
 
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -27,6 +27,10 @@
     "send again": ("check_once", _SERVER_KILLS),
     "refuse what ran": ("check_refusals", _SERVER_KILLS),
     "cut answers": ("check_own", _DOCUMENTS),
+    "deliver parts": (
+        "check_own",
+        [_Fault(1.0, "garble", name, 6.0) for name in schedules.SERVERS[3:]],
+    ),
     "take up late": ("check_documents", _DOCUMENTS),
     "keep keys": ("check_keys", _DOCUMENTS),
     "forget leaving servers": (
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -14,6 +14,7 @@
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice
+from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import table
@@ -54,6 +55,11 @@
     listeners.Exchange.send_answer = send
 
 
+def _deliver_parts():
+    """Deliver streams that ended inside an event as complete ones."""
+    events.is_event_part = lambda data: False
+
+
 def _take_up_late():
     """Apply each document after the first one late by STALE_SECONDS."""
     apply_changes = rules.Rules._apply_changes
@@ -115,6 +121,7 @@
     "send again": _send_again,
     "refuse what ran": _refuse_what_ran,
     "cut answers": _cut_answers,
+    "deliver parts": _deliver_parts,
     "take up late": _take_up_late,
     "keep keys": _keep_keys,
     "use leaving": _use_leaving,
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -86,6 +86,12 @@
         time.sleep(fault.seconds)
         self._world.send_signal(fault.target, signal.SIGUSR1)
 
+    def garble(self, fault):
+        """Make a server answer without framing and break answers off."""
+        self._world.send_signal(fault.target, signal.SIGUSR2)
+        time.sleep(fault.seconds)
+        self._world.send_signal(fault.target, signal.SIGUSR2)
+
     def reload(self, fault):
         """Make a process reload its settings."""
         self._world.send_signal(fault.target, signal.SIGHUP)
@@ -186,6 +192,7 @@
     "pause": Injector.pause,
     "reload": Injector.reload,
     "reject": Injector.reject,
+    "garble": Injector.garble,
     "link": Injector.disturb_link,
     "lose disk": Injector.lose_disk,
     "torn write": Injector.tear_journal,
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -13,9 +13,11 @@
 `fail` answers 500, `crash` ends the process. The path `/-/kv-list` lists the
 prompt parts of all requests so far. On SIGUSR1 the server starts to reject
 all requests with a pause of PAUSE_SECONDS, on the next one it stops doing so;
-the effects file records each rejection. On SIGTERM the server drains and
-leaves, which its answers say;
-the effects file records when its departure was acknowledged. The advertised
+the effects file records each rejection. On SIGUSR2 it starts to answer with
+neither length nor chunks, and to break off many of these answers or to send
+them without end; on the next one it stops doing so. On SIGTERM the server
+drains and leaves, which its answers say; the effects file records when its
+departure was acknowledged. The advertised
 address is that of a proxy if it differs from the own one. The server registers
 as cold for --cold seconds after its start, and continues to serve for --drain
 seconds after its departure was acknowledged.
@@ -24,6 +26,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import time
 import urllib.parse
@@ -32,11 +35,16 @@
 import h11
 import trio
 
+from tests.standins import serving
+
 REGISTER_INTERVAL_SECONDS = 0.3
 DRAIN_SECONDS = 1.0
 PAUSE_SECONDS = 1.5
 EVENTS = 10
 EVENT_INTERVAL_SECONDS = 0.1
+EVENT_STREAM = ("Content-Type", "text/event-stream")
+GARBLINGS = ("whole", "whole", "part", "part", "no end", "no end of the head")
+RESET_DELAY_SECONDS = 0.05  # for a part to arrive before the reset
 
 
 def parse_stream_options(target):
@@ -47,6 +55,23 @@
     return int(fields.get("events", EVENTS)), pause
 
 
+def make_event(number):
+    """Return the bytes of an event of a stream."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def render_head(response, *more):
+    """Return the bytes of an h11.Response with further headers.
+
+    h11 itself sends no answer without framing to a client of HTTP/1.1.
+    """
+    lines = [b"HTTP/1.1 200 OK"]
+    for name, value in response.headers:
+        lines.append(bytes(name) + b": " + bytes(value))
+    lines += [f"{name}: {value}".encode() for name, value in more]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
 class Server:
     """State of the stand-in and its HTTP server."""
 
@@ -62,6 +87,7 @@
         self.effects = arguments["--effects"]
         self.state = "ready"
         self.rejects = False
+        self.garbles = False
         self.started_ms = time.time_ns() // 1000000
         self.sequence = itertools.count(1)
         self.acknowledged = trio.Event()
@@ -114,6 +140,12 @@
             async for _ in signals:
                 self.rejects = not self.rejects
 
+    async def toggle_garbling(self):
+        """Start or stop answering with broken framing at each SIGUSR2."""
+        with trio.open_signal_receiver(signal.SIGUSR2) as signals:
+            async for _ in signals:
+                self.garbles = not self.garbles
+
     async def serve(self, stream):
         """Serve the requests of one connection."""
         async with stream:
@@ -188,16 +220,18 @@
         self._record_run(request, headers)
         if "crash" in target:
             os._exit(1)
+        if self.garbles:
+            await self._garble(stream, make_head, headers, target)
+            return
         if "slow" in target:
             await trio.sleep(1.0)
         if "stream" in target:
             first = int(headers.get("last-event-id", "0")) + 1
-            await send(make_head(200, ("Content-Type", "text/event-stream")))
+            await send(make_head(200, EVENT_STREAM))
             events, pause = parse_stream_options(target)
             for number in range(first, events + 1):
                 await trio.sleep(pause)
-                event = f"id: {number}\ndata: piece {number}\n\n"
-                await send(h11.Data(data=event.encode()))
+                await send(h11.Data(data=make_event(number)))
             await send(h11.EndOfMessage())
             return
         status = 500 if "fail" in target else 200
@@ -207,6 +241,36 @@
             make_head(status, length), h11.Data(data=body), h11.EndOfMessage()
         )
 
+    async def _garble(self, stream, make_head, headers, target):
+        """Answer with neither length nor chunks, then close the connection.
+
+        The request's id determines whether the answer is whole, breaks off
+        visibly, or has no end.
+        """
+        how = random.Random(headers.get("x-request-id")).choice(GARBLINGS)
+        is_stream = "stream" in target
+        if how == "no end of the head":
+            data = b"HTTP/1.1 200 OK\r\nX-Filler: "
+        elif is_stream:
+            first = int(headers.get("last-event-id", "0")) + 1
+            events, _ = parse_stream_options(target)
+            body = [make_event(n) for n in range(first, events + 1)]
+            if how != "whole":
+                body = [*body[:3], b"id: 99\nda"]
+            data = render_head(make_head(200), EVENT_STREAM) + b"".join(body)
+        else:
+            body = f"{self.name} {target}".encode()
+            if how != "whole":
+                body = body[: len(body) // 2]
+            data = render_head(make_head(200)) + body
+        if how != "whole" and not is_stream:
+            # A close would not tell this part from a whole answer.
+            serving.set_reset_on_close(stream)
+        await stream.send_all(data)
+        while how == "no end of the head" or how == "no end" and is_stream:
+            await stream.send_all(b"x" * 65536)
+        await trio.sleep(RESET_DELAY_SECONDS)
+
     def _record(self, headers, what):
         """Record an answer that was not the effect of a run."""
         self._write(
@@ -252,6 +316,7 @@
         )
         nursery.start_soon(server.register)
         nursery.start_soon(server.toggle_rejections)
+        nursery.start_soon(server.toggle_garbling)
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
                 break
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -24,6 +24,8 @@
 import docopt
 import trio
 
+from tests.standins import serving
+
 CHUNK_BYTES = 65536
 POLL_INTERVAL_SECONDS = 0.02
 
@@ -75,9 +77,13 @@
         with trio.CancelScope() as scope:
             self._scopes.add(scope)
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._relay, client, target, True, nursery)
-                nursery.start_soon(self._relay, target, client, False, nursery)
+                nursery.start_soon(self._relay, client, target, True, scope)
+                nursery.start_soon(self._relay, target, client, False, scope)
         self._scopes.discard(scope)
+        if scope.cancelled_caught:
+            # A close would look like the end of an answer without length.
+            serving.set_reset_on_close(client)
+            serving.set_reset_on_close(target)
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(target)
 
@@ -86,7 +92,7 @@
             return True
         return self.fault == "one_way" and forwards
 
-    async def _relay(self, source, sink, forwards, nursery):
+    async def _relay(self, source, sink, forwards, scope):
         try:
             while True:
                 chunk = await source.receive_some(CHUNK_BYTES)
@@ -100,7 +106,7 @@
                     await trio.sleep(self.delay_seconds * jitter)
                 await sink.send_all(chunk)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            nursery.cancel_scope.cancel()
+            scope.cancel()
 
 
 async def _handle_control(links, stream):
