Read the events after a line of the time line that a crash cut off

Operators saw a time line that ended at the last crash of the process, without a mark: a part shown as the whole. Cause: load stopped at the first line that is no JSON, and a restarted process appended its first event to that line. Change: load skips such lines; a process starts on a new line.

--- a/packages/common/src/camphorhook_common/timeline.py
+++ b/packages/common/src/camphorhook_common/timeline.py
@@ -2,6 +2,7 @@
 
 import collections
 import json
+import os
 import typing
 
 import msgspec
@@ -39,7 +40,7 @@
         self._instance = instance
         self._clock = clock
         self._ring = collections.deque(maxlen=RING_LENGTH)
-        self._file = open(path, "a", buffering=1) if path else None
+        self._file = _open_to_append(path) if path else None
 
     def record(self, event, **fields):
         """Record an event.
@@ -77,19 +78,30 @@
         return found[-limit:]
 
 
+def _open_to_append(path):
+    """Open a file to append lines, also after one that a crash cut off."""
+    file = open(path, "a", buffering=1)
+    if file.tell():
+        with open(path, "rb") as written:
+            written.seek(-1, os.SEEK_END)
+            if written.read() != b"\n":
+                file.write("\n")
+    return file
+
+
 def load(path):
-    """Return the events in a file, up to an incomplete last line.
+    """Return the events in a file, without lines that a crash cut off.
 
     Args:
         path: path of a file written by a Recorder.
     """
     events = []
-    with open(path) as lines:
+    with open(path, errors="replace") as lines:
         for line in lines:
             try:
                 events.append(json.loads(line))
             except ValueError:
-                break
+                continue
     return events
 
 
