Test small answers without length, and rejections that break off

Both follow from the bounds of bodies.py and had no scenario: a small answer that is reset is tried at the next upstream and then refused with 502; the head of a rejection is enough to send the request to the next one.

--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -53,32 +53,41 @@
     And the upstream's connection is closed, and at most 4 MiB were in use
 
     Examples: by answer
-      | what                        | route              | status | seen     |
-      | a header                    | a plain answer     | 502    | complete |
-      | header lines                | a plain answer     | 502    | complete |
-      | interim answers             | a plain answer     | 502    | complete |
-      | the size of a chunk         | a plain answer     | 502    | complete |
-      | an answer to another request | a plain answer    | 502    | complete |
-      | a rejection                 | a plain answer     | 200    | complete |
-      | a server error              | a plain answer     | 502    | complete |
-      | a server error              | a repeatable answer | 200   | complete |
-      | a body                      | a plain answer     | 200    | cut off  |
-      | an event                    | a stream           | 200    | cut off  |
-      | a comment                   | a stream           | 200    | cut off  |
-      | an event                    | a resumable stream | 200    | complete |
-      | events                      | a stream           | 200    | cut off  |
+      | what                         | route               | status | seen     |
+      | a header                     | a plain answer      | 502    | complete |
+      | header lines                 | a plain answer      | 502    | complete |
+      | interim answers              | a plain answer      | 502    | complete |
+      | the size of a chunk          | a plain answer      | 502    | complete |
+      | an answer to another request | a plain answer      | 502    | complete |
+      | a rejection                  | a plain answer      | 200    | complete |
+      | a server error               | a plain answer      | 502    | complete |
+      | a server error               | a repeatable answer | 200    | complete |
+      | a body                       | a plain answer      | 200    | cut off  |
+      | an event                     | a stream            | 200    | cut off  |
+      | a comment                    | a stream            | 200    | cut off  |
+      | an event                     | a resumable stream  | 200    | complete |
+      | events                       | a stream            | 200    | cut off  |
 
-  Scenario Outline: A large answer is delivered whole or visibly cut off
-    Given upstreams whose answer of 3000000 bytes has <framing> and <end>
+  Scenario Outline: An answer is delivered whole, or the client sees that it is not
+    Given upstreams whose answer of <size> bytes has <framing> and <end>
     When a client requests a repeatable answer with a timeout of 5 seconds
-    Then the client is answered 200, <seen>, within 5 seconds
+    Then the client is answered <status>, <seen>, within 5 seconds
     And <count> upstreams were asked
 
-    Examples: by framing
-      | framing                   | end    | seen     | count |
-      | a length                  | ends   | complete | 1     |
-      | chunks                    | ends   | complete | 1     |
-      | neither length nor chunks | ends   | complete | 1     |
-      | a length                  | breaks | cut off  | 1     |
-      | chunks                    | breaks | cut off  | 1     |
-      | neither length nor chunks | breaks | cut off  | 1     |
+    Examples: by size
+      | size    | framing                   | end    | status | seen     | count |
+      | 300     | a length                  | ends   | 200    | complete | 1     |
+      | 300     | chunks                    | ends   | 200    | complete | 1     |
+      | 300     | neither length nor chunks | ends   | 200    | complete | 1     |
+      | 300     | neither length nor chunks | breaks | 502    | complete | 2     |
+      | 3000000 | a length                  | ends   | 200    | complete | 1     |
+      | 3000000 | chunks                    | ends   | 200    | complete | 1     |
+      | 3000000 | neither length nor chunks | ends   | 200    | complete | 1     |
+      | 3000000 | a length                  | breaks | 200    | cut off  | 1     |
+      | 3000000 | chunks                    | breaks | 200    | cut off  | 1     |
+      | 3000000 | neither length nor chunks | breaks | 200    | cut off  | 1     |
+
+  Scenario: A rejection that breaks off still says that the request has not run
+    Given upstreams of which the first breaks off a rejection
+    When a client requests a plain answer with a timeout of 5 seconds
+    Then the client is answered 200, complete, within 5 seconds
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -102,16 +102,14 @@
         self.inputs[line["message"]] = line.get("inputs", {})
 
 
-async def exchange(
-    port, version="1.1", seconds=RUN_SECONDS, counts_only=False
-):
+async def exchange(port, version="1.1", seconds=RUN_SECONDS, drops_body=False):
     """Send a request; return (status, body, whether it ended completely).
 
     Args:
         port: of the instance's listener.
         version: of HTTP that the client speaks.
         seconds: limit of the client's patience.
-        counts_only: whether to drop the body, which may have no end.
+        drops_body: whether to keep nothing of the body; it may have no end.
     """
     http = h11.Connection(h11.CLIENT)
     stream = await trio.open_tcp_stream("127.0.0.1", port)
@@ -132,7 +130,7 @@
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
-                    body += b"" if counts_only else event.data
+                    body += b"" if drops_body else event.data
                 else:
                     return status, body, isinstance(event, h11.EndOfMessage)
         except (h11.RemoteProtocolError, trio.BrokenResourceError):
--- a/tests/features/steps/unbounded.py
+++ b/tests/features/steps/unbounded.py
@@ -79,8 +79,8 @@
                 self.closed.set()
 
 
-class LargeUpstream(routers.ScriptedUpstream):
-    """An upstream with a large answer that ends or breaks.
+class SizedUpstream(routers.ScriptedUpstream):
+    """An upstream with an answer of a given size that ends or breaks.
 
     Attributes:
         size: bytes of the body.
@@ -117,6 +117,39 @@
                 serving.set_reset_on_close(stream)
 
 
+class RejectingUpstream(routers.ScriptedUpstream):
+    """An upstream that breaks off a rejection; the second one answers.
+
+    Attributes:
+        shared: list of all requests, which the upstreams share.
+    """
+
+    def __init__(self, number, shared):
+        super().__init__(number)
+        self.shared = shared
+
+    async def serve(self, stream):
+        """Answer one request and close the connection."""
+        async with stream:
+            fields = await endings.read_fields(stream)
+            self.shared.append(fields["x-request-id"])
+            head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+            if len(self.shared) > 1:
+                head = "HTTP/1.1 200 OK\r\n"
+            length = 4 if len(self.shared) > 1 else 100
+            head += f"X-Request-Id: {self.shared[-1]}\r\n"
+            head += f"Content-Length: {length}\r\n\r\n"
+            await stream.send_all(head.encode() + b"text")
+
+
+@behave.given("upstreams of which the first breaks off a rejection")
+def set_rejecting(context):
+    shared = []
+    context.make_upstreams = lambda: [
+        RejectingUpstream(number, shared) for number in (1, 2)
+    ]
+
+
 @behave.given("upstreams of which the first answers with {what} without end")
 def set_endless(context, what):
     shared = []
@@ -130,7 +163,7 @@
 )
 def set_large(context, size, framing, end):
     context.make_upstreams = lambda: [
-        LargeUpstream(number, size, framing, end == "breaks")
+        SizedUpstream(number, size, framing, end == "breaks")
         for number in (1, 2)
     ]
 
@@ -152,7 +185,9 @@
             began = trio.current_time()
             tracemalloc.start()
             context.outcome = await endings.exchange(
-                port, counts_only=True, seconds=seconds
+                port,
+                seconds=seconds,
+                drops_body=isinstance(router.upstreams[0], EndlessUpstream),
             )
             context.peak = tracemalloc.get_traced_memory()[1]
             tracemalloc.stop()
@@ -178,12 +213,19 @@
     "the client is answered {status:d}, {seen}, within {seconds:g} seconds"
 )
 def check_outcome(context, status, seen, seconds):
-    got, _, is_complete = context.outcome
+    got, body, is_complete = context.outcome
     assert (got, is_complete) == (status, seen == "complete"), (
-        context.outcome,
+        got,
+        len(body),
+        is_complete,
         context.seconds,
     )
     assert context.seconds < seconds, context.seconds
+    for upstream in context.upstreams:
+        if isinstance(upstream, SizedUpstream) and status == 200:
+            assert len(body) <= upstream.size
+            is_whole = len(body) == upstream.size
+            assert is_whole == is_complete, len(body)
 
 
 @behave.then(
