--- a/tools/emulator/network.py
+++ b/tools/emulator/network.py
@@ -24,6 +24,14 @@
     has_run: bool
     load: tuple[int, int]
 
+    def is_event_stream(self):
+        """Return whether the answer is a stream, as all that succeed are."""
+        return self.status < 300
+
+    def describe_framing(self):
+        """Return what marks the end of the answer."""
+        return "chunks"
+
 
 class Protocol:
     """Passes values to and from the models in place of HTTP headers."""
