--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -14,10 +14,9 @@
 
 import trio
 
-from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import choice as choices
-from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_relay
 from camphorhook_daemon.domain.routing import table as tables
@@ -29,7 +28,6 @@
 BUSY_RETRY_SECONDS = 0.4  # a full service usually has capacity again after it
 UNCONFIRMED_REASON = "the key's account is not confirmed"
 UNCONFIRMED_RETRY_SECONDS = 1.0  # a lost leader is usually replaced within it
-SERVER_ERROR = 500
 
 
 class Request(typing.NamedTuple):
@@ -140,10 +138,6 @@
         self._tokens = 0
 
 
-class StreamBroken(Exception):
-    """An answer that has been started cannot be completed."""
-
-
 class Forwarder:
     """Sends requests to upstreams and relays the answers.
 
@@ -172,6 +166,7 @@
         self._pool = pool
         self._protocol = protocol
         self._rules = rules
+        self._relay = answer_relay.AnswerRelay(protocol, now)
         self._counts = counts
         self._now = now
         self._budgets = {}
@@ -195,8 +190,8 @@
             A Failure if nothing was sent to the client, else None.
 
         Raises:
-            StreamBroken: an answer was started and cannot be completed;
-                the client's connection must be closed.
+            answer_relay.StreamBroken: an answer was started and cannot be
+                completed; the client's connection must be closed.
         """
         service = tables.choose_service(request.route, random.random())
         budget = self._get_budget(service)
@@ -211,7 +206,7 @@
             if isinstance(failure, Failure):
                 break
         if progress.has_started:
-            raise StreamBroken(failure.reason)
+            raise answer_relay.StreamBroken(failure.reason)
         if progress.fallback_answer is not None:
             status, headers, body = progress.fallback_answer
             await reply.send_answer(status, headers, body)
@@ -239,7 +234,7 @@
             if progress.runs >= max(1, request.route.attempts):
                 return Failure(502, "the attempts are used up")
             if not budget.spend(now, self._selector.count_instances()):
-                self._log(
+                answer_relay.log_step(
                     request,
                     "request not retried: the retry budget is used up",
                     "warning",
@@ -253,7 +248,7 @@
                 503, choice.reason, choice.retry_after or BUSY_RETRY_SECONDS
             )
         target = choice.upstream
-        self._log(
+        answer_relay.log_step(
             request,
             "sent to an upstream",
             peer=target.name,
@@ -307,7 +302,7 @@
     def _handle_withheld(self, request, progress, error):
         """Try another upstream, unless the client's key is not confirmed."""
         progress.sends -= 1
-        self._log(
+        answer_relay.log_step(
             request,
             f"request not sent: {error.message}",
             "warning",
@@ -326,7 +321,7 @@
             health.record_connection_error(self._now(), is_down=not error.sent)
         progress.excluded.add(error.peer)
         self._pool.close_idle_to(error.peer)
-        self._log(
+        answer_relay.log_step(
             request,
             f"attempt failed: {error.message}",
             "warning",
@@ -370,69 +365,18 @@
                 request.route.is_stream and answer.head.is_event_stream()
             )
             if is_stream:
-                await self._relay_stream(request, answer, progress, reply)
+                await self._relay.relay_stream(
+                    request, answer, progress, reply
+                )
             else:
-                body = await self._read_body(request, answer, progress, reply)
+                body = await self._relay.read_body(
+                    request, answer, progress, reply
+                )
         if is_stream or body is None:
             self._record_success(target.name)
             return AttemptResult.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
-    async def _read_body(self, request, answer, progress, reply):
-        """Return a whole body, or None if it was large and is relayed."""
-        with trio.move_on_at(request.deadline):
-            body, is_whole = await bodies.read_start(answer)
-            if is_whole:
-                return body
-            await self._relay_large(request, answer, body, progress, reply)
-            return None
-        raise ports.AttemptError(
-            "the answer did not end in time",
-            step="read answer",
-            peer=answer.upstream,
-            sent=True,
-        )
-
-    async def _relay_large(self, request, answer, body, progress, reply):
-        """Relay an answer that is too large to be held in memory.
-
-        Args:
-            request: the Request.
-            answer: the upstream's answer.
-            body: what was read of its body.
-            progress: the request's _Progress; it can't be retried any more.
-            reply: sends the answer to the client.
-
-        Raises:
-            ports.AttemptError: it is a failure, or can't follow what the
-                client has; or its body is incomplete.
-        """
-        head = answer.head
-        if progress.has_started or head.status >= SERVER_ERROR:
-            raise ports.AttemptError(
-                f"the body of the answer {head.status} exceeds "
-                f"{bodies.MAX_BUFFERED_BYTES} bytes",
-                step="read answer",
-                peer=answer.upstream,
-                sent=True,
-            )
-        progress.has_started = True
-        progress.can_retry = False
-        headers = self._protocol.pick_response_headers(head)
-        await reply.start(head.status, headers, head.get_length())
-        size = 0
-        while body:
-            size += len(body)
-            await reply.send_chunk(body)
-            body = await answer.read_chunk()
-        await reply.finish()
-        self._log(
-            request,
-            f"relayed a large answer {head.status} of the upstream",
-            peer=answer.upstream,
-            inputs={"bytes": size},
-        )
-
     def record_withdrawal(self, target, head_info):
         """Record that an upstream leaves or wants a pause.
 
@@ -452,13 +396,13 @@
         head = answer.head
         headers = self._protocol.pick_response_headers(head)
         progress.runs += 1
-        if head.status >= SERVER_ERROR:
+        if head.status >= answer_relay.SERVER_ERROR:
             # An engine is not excluded: it has the prompt cached now, and
             # its failure rate is compared with others on selection.
             progress.failed.add(answer.upstream)
             self._outcomes.record(answer.upstream, False)
             self._counts.add("attempts_total", outcome="server error")
-            self._log(
+            answer_relay.log_step(
                 request,
                 f"the upstream answered {head.status}",
                 peer=answer.upstream,
@@ -471,7 +415,7 @@
         if progress.has_started:
             return Failure(502, f"the upstream answered {head.status}")
         await reply.send_answer(head.status, headers, body)
-        self._log(
+        answer_relay.log_step(
             request,
             f"answered {head.status} by the upstream",
             peer=answer.upstream,
@@ -491,7 +435,7 @@
         than the others is left to them.
         """
         health = self._selector.health[target.name]
-        self._log(
+        answer_relay.log_step(
             request,
             "the upstream rejected the request without running it",
             peer=target.name,
@@ -533,71 +477,3 @@
                 request, choice.upstream
             ),
         )
-
-    async def _relay_stream(self, request, answer, progress, reply):
-        """Relay the events of a stream as they arrive."""
-        if not progress.has_started:
-            await reply.start(
-                answer.head.status,
-                self._protocol.pick_response_headers(answer.head),
-            )
-            progress.has_started = True
-        progress.position.begin()
-        timing = events.StreamTiming(request.received_at, self._now)
-        with trio.move_on_at(request.deadline):
-            await self._relay_all(request, answer, progress, reply, timing)
-            await reply.finish()
-            self._log(
-                request,
-                "stream ended",
-                peer=answer.upstream,
-                inputs={
-                    "framing": answer.head.describe_framing(),
-                    **timing.describe(),
-                },
-            )
-            return
-        raise StreamBroken("the route's timeout or the deadline was reached")
-
-    async def _relay_all(self, request, answer, progress, reply, timing):
-        """Relay a stream to its end, or raise AttemptError to resume it.
-
-        A silent stream that can't be resumed any more is read on: it may be
-        slow, and the client decides how long it waits.
-        """
-        may_resume = (
-            request.route.can_resume
-            and progress.runs + 1 < request.route.attempts
-        )
-        while True:
-            try:
-                await stream_relay.relay(
-                    answer, reply, progress.position, timing
-                )
-                return
-            except stream_relay.StreamInvalid as error:
-                raise ports.AttemptError(
-                    f"{error} (framing: {answer.head.describe_framing()})",
-                    step="read stream",
-                    peer=answer.upstream,
-                    sent=True,
-                    connection_broken=True,
-                ) from error
-            except stream_relay.StreamSilent as error:
-                if may_resume:
-                    raise ports.AttemptError(
-                        "the stream fell silent",
-                        step="read stream",
-                        peer=answer.upstream,
-                        sent=True,
-                    ) from error
-
-    def _log(self, request, text, level="info", **fields):
-        logs.log(
-            level,
-            text,
-            request=request.request,
-            account=request.account,
-            step="forward",
-            **fields,
-        )
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -3,6 +3,7 @@
 import trio
 
 from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.platform import protocol
 
@@ -39,7 +40,7 @@
             return
         try:
             failure = await self._forwarder.forward(request, exchange)
-        except forwarding.StreamBroken as error:
+        except answer_relay.StreamBroken as error:
             # The connection is closed in the middle of the answer, so that
             # the client can't take it for a complete one.
             logs.log(
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import forwarding
 from camphorhook_daemon.domain.routing import table as tables
 from tools.emulator import plans
@@ -215,7 +216,7 @@
         with trio.move_on_at(give_up_at):
             try:
                 failure = await instance.forwarder.forward(request, reply)
-            except forwarding.StreamBroken:
+            except answer_relay.StreamBroken:
                 return 0, 0.0
             finally:
                 del instance.pool.jobs[name]
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -11,7 +11,7 @@
 from camphorhook_common import tables
 
 DAEMON = pathlib.Path("packages/daemon/src/camphorhook_daemon")
-LOGGERS = {"log": 2, "_log": 2}  # positional arguments, by function
+LOGGERS = {"log": 2, "log_step": 2}  # positional arguments, by function
 OUTPUT = pathlib.Path("docs/reference.md")
 HEAD = """# Reference
 
@@ -73,15 +73,17 @@
     if name not in LOGGERS or len(call.args) < LOGGERS[name]:
         return None
     level, text = call.args[:2]
-    if name == "_log":
+    if name == "log_step":
         # The arguments are request, text and level; the default is info.
         text = call.args[1]
         level = call.args[2] if len(call.args) > 2 else ast.Constant("info")
     fields = {one.arg: one.value for one in call.keywords if one.arg}
     step = fields.pop("step", ast.Constant("forward"))
     inputs = fields.pop("inputs", None)
+    if None in {one.arg for one in call.keywords} and name == "log":
+        return None  # passes on the arguments of log_step
     names = sorted(name for name in fields if name != "with_trace")
-    if name == "_log":
+    if name == "log_step":
         names = sorted({*names, "request", "account"})
     if isinstance(inputs, ast.Dict):
         names += [f"inputs.{_render_text(key)}" for key in inputs.keys]
