Answer a change of a row when it is in force at this instance

Cause: an accepted change reaches the instance that took it some milliseconds later, so its next read there could be older than its own change. Change: the answer waits, up to 2 s, until the change is in force there.

--- a/packages/daemon/src/camphorhook_daemon/adapters/operators.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -17,6 +17,7 @@
 
 SUBMIT_TIMEOUT_SECONDS = 8.0
 STATUS_TIMEOUT_SECONDS = 1.5
+IN_FORCE_TIMEOUT_SECONDS = 2.0  # for an accepted change to arrive here
 MAX_OPERATION_CHARACTERS = 128
 
 
@@ -145,6 +146,11 @@
             return wire.RequestFailure(
                 503, "no_quorum", text, "maybe-run", 1.0
             )
+        if outcome.code == "done":
+            # The operator's next read here must not be older.
+            with trio.move_on_after(IN_FORCE_TIMEOUT_SECONDS):
+                configuration = self._components.configuration
+                await configuration.wait_for_change(outcome.index)
         self._components.recorder.record(
             "configuration.change",
             operation=result.operation,
--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -104,6 +104,11 @@
             self.changed = trio.Event()
         return advanced
 
+    async def wait_for_change(self, index):
+        """Return once the change at an index, and all before, are in force."""
+        while self.index < index:
+            await self.changed.wait()
+
     def _apply_document(self, changes):
         """Apply the latest routing document among the changes, if any.
 
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -52,3 +52,7 @@
   Scenario: A row is added and removed
     When an operator adds and removes a row of upstreams
     Then the row is removed on every instance
+
+  Scenario: An acknowledged change is read back at the instance that took it
+    When an operator changes a row 10 times at each instance and reads it there at once
+    Then no read was older than the change before it
--- a/tests/features/steps/configuration.py
+++ b/tests/features/steps/configuration.py
@@ -266,3 +266,28 @@
             not in client.read_table("upstreams")["rows"],
             what="the row's end",
         )
+
+
+@behave.when(
+    "an operator changes a row {count:d} times at each instance and reads it "
+    "there at once"
+)
+def change_and_read(context, count):
+    context.outcomes = []
+    for instance in context.fleet.plan.instances:
+        client = context.fleet.make_client(instance.name)
+        for number in range(count):
+            changed = client.change_row(
+                "upstreams", "read-back", {"weight": 1 + number}, expected=-1
+            )
+            rows = client.read_table("upstreams")["rows"]
+            version = rows.get("read-back", {}).get("version", 0)
+            context.outcomes.append(
+                (instance.name, changed["version"], version)
+            )
+
+
+@behave.then("no read was older than the change before it")
+def check_read_back(context):
+    late = [one for one in context.outcomes if one[2] < one[1]]
+    assert not late, f"{len(late)} of {len(context.outcomes)}: {late[:6]}"
