--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -12,7 +12,7 @@
 from camphorhook_daemon.domain.routing import stream_relay
 from tests.features.steps import connections
 from tests.harness import routers
-from tests.standins import serving
+from tests.standins import resets
 
 EVENTS_BEFORE_END = 3
 EVENTS = 6
@@ -60,7 +60,7 @@
             await self._send(stream, fields["x-request-id"], body)
             if "reset" in self.ending:
                 await trio.sleep(RESET_DELAY_SECONDS)
-                serving.set_reset_on_close(stream)
+                resets.set_reset_on_close(stream)
 
     async def _send(self, stream, request, body):
         framing = ""
--- a/tests/features/steps/unbounded.py
+++ b/tests/features/steps/unbounded.py
@@ -7,7 +7,7 @@
 
 from tests.features.steps import endings
 from tests.harness import routers
-from tests.standins import serving
+from tests.standins import resets
 
 MAX_MEMORY_BYTES = 4 * 1024 * 1024
 BLOCK = b"x" * 65536
@@ -114,7 +114,7 @@
             await stream.send_all(data)
             if self.breaks:
                 await trio.sleep(endings.RESET_DELAY_SECONDS)
-                serving.set_reset_on_close(stream)
+                resets.set_reset_on_close(stream)
 
 
 class RejectingUpstream(routers.ScriptedUpstream):
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -9,7 +9,7 @@
 from camphorhook_daemon.domain import answers
 from camphorhook_daemon.ports import upstreams as ports
 from tests.features.steps import endings
-from tests.standins import serving
+from tests.standins import resets
 
 DOCUMENT = b'{"id": "chat", "choices": [{"message": {"content": "whole"}}]}'
 TEXT = "one\u2028line"  # U+2028 ends no line of an event
@@ -45,7 +45,7 @@
             return
         if "reset" in what:
             await trio.sleep(endings.RESET_DELAY_SECONDS)
-            serving.set_reset_on_close(stream)
+            resets.set_reset_on_close(stream)
 
 
 def _run_attempt(context, attempt):
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -35,7 +35,7 @@
 import h11
 import trio
 
-from tests.standins import serving
+from tests.standins import resets
 
 REGISTER_INTERVAL_SECONDS = 0.3
 DRAIN_SECONDS = 1.0
@@ -265,7 +265,7 @@
             data = render_head(make_head(200)) + body
         if how != "whole" and not is_stream:
             # A close would not tell this part from a whole answer.
-            serving.set_reset_on_close(stream)
+            resets.set_reset_on_close(stream)
         await stream.send_all(data)
         while how == "no end of the head" or how == "no end" and is_stream:
             await stream.send_all(b"x" * 65536)
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -24,7 +24,7 @@
 import docopt
 import trio
 
-from tests.standins import serving
+from tests.standins import resets
 
 CHUNK_BYTES = 65536
 POLL_INTERVAL_SECONDS = 0.02
@@ -82,8 +82,8 @@
         self._scopes.discard(scope)
         if scope.cancelled_caught:
             # A close would look like the end of an answer without length.
-            serving.set_reset_on_close(client)
-            serving.set_reset_on_close(target)
+            resets.set_reset_on_close(client)
+            resets.set_reset_on_close(target)
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(target)
 
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -1,8 +1,6 @@
 """ASGI helpers for stand-ins that serve HTTP."""
 
 import signal
-import socket
-import struct
 
 import hypercorn.config
 import hypercorn.trio
@@ -10,12 +8,6 @@
 import trio
 
 
-def set_reset_on_close(stream):
-    """Make a trio stream reset its connection when it is closed."""
-    linger = struct.pack("ii", 1, 0)  # on, without waiting
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 async def read_body(receive):
     """Return a request's body, or None if the client disconnected."""
     body = b""
