--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -20,6 +20,7 @@
 from camphorhook_daemon.domain.routing import withdrawals
 from camphorhook_daemon.platform import entry
 from camphorhook_daemon.platform import protocol
+from tests.standins import resets
 
 SERVICE = "service"
 
@@ -31,6 +32,7 @@
         requests: ids of the requests it got.
         status: HTTP status of its answers.
         headers: additional header lines of its answers.
+        crash_target: path under which it crashes and starts again.
     """
 
     def __init__(self, number):
@@ -39,6 +41,7 @@
         self.requests = []
         self.status = 200
         self.headers = ""
+        self.crash_target = ""
         self.port = number  # until it listens
 
     async def serve(self, stream):
@@ -58,6 +61,10 @@
                 )
                 request = fields["x-request-id"]
                 self.requests.append(request)
+                if head.split()[1].decode() == self.crash_target:
+                    self.incarnation += 1
+                    resets.set_reset_on_close(stream)
+                    return
                 body = self.name.encode()
                 await stream.send_all(
                     f"HTTP/1.1 {self.status} Status\r\n"
@@ -215,8 +222,14 @@
             wire.UpstreamsReply("e", 1, True, changed, [], 10_000, None, 0),
         )
 
-    async def send(self, client=None, part=None):
-        """Send a request; return the Client, with its answer."""
+    async def send(self, client=None, part=None, target="/"):
+        """Send a request; return the Client, with its answer.
+
+        Args:
+            client: receives the answer.
+            part: (id, tokens) of a shared part of the prompt.
+            target: path of the request.
+        """
         client = client or Client()
         self._sent += 1
         now = trio.current_time()
@@ -226,7 +239,7 @@
             forwarding.Request(
                 request,
                 "GET",
-                "/",
+                target,
                 [("x-request-id", request)],
                 b"",
                 self.route,
