--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -321,6 +321,7 @@
                 inputs={
                     "incarnation": target.incarnation,
                     "ms": int(seconds * 1000),
+                    "parts": [part for part, _ in request.parts],
                 },
             )
 
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -9,6 +9,19 @@
     Then each of these 6 was refused at once and reached no upstream
     And each of the others was answered 200
 
+  Scenario Outline: Prompts with a part that crashes upstreams are refused
+    Given 3 upstreams of a service that has engines
+    And each upstream crashes when it begins to answer on one part
+    When 8 different prompts with that part are sent within 2 seconds, and sound ones that share their other parts
+    And 6 more prompts with that part are sent, <how>
+    Then each of these 6 was refused at once and reached no upstream
+    And each of the others was answered 200
+
+    Examples: the rest of the prompt
+      | how                    |
+      | with others before it  |
+      | alone                  |
+
   Scenario Outline: Blame falls on the cause of crashes, and on nothing else
     Given crashes of different upstreams, each some seconds after the last
     When <story>
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -44,7 +44,7 @@
 def send_beside_others(context, target, count, seconds):
     async def send(router):
         for _ in range(count):
-            await router.send(target=target)
+            await router.send(target=target, body=b"")
             await trio.sleep(RESTART_SECONDS)
             router.register()
             context.others.append(await router.send())
@@ -58,7 +58,7 @@
     async def send(router):
         context.before = sum(len(one.requests) for one in router.upstreams)
         context.clients = [
-            await router.send(target=target) for _ in range(count)
+            await router.send(target=target, body=b"") for _ in range(count)
         ]
         context.after = sum(len(one.requests) for one in router.upstreams)
 
@@ -102,6 +102,51 @@
     assert {client.status for client in context.clients} == {502}
 
 
+# --- parts of prompts --------------------------------------------------------
+
+SHARED, MIDDLE, CAUSE = ("5aaa", 800), ("5bbb", 400), ("5ccc", 100)
+
+
+@behave.given("each upstream crashes when it begins to answer on one part")
+def script_crash_part(context):
+    async def script(router):
+        for upstream in router.upstreams:
+            upstream.crash_part = CAUSE[0]
+
+    context.others = []
+    withdrawals.add_action(context, script)
+
+
+@behave.when(
+    "{count:d} different prompts with that part are sent within "
+    "{seconds:g} seconds, and sound ones that share their other parts"
+)
+def send_prompts(context, count, seconds):
+    async def send(router):
+        for _ in range(count):
+            await router.send(parts=(SHARED, MIDDLE, CAUSE))
+            await trio.sleep(RESTART_SECONDS)
+            router.register()
+            context.others.append(await router.send(parts=(SHARED, MIDDLE)))
+            await trio.sleep(seconds / count - RESTART_SECONDS)
+
+    withdrawals.add_action(context, send)
+
+
+@behave.when("{count:d} more prompts with that part are sent, {how}")
+def send_more_prompts(context, count, how):
+    parts = (SHARED, CAUSE) if how == "with others before it" else (CAUSE,)
+
+    async def send(router):
+        context.before = sum(len(one.requests) for one in router.upstreams)
+        context.clients = [
+            await router.send(parts=parts) for _ in range(count)
+        ]
+        context.after = sum(len(one.requests) for one in router.upstreams)
+
+    withdrawals.add_action(context, send)
+
+
 # --- decisions ---------------------------------------------------------------
 
 
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -25,6 +25,9 @@
 from tests.standins import resets
 
 SERVICE = "service"
+CHUNKED_START = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+)
 
 
 class ScriptedUpstream:
@@ -35,6 +38,8 @@
         status: HTTP status of its answers.
         headers: additional header lines of its answers.
         crash_target: path under which it crashes and starts again.
+        crash_part: part of a prompt under which it crashes as it begins to
+            answer.
         is_reset_only: it resets the connection there and runs on.
     """
 
@@ -45,6 +50,7 @@
         self.status = 200
         self.headers = ""
         self.crash_target = ""
+        self.crash_part = ""
         self.is_reset_only = False
         self.port = number  # until it listens
 
@@ -64,11 +70,20 @@
                     for line in head.decode().lower().splitlines()[1:]
                 )
                 request = fields["x-request-id"]
+                length = int(fields.get("content-length", 0))
+                while len(data) < length:
+                    data += await stream.receive_some()
+                data = data[length:]
                 self.requests.append(request)
                 if head.split()[1].decode() == self.crash_target:
                     self.incarnation += not self.is_reset_only
                     resets.set_reset_on_close(stream)
                     return
+                prompt = fields.get("x-prompt-prefix", "")
+                if self.crash_part and self.crash_part in prompt:
+                    self.incarnation += 1
+                    await stream.send_all(CHUNKED_START)
+                    return
                 body = self.name.encode()
                 await stream.send_all(
                     f"HTTP/1.1 {self.status} Status\r\n"
@@ -230,31 +245,37 @@
             wire.UpstreamsReply("e", 1, True, changed, [], 10_000, None, 0),
         )
 
-    async def send(self, client=None, part=None, target="/"):
+    async def send(
+        self, client=None, part=None, target="/", parts=(), body=None
+    ):
         """Send a request; return the Client, with its answer.
 
         Args:
             client: receives the answer.
             part: (id, tokens) of a shared part of the prompt.
             target: path of the request.
+            parts: (id, tokens) of all parts of the prompt but the last.
+            body: body of the request; by default it differs from others.
         """
         client = client or Client()
         self._sent += 1
         now = trio.current_time()
         request = f"request-{self._sent}"
         own = (f"own-{self._sent}", 10)
+        parts = (*parts, part, own) if part else (*parts, own)
+        prompt = ",".join(f"{one}:{tokens}" for one, tokens in parts)
         failure = await self.forwarder.forward(
             forwarding.Request(
                 request,
                 "GET",
                 target,
-                [("x-request-id", request)],
-                b"",
+                [("x-request-id", request), ("x-prompt-prefix", prompt)],
+                request.encode() if body is None else body,
                 self.route,
                 "key",
                 "account",
                 0,
-                (part, own) if part else (own,),
+                parts,
                 "",
                 now,
                 now + self.route.timeout,
