Refuse prompts with a part that crashes upstreams

Class: blame on an identity in place of what the failures share. Change: the parts of a prompt but the last, or the messages of a chat but the last, are traits like the request's digest. A part that was answered lately needs twice the crashes; traits that always came together are blamed together. A request that was sent to an upstream after its crash is no longer counted as present at it, which a proxy in front of a dead engine had brought about.

--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -27,6 +27,8 @@
 # slots.
 MAX_CRASHES = 64
 MAX_RUNS = 64  # of one crash
+MAX_PARTS = 16  # of one prompt
+MAX_ANSWERED = 2048  # parts of prompts that were answered lately
 
 
 def hash_request(account, method, target, body):
@@ -42,6 +44,18 @@
     return xxhash.xxh3_64_intdigest(head + body)
 
 
+def hash_parts(parts):
+    """Return the traits of a prompt's shared parts, given their ids.
+
+    Of a long prompt the first and the last parts count.
+    """
+    if len(parts) > MAX_PARTS:
+        parts = (*parts[: MAX_PARTS // 2], *parts[-MAX_PARTS // 2 :])
+    return tuple(
+        xxhash.xxh3_64_intdigest(b"part\0" + part.encode()) for part in parts
+    )
+
+
 def format_incarnation(upstream):
     """Return the text that identifies an incarnation of an upstream."""
     return f"{upstream.name}/{upstream.incarnation}"
@@ -52,7 +66,7 @@
 
     Attributes:
         at: time of the crash in seconds.
-        runs: seconds that each run took, by its traits.
+        runs: time in seconds at which each run was sent, by its traits.
         is_refuted: the upstream has answered since.
         expires_at: time in seconds.
         change: number of the last change.
@@ -96,8 +110,11 @@
         self._limit = limit
         self._now = now
         self._records = collections.OrderedDict()
+        # Traits of recorded crashes: last crash, last complete answer.
+        self._crashed_at = {}
         self._sound_at = {}
         self._sound_changes = {}
+        self._answered_at = collections.OrderedDict()
         self._refused_at = {}
         self._refusal_changes = {}
         self._change = 0
@@ -119,8 +136,9 @@
             False if it was known.
         """
         name = format_incarnation(upstream)
-        record = self._find_record(name, self._now())
-        if not self._add_run(record, tuple(traits), seconds):
+        now = self._now()
+        record = self._find_record(name, now)
+        if not self._add_run(record, tuple(traits), now - seconds):
             return False
         self._mark_changed(record)
         return True
@@ -173,23 +191,21 @@
     def record_success(self, traits):
         """Record that a request with these traits was answered completely."""
         now = self._now()
+        for trait in traits[1:]:
+            self._answered_at[trait] = now
+            self._answered_at.move_to_end(trait)
+        while len(self._answered_at) > MAX_ANSWERED:
+            self._answered_at.popitem(last=False)
         for trait in traits:
-            crashed_at = self._find_last_crash(trait)
-            if crashed_at > self._sound_at.get(trait, float("-inf")):
-                self._sound_at[trait] = now
-                self._sound_changes[trait] = self._next_change()
-                self._notify()
+            if self._crashed_at.get(trait, float("-inf")) > (
+                self._sound_at.get(trait, float("-inf"))
+            ):
+                self._mark_sound(trait, now)
 
-    def _find_last_crash(self, trait):
-        return max(
-            (
-                record.at
-                for record in self._records.values()
-                for traits in record.runs
-                if trait in traits
-            ),
-            default=float("-inf"),
-        )
+    def _mark_sound(self, trait, at):
+        self._sound_at[trait] = at
+        self._sound_changes[trait] = self._next_change()
+        self._notify()
 
     # --- decisions ---------------------------------------------------------
 
@@ -352,11 +368,12 @@
         if at + BLAME_SECONDS <= now and crash.upstream not in self._records:
             return
         record = self._find_record(crash.upstream, at)
-        record.at = min(record.at, at)
+        if at < record.at:
+            self._move_back(record, at)
         is_new = False
         for ms, traits in crash.runs:
-            seconds = ms * SECONDS_PER_MS
-            is_new |= self._add_run(record, tuple(traits), seconds)
+            sent_at = at - ms * SECONDS_PER_MS
+            is_new |= self._add_run(record, tuple(traits), sent_at)
         if crash.is_refuted and not record.is_refuted:
             self._refute(record)
             is_new = True
@@ -367,10 +384,8 @@
 
     def _merge_sound(self, trait, at, publishes):
         known = self._sound_at.get(trait, float("-inf"))
-        if at <= known:
-            return
-        crashed_at = self._find_last_crash(trait)
-        if crashed_at == float("-inf"):
+        crashed_at = self._crashed_at.get(trait)
+        if at <= known or crashed_at is None:
             return
         self._sound_at[trait] = at
         self._is_judged = False
@@ -409,17 +424,15 @@
     def _drop(self, name):
         del self._records[name]
         self._is_judged = False
-        known = {
-            trait
-            for record in self._records.values()
-            for traits in record.runs
-            for trait in traits
-        }
+        self._crashed_at = {}
+        for record in self._records.values():
+            for traits in record.runs:
+                self._date_crash(traits, record.at)
         for trait in list(self._sound_at):
-            if trait not in known:
+            if trait not in self._crashed_at:
                 del self._sound_at[trait], self._sound_changes[trait]
         for traits in list(self._refused_at):
-            if not traits <= known:
+            if not traits <= self._crashed_at.keys():
                 del self._refused_at[traits], self._refusal_changes[traits]
 
     def _find_record(self, name, at):
@@ -446,15 +459,36 @@
             ),
         )
 
-    def _add_run(self, record, traits, seconds):
+    def _move_back(self, record, at):
+        """Date a crash back, and drop the runs that were sent after it."""
+        record.at = at
+        for traits, sent_at in list(record.runs.items()):
+            if sent_at > at:
+                del record.runs[traits]
+
+    def _add_run(self, record, traits, sent_at):
+        """Add a run to a crash; return whether it was not known.
+
+        What was sent after a crash did not run: the upstream was down.
+        """
         known = record.runs.get(traits)
-        if known is None and len(record.runs) >= MAX_RUNS:
+        if sent_at > record.at or known is not None and known >= sent_at:
             return False
-        if known is not None and known <= seconds:
+        if known is None and len(record.runs) >= MAX_RUNS:
             return False
-        record.runs[traits] = seconds
+        record.runs[traits] = sent_at
+        self._date_crash(traits, record.at)
+        for trait in traits:
+            answered_at = self._answered_at.get(trait)
+            if answered_at is not None and trait not in self._sound_at:
+                self._mark_sound(trait, answered_at)
         return known is None
 
+    def _date_crash(self, traits, at):
+        for trait in traits:
+            known = self._crashed_at.get(trait, float("-inf"))
+            self._crashed_at[trait] = max(known, at)
+
     def _refute(self, record):
         record.is_refuted = True
         self._is_judged = False
@@ -492,8 +526,8 @@
         _convert_to_ms(now - record.at),
         record.is_refuted,
         [
-            wire.CrashedRun(_convert_to_ms(seconds), traits)
-            for traits, seconds in record.runs.items()
+            wire.CrashedRun(_convert_to_ms(record.at - sent_at), traits)
+            for traits, sent_at in record.runs.items()
         ],
     )
 
--- a/packages/daemon/src/camphorhook_daemon/domain/requests.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/requests.py
@@ -34,7 +34,8 @@
         wants_usage: whether a streamed answer is to end with its usage.
         chat_key: key for placement, made of the account and the chat's id.
         traits: what the request shares with others that crash upstreams;
-            the first is the digest of the account and the body.
+            the first is the digest of the account and the body, and the
+            others are those of all messages but the last.
     """
 
     fields: dict
@@ -113,11 +114,18 @@
         bool(fields.get("stream")),
         bool(options.get("include_usage")),
         f"{account}/{chat_id or _derive_chat_id(fields)}",
-        (crash_evidence.hash_request(account, "", "", body),),
+        _hash_traits(account, body, fields["messages"]),
     )
     return expression.Ok(request)
 
 
+def _hash_traits(account, body, messages):
+    """Return the request's digest and the traits of its shared messages."""
+    digest = crash_evidence.hash_request(account, "", "", body)
+    parts = [msgspec.json.encode(one).decode() for one in messages[:-1]]
+    return (digest, *crash_evidence.hash_parts(parts))
+
+
 def _derive_chat_id(fields):
     """Return the id of a chat, for a request whose headers have none.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -528,8 +528,9 @@
 
 def hash_traits(request):
     """Return what a request may share with others that crash upstreams."""
-    return (
-        crash_evidence.hash_request(
-            request.account, request.method, request.target, request.body
-        ),
+    digest = crash_evidence.hash_request(
+        request.account, request.method, request.target, request.body
     )
+    # The last part belongs to this request or its session alone.
+    parts = [part for part, _ in request.parts[:-1]]
+    return (digest, *crash_evidence.hash_parts(parts))
--- a/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
@@ -2,7 +2,8 @@
 
 Every run that a crash ended is a suspect, and most of them merely ran beside
 the cause. The cause is what the crashes share and what requests that are
-answered do not have. Two rules keep others from being blamed:
+answered do not have: a whole request that is repeated, or a part of the
+prompts of different ones. These rules keep others from being blamed:
 
 * Crashes that come together count once. A crash counts for a trait only if a
   run with it was sent after the last crash that counts, so that an outage of
@@ -10,6 +11,11 @@
 * A crash that a verdict explains counts for nothing else, and while two
   unrelated traits were present at the same crashes neither is blamed, up to
   TIE_MARGIN further crashes.
+* Traits that came together each time are blamed together: only requests that
+  have all of them are refused, until one that lacks some is answered or
+  crashes an upstream.
+* A part of a prompt that was answered at some time needs SOUND_FACTOR times
+  as many crashes without an answer in between.
 """
 
 import typing
@@ -19,6 +25,7 @@
 ISOLATED_LIMIT = 2
 SHARED_LIMIT = 3
 TIE_MARGIN = 2  # crashes beyond the limit after which a tie is blamed
+SOUND_FACTOR = 2
 
 
 class CrashedRun(typing.NamedTuple):
@@ -27,11 +34,11 @@
     Attributes:
         traits: hashes of what other requests may share with this one; the
             first is the digest of the whole request.
-        seconds: time from sending the request to the crash.
+        sent_at: time in seconds at which the request was sent.
     """
 
     traits: tuple[int, ...]
-    seconds: float
+    sent_at: float
 
 
 class Crash(typing.NamedTuple):
@@ -67,7 +74,8 @@
         crashes: the Crashes.
         sound_at: time by trait of the last complete answer to a request that
             has it.
-        limit: crashes from which on a trait is blamed.
+        limit: crashes from which on a whole request is blamed; for a part
+            of prompts it is SHARED_LIMIT.
     """
     crashes = sorted(crashes, key=lambda crash: crash.at)
     found = {}
@@ -75,26 +83,34 @@
         for trait in {one for run in crash.runs for one in run.traits}:
             if crash.at > sound_at.get(trait, float("-inf")):
                 found.setdefault(trait, []).append(crash)
+    digests = {run.traits[0] for crash in crashes for run in crash.runs}
+    limits = {
+        trait: (
+            limit
+            if trait in digests
+            else SHARED_LIMIT * (SOUND_FACTOR if trait in sound_at else 1)
+        )
+        for trait in found
+    }
     suspects = {
         trait: own
         for trait, own in found.items()
-        if count_separate(trait, own) >= limit
+        if len(own) >= limits[trait]
+        and count_separate(trait, own) >= limits[trait]
     }
     verdicts = []
     # The cause is present at more crashes than what ran beside it.
     for trait in sorted(suspects, key=lambda one: -len(suspects[one])):
         own = _leave_unexplained(suspects[trait], verdicts)
         count = count_separate(trait, own)
-        if count < limit:
+        if count < limits[trait]:
             continue
-        rivals = _find_rivals(trait, own, suspects)
-        if rivals and count < limit + TIE_MARGIN:
+        blamed = _find_companions(trait, own, sound_at)
+        rivals = _find_rivals(trait, own, suspects, blamed, sound_at)
+        if rivals and count < limits[trait] + TIE_MARGIN:
             continue
-        verdicts.append(
-            Verdict(
-                frozenset((trait,)), frozenset(one.upstream for one in own)
-            )
-        )
+        upstreams = frozenset(crash.upstream for crash in own)
+        verdicts.append(Verdict(blamed, upstreams))
     return verdicts
 
 
@@ -107,8 +123,8 @@
     """
     count, last = 0, float("-inf")
     for crash in crashes:
-        seconds = [run.seconds for run in crash.runs if trait in run.traits]
-        if seconds and crash.at - min(seconds) > last:
+        sent = [run.sent_at for run in crash.runs if trait in run.traits]
+        if sent and max(sent) > last:
             count += 1
             last = crash.at
     return count
@@ -127,11 +143,37 @@
     ]
 
 
-def _find_rivals(trait, crashes, suspects):
-    """Return the other suspects that were present at the same crashes."""
+def _find_companions(trait, crashes, sound_at):
+    """Return a trait and the others that may as well be the cause.
+
+    All runs with the trait have them too. If the trait was never answered,
+    neither were they; otherwise they were not since the first of the crashes.
+    """
+    runs = [
+        run.traits
+        for crash in crashes
+        for run in crash.runs
+        if trait in run.traits
+    ]
+    common = set(runs[0]).intersection(*runs[1:])
+    bound = crashes[0].at if trait in sound_at else float("-inf")
+    return frozenset(
+        one
+        for one in common
+        if one == trait or sound_at.get(one, float("-inf")) <= bound
+    )
+
+
+def _find_rivals(trait, crashes, suspects, blamed, sound_at):
+    """Return the other suspects that were present at the same crashes.
+
+    A trait that was answered at some time is no rival of one that never was.
+    """
     upstreams = {crash.upstream for crash in crashes}
     return [
         other
         for other, own in suspects.items()
-        if other != trait and upstreams <= {one.upstream for one in own}
+        if other not in blamed
+        and (other not in sound_at or trait in sound_at)
+        and upstreams <= {one.upstream for one in own}
     ]
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -43,6 +43,35 @@
       | all of R, S and T were cut off by 9 crashes at once      | nobody     |
       | R ran at crashes 1 2 3, and an outage of 9 hit S and T   | R          |
 
+  Scenario Outline: A part is blamed alone, whatever came with it
+    Given crashes of different upstreams, each some seconds after the last
+    When prompts <prompts> crash upstreams, one after the other
+    And prompts <sound> are answered <when>
+    Then prompts <refused> are refused, and <passed> are not
+
+    Examples: s is shared by all, x the cause, a to f belong to sessions
+      | prompts              | sound     | when      | refused   | passed    |
+      | sax sbx              | s         | before    | none      | sax sx x  |
+      | sax sbx scx          | s         | before    | sdx sx x  | s sa sb   |
+      | sax sbx scx          | s         | after     | sdx sx x  | s sa sb   |
+      | sax sax sax          | s         | before    | sax       | s sa sx   |
+      | sax sax sax          | s sa      | after     | sax sbx x | s sa      |
+      | sax sax sax sbx      | s         | before    | sax sbx x | s sa sb   |
+      | sax sbx scx          | s x       | after     | none      | s sax x   |
+      | sax sbx scx          | s x       | before    | none      | s sax x   |
+      | sax sbx scx sdx sex sfx | s x    | before    | sgx       | s sa      |
+      | sa sb sc             | s         | between   | none      | s sa sb   |
+      | sa+sdx sb+sdx sc+sex | s         | before    | sfx x     | s sa sd   |
+      | sa+sbx sa+scx sa+sdx | s         | before    | none      | s sa sx   |
+      | sa+sbx sa+scx sa+sdx sex | s     | before    | sex sx x  | s sa      |
+
+  Scenario: A part that all prompts share survives an outage of all upstreams
+    Given crashes of different upstreams, each some seconds after the last
+    When prompts sa sb sc are answered before
+    And 12 upstreams crash at once, each with prompts sa sb sc on it
+    And 12 upstreams crash at once, each with prompts sa sb sc on it
+    Then prompts none are refused, and s sa sb sc are not
+
   Scenario: Blame ends some minutes after the last such request
     Given crashes of different upstreams, each some seconds after the last
     When R ran at crashes 1 2 3
@@ -76,6 +105,12 @@
     Then each of them refuses that request, and none of the others
     And comparing them once more takes less than 200 bytes
 
+  Scenario: Requests sent to an upstream that is down did not crash it
+    Given crashes of different upstreams, each some seconds after the last
+    When R ran at crashes 1 2 3
+    And S and T are sent to each of these upstreams after its crash
+    Then R is blamed, and nothing else
+
   Scenario: Records of crashes are bounded
     When 600 crashes end 100 runs each, and one request runs at 30 of them
     Then at most 64 crashes of at most 64 runs are kept
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -88,3 +88,11 @@
     When a server crashes in an unsafe request
     Then it is answered 502 and ran once
     And explain reports of request crash: It may have run, so it was not sent again
+
+  Scenario: A request that crashes servers is refused by every instance
+    When a safe request crashes 3 servers, each of which starts again
+    Then within 1 second both instances refuse it, and tell when to come back
+    And 20 safe requests are answered 200
+    When process entry-1 is killed
+    And entry-1 starts again
+    Then within 8 seconds both instances refuse it, and tell when to come back
--- a/tests/features/routing.feature
+++ b/tests/features/routing.feature
@@ -42,6 +42,11 @@
     Then at most 2 engines crashed in the whole fleet
     And the last answer refuses the request permanently
 
+  Scenario: Different chats with a message that crashes engines
+    When different chats with one crashing message are sent to every instance
+    Then at most 4 engines crashed in the whole fleet
+    And the last answer refuses the request permanently
+
   Scenario: Ordinary chats beside a crashing request are answered whole
     When 8 long chats run while the crashing request is sent to a1 and b1
     Then each of them has its own complete answer or an explicit error
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -218,6 +218,82 @@
             story.time += 0.01
 
 
+def name_traits(prompt):
+    """Return the traits of a prompt whose parts are its letters."""
+    digest = crash_evidence.hash_request("account", "", prompt, b"")
+    return (digest, *crash_evidence.hash_parts(tuple(prompt)))
+
+
+def split_prompts(text):
+    """Return the prompts that a step names."""
+    return [] if text == "none" else text.split()
+
+
+def answer_prompts(story, prompts):
+    """Record that prompts were answered, each of them a different request."""
+    for prompt in prompts:
+        story.time += 0.1
+        story.evidence.record_success(
+            (hash((prompt, story.time)), *name_traits(prompt)[1:])
+        )
+
+
+@behave.when("prompts {text} crash upstreams, one after the other")
+def plan_prompts(context, text):
+    context.crashing = split_prompts(text)
+
+
+@behave.when("prompts {text} are answered {moment:Word}")
+def play_prompts(context, text, moment):
+    story, sound = context.story, split_prompts(text)
+    if moment == "before":
+        answer_prompts(story, sound)
+    for number, together in enumerate(getattr(context, "crashing", ())):
+        story.time += CRASH_INTERVAL_SECONDS
+        for prompt in together.split("+"):
+            # No two requests are alike, so each has a digest of its own.
+            traits = (hash((prompt, number)), *name_traits(prompt)[1:])
+            story.evidence.record_crash(
+                make_upstream(number), traits, RUN_SECONDS
+            )
+        if moment == "between":
+            answer_prompts(story, sound)
+    if moment == "after":
+        answer_prompts(story, sound)
+
+
+@behave.when(
+    "{count:d} upstreams crash at once, each with prompts {text} on it"
+)
+def crash_all(context, count, text):
+    story = context.story
+    story.time += CRASH_INTERVAL_SECONDS
+    base = getattr(context, "crashed", 0)
+    context.crashed = base + count
+    for number in range(base, base + count):
+        story.time += 0.01
+        for prompt in split_prompts(text):
+            traits = (hash((prompt, number)), *name_traits(prompt)[1:])
+            story.evidence.record_crash(
+                make_upstream(number), traits, CRASH_INTERVAL_SECONDS / 2
+            )
+
+
+@behave.then("prompts {refused} are refused, and {passed} are not")
+def check_prompts(context, refused, passed):
+    evidence = context.story.evidence
+    for prompt in split_prompts(refused):
+        assert evidence.find_blame(name_traits(prompt)), prompt
+    for prompt in split_prompts(passed):
+        assert not evidence.find_blame(name_traits(prompt)), prompt
+
+
+@behave.when("S and T are sent to each of these upstreams after its crash")
+def send_after_crashes(context):
+    for number in (1, 2, 3):
+        context.story.crash(number, "ST")
+
+
 @behave.when("R is refused once a minute for {minutes:d} minutes")
 def refuse_often(context, minutes):
     for _ in range(minutes):
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -407,3 +407,54 @@
     )
     assert done.returncode == 0, done.stderr
     assert text in done.stdout.splitlines()[-1], done.stdout
+
+
+CRASHING_TARGET = "/safe/crash"
+
+
+@behave.when(
+    "a safe request crashes {count:d} servers, each of which starts again"
+)
+def crash_servers(context, count):
+    platform = context.platform
+
+    def count_crashes():
+        return sum(one["crash"] for one in platform.list_effects())
+
+    number = 0
+    while count_crashes() < count:
+        platform.request(ENTRIES[number % 2], CRASHING_TARGET, KEY)
+        number += 1
+        for name, process in list(platform.running.items()):
+            if name.startswith("server-") and not process.is_running():
+                platform.kill(name)
+                domain = platforms.DOMAINS[int(name[-1]) - 1]
+                platform.start_server(name, "plain", domain)
+    for entry in ENTRIES:
+        processes.wait_until(
+            lambda one=entry: platform.request(one, "/safe/b", KEY).status
+            == 200
+        )
+
+
+@behave.when("{name:Word} starts again")
+def start_again(context, name):
+    context.platform.start(name, first=False)
+
+
+@behave.then(
+    "within {seconds:d} second both instances refuse it, and tell when to "
+    "come back"
+)
+@behave.then(
+    "within {seconds:d} seconds both instances refuse it, and tell when to "
+    "come back"
+)
+def check_blamed(context, seconds):
+    def is_refused(entry):
+        answer = context.platform.request(entry, CRASHING_TARGET, KEY)
+        wait = float(answer.headers.get("retry-after", 0))
+        return answer.status == 503 and wait > 200
+
+    for entry in ENTRIES:
+        processes.wait_until(lambda one=entry: is_refused(one), seconds)
--- a/tests/features/steps/routing.py
+++ b/tests/features/steps/routing.py
@@ -259,6 +259,22 @@
         context.replies.append(_send_crashing_request(context, instance.name))
 
 
+@behave.when(
+    "different chats with one crashing message are sent to every instance"
+)
+def send_crashing_chats(context):
+    for number, instance in enumerate(context.fleet.plan.instances):
+        body = callers.make_chat(f"question {number}")
+        crashing = {"role": "user", "content": engine.CRASH_MARKER}
+        answer = {"role": "assistant", "content": "an answer"}
+        body["messages"] = [crashing, answer, *body["messages"]]
+        context.replies.append(
+            callers.stream_chat(
+                instance.callers, context.fleet.plan.account_key, body
+            )
+        )
+
+
 @behave.then("at most {count:d} engines crashed in the whole fleet")
 def check_crashes(context, count):
     ended = [
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -10,7 +10,9 @@
 the effects file for each request that it executes. The path determines the
 answer: `slow` takes a second, `stream` sends ten events over a second,
 `stream?events=N&ms=PAUSE` sends N events with pauses of PAUSE milliseconds,
-`fail` answers 500, `crash` ends the process. The path `/-/kv-list` lists the
+`fail` answers 500, `crash` ends the process. A prompt part whose id begins
+with `dead` ends it as it begins to answer; the effects file tells which
+requests crashed it. The path `/-/kv-list` lists the
 prompt parts of all requests so far. On SIGUSR1 the server starts to reject
 all requests with a pause of PAUSE_SECONDS, on the next one it stops doing so;
 the effects file records each rejection. On SIGUSR2 it starts to answer with
@@ -40,6 +42,7 @@
 REGISTER_INTERVAL_SECONDS = 0.3
 DRAIN_SECONDS = 1.0
 PAUSE_SECONDS = 1.5
+CRASHING_PART = "dead"
 EVENTS = 10
 EVENT_INTERVAL_SECONDS = 0.1
 EVENT_STREAM = ("Content-Type", "text/event-stream")
@@ -217,8 +220,16 @@
             part, _, tokens = entry.partition(":")
             if tokens:
                 self.parts[part] = int(tokens)
-        self._record_run(request, headers)
-        if "crash" in target:
+        prompt = headers.get("x-prompt-prefix", "")
+        crashes_late = any(
+            entry.startswith(CRASHING_PART) for entry in prompt.split(",")
+        )
+        is_crash = crashes_late or "crash" in target
+        self._record_run(request, headers, is_crash)
+        if is_crash:
+            if crashes_late:
+                await send(make_head(200, EVENT_STREAM))
+                await send(h11.Data(data=make_event(1)))
             os._exit(1)
         if self.garbles:
             await self._garble(stream, make_head, headers, target)
@@ -284,7 +295,7 @@
             }
         )
 
-    def _record_run(self, request, headers):
+    def _record_run(self, request, headers, is_crash):
         effect = {
             "server": self.name,
             "service": self.service,
@@ -296,6 +307,7 @@
             "born": self.started_ms / 1000,
             "cold": self._measure_cold_ms() > 0,
             "zone": self.zone,
+            "crash": is_crash,
         }
         self._write(effect)
 
