Requests and parts that crash upstreams in the soak and the emulator

Change: the soak sends requests and prompts that crash servers, starts crashed servers again, and checks that the cause is refused in time (check_crashes) and nothing else for it (check_blame); two broken builds, one for each checker. The emulator has prompts with a crashing part beside its load. Result: three new broken histories are found.

--- a/tests/features/emulator.feature
+++ b/tests/features/emulator.feature
@@ -29,3 +29,12 @@
     Examples: what the users ask of a day with trouble, and a floor a kind
       | plan     | seconds | worth | kind | refused |
       | counter  | 16      | 0.6   | 0.4  | 1.0     |
+
+  Scenario Outline: A part that crashes servers is found, and nothing else
+    When the plan "<plan>" with a crashing part twice a second is run for 10 seconds with seed <seed>
+    Then prompts crashed at least 3 and at most 8 servers
+    And no kind has less than 0.4 of its worth
+
+    Examples: five crashes and three later ones are allowed
+      | plan     | seed |
+      | counter  | 1    |
--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -24,6 +24,9 @@
       | a failure domain that is out got a request | check_evacuations |
       | a cold server got too much                 | check_cold        |
       | too many requests were sent again          | check_retries     |
+      | a request kept crashing servers            | check_crashes     |
+      | a part of prompts kept crashing servers    | check_crashes     |
+      | a sound request was refused for crashes    | check_blame       |
       | a planned stop cut a request               | check_stops       |
       | an acknowledged document was lost          | check_recovery    |
       | no service after the faults                | check_recovery    |
--- a/tests/features/steps/emulator.py
+++ b/tests/features/steps/emulator.py
@@ -134,3 +134,21 @@
     kinds = context.results[0].kinds
     slowest = max(one.slowest_refusal for one in kinds.values())
     assert slowest <= seconds, kinds
+
+
+@behave.when(
+    'the plan "{name}" with a crashing part twice a second is run for '
+    "{seconds:d} seconds with seed {seed:d}"
+)
+def run_crashing(context, name, seconds, seed):
+    plan = read_plan(name, seconds)
+    service = next(one.name for one in plan.services if one.is_engine)
+    trouble = plans.Trouble("crash part", 2.0, seconds - 2.0, service)
+    plan = msgspec.structs.replace(plan, troubles=(*plan.troubles, trouble))
+    context.results = [trials.run(plan, seed)]
+
+
+@behave.then("prompts crashed at least {low:d} and at most {high:d} servers")
+def check_request_crashes(context, low, high):
+    result = context.results[0]
+    assert low <= result.request_crashes <= high, result
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -170,6 +170,29 @@
     return history
 
 
+def crash_often(history, target, count):
+    for number in range(count):
+        answer = make_answer(
+            f"d{number}", target, START_SECONDS + number, status=502
+        )
+        _add(history, answer, target=target, crash=True)
+    return history
+
+
+def crash_by_request(history):
+    return crash_often(history, "/safe/crash-cause", 10)
+
+
+def crash_by_part(history):
+    return crash_often(history, "/tokens/stream/dead-cause/1", 12)
+
+
+def refuse_sound(history):
+    answer = make_answer("d", "/safe/d", START_SECONDS, status=503)
+    history.answers.append(answer._replace(body=checkers.CRASH_REASON))
+    return history
+
+
 def interrupt_in_stop(history):
     history.fault_periods.append(
         histories.FaultPeriod(
@@ -204,6 +227,9 @@
     "a failure domain that is out got a request": reach_evacuated_domain,
     "a cold server got too much": overload_cold_server,
     "too many requests were sent again": retry_too_often,
+    "a request kept crashing servers": crash_by_request,
+    "a part of prompts kept crashing servers": crash_by_part,
+    "a sound request was refused for crashes": refuse_sound,
     "a planned stop cut a request": interrupt_in_stop,
     "an acknowledged document was lost": lose_document,
     "no service after the faults": stay_down,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -66,7 +66,7 @@
         world.start()
         load.start()
         try:
-            injector.play(faults)
+            injector.play(faults, load)
             recovered = world.wait_recovered(RECOVERY_TIMEOUT_SECONDS)
             final_state = histories.FinalState(
                 recovered,
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -59,6 +59,20 @@
             _Fault(2.0, "kill", "server-1", 0.2),
         ],
     ),
+    "forget crashes": (
+        "check_crashes",
+        [
+            _Fault(1.0, "crash request", "", 12.0),
+            _Fault(1.5, "crash part", "", 12.0),
+        ],
+    ),
+    "blame bystanders": (
+        "check_blame",
+        [
+            _Fault(1.0, "crash request", "", 12.0),
+            _Fault(1.5, "crash part", "", 12.0),
+        ],
+    ),
     "write nothing": (
         "check_recovery",
         [*_DOCUMENTS, _Fault(10.0, "kill all", "", 0.5)],
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -6,12 +6,14 @@
 BREAK is a key of BREAKS. `python -m tests.soak.breaks` runs all of them.
 """
 
+import collections
 import runpy
 import sys
 import time
 
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import choice
 from camphorhook_daemon.domain.routing import events
@@ -19,6 +21,7 @@
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import table
 from camphorhook_daemon.domain.routing import withdrawals
+from camphorhook_daemon.domain import verdicts
 
 STALE_SECONDS = 6.0  # longer than a document may take to be in force
 
@@ -112,6 +115,30 @@
     budgets.ColdStartLimiter.is_allowed = lambda *arguments: True
 
 
+def _forget_crashes():
+    """Send on every request, whatever upstreams crashed under it."""
+    crash_evidence.CrashEvidence.has_verdicts = lambda self: False
+
+
+def _blame_bystanders():
+    """Blame every trait of every run at three crashes, sound or not."""
+
+    def judge(crashes, _sound_at, _limit):
+        found = collections.Counter(
+            trait
+            for crash in crashes
+            for trait in {one for run in crash.runs for one in run.traits}
+        )
+        upstreams = frozenset(crash.upstream for crash in crashes)
+        return [
+            verdicts.Verdict(frozenset((trait,)), upstreams)
+            for trait, count in found.items()
+            if count >= verdicts.SHARED_LIMIT
+        ]
+
+    verdicts.judge = judge
+
+
 def _write_nothing():
     """Acknowledge log entries without writing them to disk."""
     journal.DiskJournal.append = lambda self, entries: None
@@ -128,6 +155,8 @@
     "forget leaving": _forget_leaving,
     "forget pauses": _forget_pauses,
     "crowd cold": _crowd_cold,
+    "forget crashes": _forget_crashes,
+    "blame bystanders": _blame_bystanders,
     "write nothing": _write_nothing,
 }
 
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -21,6 +21,9 @@
 REFUSALS = (408, 421, 429, 503)  # guarantee that the request was not executed
 EVENTS_PER_STREAM = 10
 FIRST_VERSION = 1  # in force before the faults begin
+REQUEST_CRASHES, PART_CRASHES = 3, 5  # after which the cause must be known
+MOST_AFTER_CRASHES = 3
+CRASH_REASON = "upstreams crashed while running such requests"
 
 
 def _count_runs(history):
@@ -404,6 +407,62 @@
     return violations
 
 
+def _find_cause(target):
+    """Return what the requests that crash servers have in common, or ""."""
+    for prefix in ("/safe/crash-", "/tokens/stream/dead-"):
+        if target.startswith(prefix):
+            return target.removeprefix(prefix).partition("/")[0]
+    return ""
+
+
+def check_crashes(history):
+    """Check that requests that crash servers are refused in time.
+
+    An instance is bound once RECONNECT_SECONDS have passed after the last
+    crash that it may need, and since its own last fault.
+    """
+    answers = {one.request_id: one for one in history.answers}
+    runs = collections.defaultdict(list)
+    for effect in sorted(history.effects, key=lambda one: one["at"]):
+        cause = _find_cause(effect.get("target", ""))
+        if cause:
+            runs[cause].append(effect)
+    violations = []
+    for cause, effects in runs.items():
+        is_part = effects[0]["target"].startswith("/tokens/")
+        needed = PART_CRASHES if is_part else REQUEST_CRASHES
+        if len(effects) < needed:
+            continue
+        since = effects[needed - 1]["at"]
+        late = [
+            one["request"]
+            for one in effects
+            if one["at"] > since + RECONNECT_SECONDS
+            and one["request"] in answers
+            and not _overlaps_fault(
+                history, answers[one["request"]].entry, since, one["at"]
+            )
+        ]
+        if len(late) > MOST_AFTER_CRASHES:
+            violations.append(
+                f"{cause} was sent to servers {len(late)} times more after "
+                f"it had crashed {needed}"
+            )
+    return violations
+
+
+def check_blame(history):
+    """Check that no request is refused for crashes that it did not cause."""
+    return [
+        f"{answer.request_id} to {answer.target} was refused at "
+        f"{answer.entry}: {answer.body.strip()}"
+        for answer in history.answers
+        if answer.status == 503
+        and CRASH_REASON in answer.body
+        and not _find_cause(answer.target)
+    ]
+
+
 CHECKERS = (
     check_once,
     check_own,
@@ -416,6 +475,8 @@
     check_evacuations,
     check_cold,
     check_retries,
+    check_crashes,
+    check_blame,
     check_stops,
     check_recovery,
 )
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -83,7 +83,7 @@
         operator_requests: the OperatorRequest of each operator request.
         fault_periods: the FaultPeriod of each fault.
         effects: requests that servers executed: server, request, tenant, at,
-            cold, zone.
+            cold, zone, target, crash.
         departures: acknowledged departures of servers: server, left.
         notices: answers of servers that were leaving, or that rejected a
             request and wanted a pause: server, request, at, pause.
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -12,6 +12,8 @@
 from tests.soak import world as worlds
 
 OPERATOR_RETRY_SECONDS = 12.0  # during which a request is retried
+CRASH_POLL_SECONDS = 0.1
+CRASH_RESTART_SECONDS = 1.0
 
 
 class Injector:
@@ -33,13 +35,35 @@
         # A process has one fault at a time, even if a fault takes longer
         # than scheduled.
         self._process_locks = collections.defaultdict(threading.Lock)
+        self._stop_requested = threading.Event()
+        self._load = None
 
     def find_version(self):
         """Return the highest document version that was sent."""
         return self._version
 
-    def play(self, faults):
-        """Inject all faults and wait until they are undone."""
+    def play(self, faults, load):
+        """Inject all faults and wait until they are undone.
+
+        Args:
+            faults: list of schedules.Fault in order of time.
+            load: the load.Load, which sends requests that crash servers.
+        """
+        self._load = load
+        watchers = [
+            threading.Thread(target=self._restart_crashed, args=(name,))
+            for name in schedules.SERVERS
+        ]
+        for watcher in watchers:
+            watcher.start()
+        try:
+            self._play_all(faults)
+        finally:
+            self._stop_requested.set()
+            for watcher in watchers:
+                watcher.join()
+
+    def _play_all(self, faults):
         started_at = time.monotonic()
         threads = []
         for fault in faults:
@@ -66,6 +90,25 @@
 
     # --- processes -------------------------------------------------------
 
+    def _restart_crashed(self, name):
+        """Restart a server each time it has exited without a fault."""
+        while not self._stop_requested.wait(CRASH_POLL_SECONDS):
+            with self._process_locks[name]:
+                process = self._world.platform.running.get(name)
+                if process is None or process.is_running():
+                    continue
+                begin = time.time()
+                time.sleep(CRASH_RESTART_SECONDS)
+                self._world.stop(name, signal.SIGKILL)
+                self._world.restart(name)
+            self.fault_periods.append(
+                histories.FaultPeriod(name, "crash", begin, time.time())
+            )
+
+    def send_crashing(self, fault):
+        """Send requests that crash servers for the duration of a fault."""
+        self._load.send_crashing(fault.kind == "crash part", fault.seconds)
+
     def restart(self, fault, signal_number=signal.SIGKILL, between=None):
         """Stop a process, call `between` with its name and restart it."""
         self._world.stop(fault.target, signal_number)
@@ -201,4 +244,6 @@
     "document": Injector.put_document,
     "two documents": Injector.put_two_documents,
     "evacuate": Injector.evacuate,
+    "crash request": Injector.send_crashing,
+    "crash part": Injector.send_crashing,
 }
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -14,6 +14,8 @@
 DEADLINE_SECONDS = 4.0
 KEEPALIVE_SHARE = 0.8  # share of requests that reuse an open connection
 VERSION_KEY_SHARE = 0.4  # share of requests with the key of one version
+CRASH_PAUSE_SECONDS = 0.15  # between two requests that crash servers
+SHARED_PART = "5aaa:800"
 REQUEST_KINDS = ("safe", "safe", "unsafe", "unsafe", "tokens", "version")
 
 
@@ -54,6 +56,37 @@
         for thread in self._threads:
             thread.join()
 
+    def send_crashing(self, is_part, seconds):
+        """Send requests that crash servers to all instances.
+
+        Args:
+            is_part: the requests differ and share a part of their prompts;
+                otherwise they are all alike.
+            seconds: how long to send them.
+        """
+        name = f"{self._seed}-{time.time_ns()}"
+        rng = random.Random(name)
+        until = time.time() + seconds
+        count = 0
+        while time.time() < until and not self._stop_requested.is_set():
+            count += 1
+            entry = rng.choice(schedules.ENTRIES)
+            connection = http.client.HTTPConnection(
+                *self._world.find_proxy_address(entry),
+                timeout=DEADLINE_SECONDS,
+            )
+            request_id = f"crash-{name}-{count}"
+            target, prompt = f"/safe/crash-{name}", ""
+            if is_part:
+                target = f"/tokens/stream/dead-{name}/{count}"
+                prompt = f"{SHARED_PART},dead{name}:400,{request_id}:10"
+            answer, _ = self._exchange(
+                connection, entry, request_id, target, "key-1", prompt
+            )
+            connection.close()
+            self.answers.append(answer)
+            time.sleep(CRASH_PAUSE_SECONDS)
+
     def _run_caller(self, number):
         rng = random.Random(f"{self._seed}/{number}")
         connections = {}
@@ -90,11 +123,23 @@
             target, key = f"/v{version}/{request_id}", ""
         elif rng.random() < 0.1:
             target += "/slow"
+        prompt = ""
+        if kind == "tokens":
+            session = rng.randrange(8)
+            prompt = f"{SHARED_PART},5bbb{session}:200,{request_id}:10"
+        return self._exchange(
+            connection, entry, request_id, target, key, prompt
+        )
+
+    def _exchange(self, connection, entry, request_id, target, key, prompt):
+        """Exchange a request; return (Answer, whether it is still open)."""
         headers = {
             "Host": "h.example",
             "X-Request-Id": request_id,
             "X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
         }
+        if prompt:
+            headers["X-Prompt-Prefix"] = prompt
         if key:
             headers["Authorization"] = f"Bearer {key}"
         sent_at = time.time()
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -30,6 +30,8 @@
     ("link", SERVERS, 4, 0.3, 4.0),
     ("reject", SERVERS, 3, 0.5, 3.0),
     ("garble", SERVERS, 3, 0.5, 4.0),
+    ("crash request", ("",), 2, 3.0, 8.0),
+    ("crash part", ("",), 2, 3.0, 8.0),
     ("document", ("",), 6, 0.0, 0.0),
     ("two documents", ("",), 2, 0.0, 0.0),
     ("evacuate", DOMAINS, 2, 1.0, 5.0),
--- a/tools/emulator/__main__.py
+++ b/tools/emulator/__main__.py
@@ -97,8 +97,11 @@
 
 
 def _print_tables(results):
-    print("| | worth | spread | reuse | sends | crashes | notices/s |")
-    print("| --- | --- | --- | --- | --- | --- | --- |")
+    print(
+        "| | worth | spread | reuse | sends | crashes | by requests | "
+        "notices/s |"
+    )
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for name, found in results.items():
         worths = [one.worth for one in found]
         cells = [
@@ -106,7 +109,13 @@
             f"{max(worths) - min(worths):.3f}",
             *(
                 f"{numpy.mean([getattr(one, field) for one in found]):.3f}"
-                for field in ("reuse", "sends", "crashes", "notices")
+                for field in (
+                    "reuse",
+                    "sends",
+                    "crashes",
+                    "request_crashes",
+                    "notices",
+                )
             ),
         ]
         print(f"| {name} | {' | '.join(cells)} |")
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -23,6 +23,7 @@
 from tools.emulator import servers
 
 REGISTRATION_INTERVAL_SECONDS = 1.2
+RESTART_SECONDS = 3.0  # after a request crashed a server
 REGISTRATION_DELAY_SECONDS = 0.05  # until instances know of a restart
 MAX_CONNECTIONS = 500
 
@@ -213,10 +214,17 @@
         self._publish_registrations()
         for server in self.servers.values():
             nursery.start_soon(server.run)
+            nursery.start_soon(self._restart_crashed, server)
         for instance in self.instances:
             instance.start(nursery)
         nursery.start_soon(self._republish_registrations)
 
+    async def _restart_crashed(self, server):
+        while True:
+            await server.crashed.wait()
+            server.crashed = trio.Event()
+            await self.crash(server, RESTART_SECONDS)
+
     async def _republish_registrations(self):
         while True:
             await trio.sleep(REGISTRATION_INTERVAL_SECONDS)
@@ -232,7 +240,7 @@
                 server.domain,
                 "10.9.9.9",
                 1 + number,
-                1,
+                server.incarnation,
                 1,
                 registry.LIVE,
                 server.spec.slots,
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -11,6 +11,7 @@
 from tools.emulator import plans
 from tools.emulator import servers
 
+CRASHING_PART = ("crashing", 300)  # id and tokens
 MAX_ATTEMPTS = 2  # a caller retries a refused request once
 CLUMP_WINDOW_SECONDS = 0.1  # in which all requests of a burst arrive
 MAX_WAIT_FRACTION = 1 / 3  # longest wait for a retry, of the time left
@@ -135,6 +136,30 @@
                     self._run_caller, kind, route, session, delay
                 )
 
+    async def send_crashing(self, service, per_s, seconds):
+        """Send prompts with one part that crashes the servers of a service.
+
+        They have the shared part and a session's part of the first kind of
+        request, and are no part of the results.
+
+        Args:
+            service: name of the service.
+            per_s: prompts per second.
+            seconds: how long to send them.
+        """
+        kind = next(one for one in self._plan.kinds if one.service == service)
+        route = make_route(kind)
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                parts = self._make_parts(kind, self._choose_session(kind))
+                parts = (*parts[:-1], CRASHING_PART, parts[-1])
+                give_up_at = trio.current_time() + kind.deadline_ms / 1000
+                nursery.start_soon(
+                    self._attempt, kind, route, parts, 0, _Reply(), give_up_at
+                )
+                await trio.sleep(self._rng.expovariate(per_s))
+
     def _choose_session(self, kind):
         if self._rng.random() < kind.hot:
             return 0
@@ -191,9 +216,11 @@
         tokens = 1 + (kind.events - 1) * spec.stride if kind.events else 0
 
         def make_job(headers):
-            return servers.Job(
+            job = servers.Job(
                 parts, tokens, headers["priority"], work * spec.work_ms / 1000
             )
+            job.crashes = CRASHING_PART in parts
+            return job
 
         instance.pool.jobs[name] = make_job
         now = trio.current_time()
@@ -202,7 +229,7 @@
             "POST",
             "/",
             [],
-            b"",
+            name.encode(),
             route,
             "",
             "",
--- a/tools/emulator/plans.py
+++ b/tools/emulator/plans.py
@@ -104,16 +104,19 @@
     """A fault to inject.
 
     Attributes:
-        kind: `crash` of servers, `slow` servers, `burst` of load, or `deaf`
-            instances, whose notices are lost in both directions.
+        kind: `crash` of servers, `slow` servers, `burst` of load, `deaf`
+            instances, whose notices are lost in both directions, or
+            `crash part`: prompts with one part that crashes the servers that
+            begin to answer on it, sent besides the load.
         at: seconds from the start of the load.
         for_s: seconds that it lasts.
         service: name of the service whose servers are affected.
         share: share of the servers or instances that are affected.
-        times: factor of the servers' time (`slow`) or of the load (`burst`).
+        times: factor of the servers' time (`slow`) or of the load (`burst`);
+            prompts per second (`crash part`).
     """
 
-    kind: typing.Literal["crash", "slow", "burst", "deaf"]
+    kind: typing.Literal["crash", "slow", "burst", "deaf", "crash part"]
     at: float
     for_s: float
     service: str = ""
--- a/tools/emulator/servers.py
+++ b/tools/emulator/servers.py
@@ -28,6 +28,7 @@
         parts: (id, tokens) of its prompt parts, in order.
         output_tokens: number of tokens to generate; 0 for a plain request.
         priority: 0 is the most urgent.
+        crashes: the server crashes as it begins to answer.
         work_seconds: time that a plain request takes on a server without
             slowdown.
         order: number of the request, in the order of creation.
@@ -47,6 +48,7 @@
         self.priority = priority
         self.work_seconds = work_seconds
         self.order = next(self._numbers)
+        self.crashes = False
         self.source = None
         self.pending_prefill_tokens = 0
         self.copy_done_at = 0.0
@@ -76,6 +78,9 @@
         is_up: whether it accepts requests.
         cold_until: time in seconds until which the server is cold.
         crashes: number of crashes by overload while it was cold.
+        request_crashes: number of crashes that a request caused.
+        incarnation: increases with every start.
+        crashed: event that is set when a request crashes the server.
         waiting: Jobs in the queue, the most urgent first.
         running: Jobs in a slot.
         wake_up: event that wakes the server when there is work.
@@ -89,6 +94,9 @@
         self.is_up = True
         self.cold_until = 0.0
         self.crashes = 0
+        self.request_crashes = 0
+        self.incarnation = 1
+        self.crashed = trio.Event()
         self.arrivals = collections.deque()
         self.waiting = []
         self.running = []
@@ -137,6 +145,7 @@
     def start(self):
         """Start the server again; it is cold for `cold_s` seconds."""
         self.is_up = True
+        self.incarnation += 1
         self.cold_until = trio.current_time() + self.spec.cold_s
 
 
@@ -279,6 +288,11 @@
         )
 
     def _emit_progress(self, job):
+        if job.crashes:
+            self.request_crashes += 1
+            self.crash()
+            self.crashed.set()
+            return
         is_done = job.generated_tokens >= job.output_tokens
         if (
             job.generated_tokens == 1
--- a/tools/emulator/trials.py
+++ b/tools/emulator/trials.py
@@ -58,6 +58,7 @@
         reuse: share of the prompt tokens that engines had cached or copied.
         sends: requests that reached servers per request of a caller.
         crashes: number of crashes of cold servers by overload.
+        request_crashes: number of crashes that requests caused.
         notices: messages per second that an instance received.
         seconds: `worth` of the requests sent in each second of the load.
     """
@@ -67,6 +68,7 @@
     reuse: float
     sends: float
     crashes: int
+    request_crashes: int
     notices: float
     seconds: list[float]
 
@@ -138,6 +140,9 @@
         await trio.sleep(fault.for_s)
         load.rate_factor /= fault.times
         return
+    if fault.kind == "crash part":
+        await load.send_crashing(fault.service, fault.times, fault.for_s)
+        return
     if fault.kind == "deaf":
         names = [one.name for one in fleet.instances]
         chosen = set(rng.sample(names, math.ceil(fault.share * len(names))))
@@ -204,6 +209,7 @@
         reused / max(asked, 1),
         sum(fleet.arrivals.values()) / max(1, len(outcomes)),
         sum(one.crashes for one in fleet.servers.values()),
+        sum(one.request_crashes for one in fleet.servers.values()),
         fleet.bus.delivered_messages / len(fleet.instances) / plan.seconds,
         [round(float(one), 4) for one in shares[:-1]],
     )
