Bound the news about crashes, and keep blame for instances that join late

Cause, found by reading: a record of a crash was sent whole each time a run was added, so a crash of many upstreams cost every relay many times its size; the first runs of a crash were kept, while a cause begins last; and an instance that started more than five minutes after the crashes was told of them, but dropped them although refusals had renewed them. Change: each change is sent once, 96 in a message; the 32 runs that began last are kept; a crash is sent with the time for which it still matters; comparisons that bring nothing are made less often. Result: crashes.feature, 54 scenarios, passes.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -540,12 +540,14 @@
     Attributes:
         upstream: name and incarnation of the upstream.
         age_ms: milliseconds since the crash.
+        left_ms: milliseconds until the crash no longer matters.
         is_refuted: the upstream has answered since, so it did not crash.
-        runs: the known runs that the crash ended.
+        runs: runs that the crash ended and that are news to the receiver.
     """
 
     upstream: str
     age_ms: int
+    left_ms: int
     is_refuted: bool
     runs: list[CrashedRun]
 
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -23,10 +23,11 @@
 CONFIRMATION_HEARTBEATS = 4
 CONFIRMATION_SECONDS = 4.0
 RENEWAL_SECONDS = 20.0  # between two notices of refusals for one cause
-# Bounds of the records; most crashes end fewer runs than an upstream has
-# slots.
+# Bounds of the records. The runs of a crash that began last are kept, as a
+# request that crashes its upstream does so when it begins to run.
 MAX_CRASHES = 64
-MAX_RUNS = 64  # of one crash
+MAX_RUNS = 32  # of one crash
+MAX_NEWS = 96  # changes in one message: 5 kB
 MAX_PARTS = 16  # of one prompt
 MAX_ANSWERED = 2048  # parts of prompts that were answered lately
 
@@ -61,23 +62,38 @@
     return f"{upstream.name}/{upstream.incarnation}"
 
 
+class _Run:
+    """A run that a crash ended.
+
+    Attributes:
+        sent_at: time in seconds at which the request was sent.
+        change: number of the change that added it.
+    """
+
+    __slots__ = ("sent_at", "change")
+
+    def __init__(self, sent_at, change):
+        self.sent_at = sent_at
+        self.change = change
+
+
 class _Record:
     """A crash of an upstream, as known to this instance.
 
     Attributes:
         at: time of the crash in seconds.
-        runs: time in seconds at which each run was sent, by its traits.
+        runs: _Run by traits.
         is_refuted: the upstream has answered since.
+        refuted_change: number of the change that refuted it.
         expires_at: time in seconds.
-        change: number of the last change.
     """
 
     def __init__(self, at):
         self.at = at
         self.runs = {}
         self.is_refuted = False
+        self.refuted_change = 0
         self.expires_at = at + BLAME_SECONDS
-        self.change = 0
 
 
 class Blame(typing.NamedTuple):
@@ -138,10 +154,7 @@
         name = format_incarnation(upstream)
         now = self._now()
         record = self._find_record(name, now)
-        if not self._add_run(record, tuple(traits), now - seconds):
-            return False
-        self._mark_changed(record)
-        return True
+        return self._add_run(record, tuple(traits), now - seconds, True)
 
     def record_answer(self, upstream, sent_at):
         """Record that an upstream answered a request that was sent at a time.
@@ -163,8 +176,7 @@
         """
         record = self._records.get(name)
         if record is not None and not record.is_refuted:
-            self._refute(record)
-            self._mark_changed(record)
+            self._refute(record, True)
             logs.log(
                 "info", "the upstream did not crash", step="blame", peer=name
             )
@@ -200,12 +212,14 @@
             if self._crashed_at.get(trait, float("-inf")) > (
                 self._sound_at.get(trait, float("-inf"))
             ):
-                self._mark_sound(trait, now)
+                self._mark_sound(trait, now, True)
 
-    def _mark_sound(self, trait, at):
+    def _mark_sound(self, trait, at, publishes):
         self._sound_at[trait] = at
-        self._sound_changes[trait] = self._next_change()
-        self._notify()
+        change = self._number_change(publishes)
+        self._sound_changes[trait] = max(
+            change, self._sound_changes.get(trait, 0)
+        )
 
     # --- decisions ---------------------------------------------------------
 
@@ -232,9 +246,7 @@
             if verdict.traits.issubset(traits):
                 known = self._refused_at.get(verdict.traits, float("-inf"))
                 if now - known >= RENEWAL_SECONDS:
-                    self._renew(verdict.traits, now)
-                    self._refusal_changes[verdict.traits] = self._next_change()
-                    self._notify()
+                    self._renew(verdict.traits, now, True)
 
     def count_crashes(self, trait):
         """Return the crashes since the last complete answer with a trait."""
@@ -257,8 +269,8 @@
                         name,
                         record.at,
                         tuple(
-                            verdicts.CrashedRun(*run)
-                            for run in record.runs.items()
+                            verdicts.CrashedRun(traits, run.sent_at)
+                            for traits, run in record.runs.items()
                         ),
                     )
                     for name, record in self._records.items()
@@ -301,33 +313,67 @@
     # --- exchange ----------------------------------------------------------
 
     def collect_changes(self, sender, since):
-        """Return what has changed here, as (wire.CrashNews or None, cursor).
+        """Return the oldest changes here, as (wire.CrashNews or None, cursor).
 
         Args:
             sender: name of this instance.
-            since: cursor of the last call; -1 for everything.
+            since: cursor of the last call; 0 at first.
         """
+        changes = sorted(
+            change for change in self._list_changes() if change > since
+        )[:MAX_NEWS]
+        if not changes:
+            return None, since
+        return self._make_news(sender, since, changes[-1]), changes[-1]
+
+    def _list_changes(self):
+        for record in self._records.values():
+            yield record.refuted_change
+            for run in record.runs.values():
+                yield run.change
+        yield from self._sound_changes.values()
+        yield from self._refusal_changes.values()
+
+    def _make_news(self, sender, since, until):
+        """Return wire.CrashNews of the changes after one and up to another."""
         now = self._now()
-        news = wire.CrashNews(
+
+        def is_new(change):
+            return since < change <= until
+
+        crashes = []
+        for name, record in self._records.items():
+            runs = [
+                wire.CrashedRun(
+                    _convert_to_ms(record.at - run.sent_at), traits
+                )
+                for traits, run in record.runs.items()
+                if is_new(run.change)
+            ]
+            if runs or is_new(record.refuted_change):
+                crashes.append(
+                    wire.Crash(
+                        name,
+                        _convert_to_ms(now - record.at),
+                        _convert_to_ms(record.expires_at - now),
+                        record.is_refuted,
+                        runs,
+                    )
+                )
+        return wire.CrashNews(
             sender,
-            [
-                _encode_record(name, record, now)
-                for name, record in self._records.items()
-                if record.change > since
-            ],
+            crashes,
             [
                 wire.SoundTrait(trait, _convert_to_ms(now - at))
                 for trait, at in self._sound_at.items()
-                if self._sound_changes[trait] > since
+                if is_new(self._sound_changes[trait])
             ],
             [
                 wire.Refusal(tuple(traits), _convert_to_ms(now - at))
                 for traits, at in self._refused_at.items()
-                if self._refusal_changes[traits] > since
+                if is_new(self._refusal_changes[traits])
             ],
         )
-        is_empty = not (news.crashes or news.sound or news.refusals)
-        return None if is_empty else news, self._change
 
     def answer(self, sender, request):
         """Return the wire.CrashNews that answers wire.ReadCrashes.
@@ -336,10 +382,9 @@
             sender: name of this instance.
             request: the wire.ReadCrashes.
         """
-        news = None
-        if request.fingerprint != self.compute_fingerprint():
-            news, _ = self.collect_changes(sender, -1)
-        return news or wire.CrashNews(sender, [], [], [])
+        if request.fingerprint == self.compute_fingerprint():
+            return wire.CrashNews(sender, [], [], [])
+        return self._make_news(sender, -1, self._change)
 
     def merge(self, news, publishes):
         """Add the wire.CrashNews of another instance.
@@ -349,60 +394,55 @@
             publishes: whether this instance passes on what is new.
 
         Returns:
-            True if there is something to publish.
+            True if something was new.
         """
-        before = self._change
-        for crash in news.crashes:
-            self._merge_crash(crash, publishes)
         now = self._now()
+        is_new = False
+        for crash in news.crashes:
+            is_new |= self._merge_crash(crash, publishes)
         for trait, age_ms in news.sound:
-            self._merge_sound(trait, now - age_ms * SECONDS_PER_MS, publishes)
+            at = now - age_ms * SECONDS_PER_MS
+            is_new |= self._merge_sound(trait, at, publishes)
         for traits, age_ms in news.refusals:
             at = now - age_ms * SECONDS_PER_MS
-            self._merge_refusal(frozenset(traits), at, publishes)
-        return self._change != before
+            is_new |= self._merge_refusal(frozenset(traits), at, publishes)
+        return is_new
 
     def _merge_crash(self, crash, publishes):
+        if crash.left_ms <= 0:
+            return False
         now = self._now()
         at = now - crash.age_ms * SECONDS_PER_MS
-        if at + BLAME_SECONDS <= now and crash.upstream not in self._records:
-            return
         record = self._find_record(crash.upstream, at)
+        record.expires_at = max(
+            record.expires_at, now + crash.left_ms * SECONDS_PER_MS
+        )
         if at < record.at:
             self._move_back(record, at)
         is_new = False
         for ms, traits in crash.runs:
             sent_at = at - ms * SECONDS_PER_MS
-            is_new |= self._add_run(record, tuple(traits), sent_at)
+            is_new |= self._add_run(record, tuple(traits), sent_at, publishes)
         if crash.is_refuted and not record.is_refuted:
-            self._refute(record)
+            self._refute(record, publishes)
             is_new = True
-        if is_new:
-            self._is_judged = False
-            if publishes:
-                self._mark_changed(record)
+        return is_new
 
     def _merge_sound(self, trait, at, publishes):
         known = self._sound_at.get(trait, float("-inf"))
         crashed_at = self._crashed_at.get(trait)
         if at <= known or crashed_at is None:
-            return
-        self._sound_at[trait] = at
-        self._is_judged = False
-        self._sound_changes.setdefault(trait, 0)
-        if publishes and known < crashed_at:
-            self._sound_changes[trait] = self._next_change()
-            self._notify()
+            return False
+        is_news = known < crashed_at
+        self._mark_sound(trait, at, publishes and is_news)
+        return is_news
 
     def _merge_refusal(self, traits, at, publishes):
         known = self._refused_at.get(traits, float("-inf"))
         if at - known < RENEWAL_SECONDS / 2 or not self._is_known(traits):
-            return
-        self._renew(traits, at)
-        self._refusal_changes.setdefault(traits, 0)
-        if publishes:
-            self._refusal_changes[traits] = self._next_change()
-            self._notify()
+            return False
+        self._renew(traits, at, publishes)
+        return True
 
     def compute_fingerprint(self):
         """Return a hash of the records; instances that agree have the same."""
@@ -462,42 +502,45 @@
     def _move_back(self, record, at):
         """Date a crash back, and drop the runs that were sent after it."""
         record.at = at
-        for traits, sent_at in list(record.runs.items()):
-            if sent_at > at:
+        for traits, run in list(record.runs.items()):
+            if run.sent_at > at:
                 del record.runs[traits]
 
-    def _add_run(self, record, traits, sent_at):
+    def _add_run(self, record, traits, sent_at, publishes):
         """Add a run to a crash; return whether it was not known.
 
         What was sent after a crash did not run: the upstream was down.
         """
-        known = record.runs.get(traits)
-        if sent_at > record.at or known is not None and known >= sent_at:
+        if sent_at > record.at or traits in record.runs:
             return False
-        if known is None and len(record.runs) >= MAX_RUNS:
-            return False
-        record.runs[traits] = sent_at
+        if len(record.runs) >= MAX_RUNS:
+            first = min(record.runs, key=lambda one: record.runs[one].sent_at)
+            if sent_at <= record.runs[first].sent_at:
+                return False
+            del record.runs[first]
+        record.runs[traits] = _Run(sent_at, self._number_change(publishes))
         self._date_crash(traits, record.at)
         for trait in traits:
             answered_at = self._answered_at.get(trait)
             if answered_at is not None and trait not in self._sound_at:
-                self._mark_sound(trait, answered_at)
-        return known is None
+                self._mark_sound(trait, answered_at, True)
+        return True
 
     def _date_crash(self, traits, at):
         for trait in traits:
             known = self._crashed_at.get(trait, float("-inf"))
             self._crashed_at[trait] = max(known, at)
 
-    def _refute(self, record):
+    def _refute(self, record, publishes):
         record.is_refuted = True
-        self._is_judged = False
+        record.refuted_change = self._number_change(publishes)
 
-    def _renew(self, traits, at):
+    def _renew(self, traits, at, publishes):
         self._refused_at[traits] = at
         for record in self._records.values():
             if any(traits.issubset(run) for run in record.runs):
                 record.expires_at = max(record.expires_at, at + BLAME_SECONDS)
+        self._refusal_changes[traits] = self._number_change(publishes)
 
     def _is_known(self, traits):
         return any(
@@ -506,30 +549,15 @@
             for run in record.runs
         )
 
-    def _mark_changed(self, record):
-        record.change = self._next_change()
-        self._notify()
-
-    def _next_change(self):
-        self._change += 1
-        return self._change
-
-    def _notify(self):
+    def _number_change(self, publishes):
+        """Return the number of a change; 0 if it is not to be published."""
         self._is_judged = False
+        if not publishes:
+            return 0
+        self._change += 1
         self.state_changed.set()
         self.state_changed = trio.Event()
-
-
-def _encode_record(name, record, now):
-    return wire.Crash(
-        name,
-        _convert_to_ms(now - record.at),
-        record.is_refuted,
-        [
-            wire.CrashedRun(_convert_to_ms(record.at - sent_at), traits)
-            for traits, sent_at in record.runs.items()
-        ],
-    )
+        return self._change
 
 
 def _convert_to_ms(seconds):
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
@@ -15,7 +15,9 @@
 
 # Few bytes, as the instances usually know the same.
 COMPARISON_SECONDS = 3.0
-RETRY_SECONDS = 0.2
+# While records differ that can't be made equal, such as after many crashes.
+MAX_COMPARISON_SECONDS = 30.0
+RETRY_SECONDS = 0.5
 REPLY_TIMEOUT_SECONDS = 1.0
 
 
@@ -29,23 +31,32 @@
             the instances alive.
         transport: a Transport.
     """
+    wait = COMPARISON_SECONDS
     while True:
         others = [one for one in map_instances() if one != name]
-        is_done = False
+        is_useless = None
         if others:
-            is_done = await _compare(
+            is_useless = await _compare(
                 name, evidence, random.choice(others), transport
             )
-        await trio.sleep(COMPARISON_SECONDS if is_done else RETRY_SECONDS)
+        if is_useless is None:
+            await trio.sleep(RETRY_SECONDS)
+            continue
+        longer = min(2 * wait, MAX_COMPARISON_SECONDS)
+        wait = longer if is_useless else COMPARISON_SECONDS
+        await trio.sleep(wait)
 
 
 async def _compare(name, evidence, other, transport):
-    """Merge what another instance knows; return whether it answered."""
+    """Merge what another instance knows.
+
+    Returns:
+        Whether the reply held nothing new; None if there was none.
+    """
     request = wire.ReadCrashes(name, evidence.compute_fingerprint())
     try:
         reply = await transport.call(other, request, REPLY_TIMEOUT_SECONDS)
     except errors.UnreachableError as error:
         logs.log("info", error.format(), step="compare crashes")
-        return False
-    evidence.merge(reply, False)
-    return True
+        return None
+    return bool(reply.crashes) and not evidence.merge(reply, False)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -190,7 +190,8 @@
         Returns:
             True if this instance has some to publish.
         """
-        return self._evidence.merge(message, self.plan.is_relay)
+        is_relay = self.plan.is_relay
+        return self._evidence.merge(message, is_relay) and is_relay
 
     # --- summaries ---------------------------------------------------------
 
