Count a crash of an upstream whose connections were reset before

Cause, found by reading: a refuted crash stayed in the record of its incarnation, so that a real crash of it later was never counted. Change: a record holds when the upstream was last known to run; a later crash replaces one that did not happen, and counts only after 0.8 s without an answer. Verdicts on many crashes are made every 0.1 s at most, and nothing is listed for publication while nothing has changed.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -541,14 +541,15 @@
         upstream: name and incarnation of the upstream.
         age_ms: milliseconds since the crash.
         left_ms: milliseconds until the crash no longer matters.
-        is_refuted: the upstream has answered since, so it did not crash.
+        alive_ms: milliseconds since the upstream was last known to run, if
+            it was suspected of an earlier crash; negative otherwise.
         runs: runs that the crash ended and that are news to the receiver.
     """
 
     upstream: str
     age_ms: int
     left_ms: int
-    is_refuted: bool
+    alive_ms: int
     runs: list[CrashedRun]
 
 
@@ -571,7 +572,7 @@
 
     Attributes:
         sender: name of the instance.
-        crashes: crashes with new runs, or that are refuted now.
+        crashes: crashes with new runs, or that did not happen.
         sound: traits of runs that crashed, which did not cause the crashes.
         refusals: refusals because of crashes.
     """
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -28,6 +28,10 @@
 MAX_CRASHES = 64
 MAX_RUNS = 32  # of one crash
 MAX_NEWS = 96  # changes in one message: 5 kB
+SETTLE_SECONDS = 0.8  # in which an upstream that runs on answers something
+# Many crashes take milliseconds to judge, and their runs come one by one.
+FEW_CRASHES = 8
+JUDGE_INTERVAL_SECONDS = 0.1
 MAX_PARTS = 16  # of one prompt
 MAX_ANSWERED = 2048  # parts of prompts that were answered lately
 
@@ -83,18 +87,31 @@
     Attributes:
         at: time of the crash in seconds.
         runs: _Run by traits.
-        is_refuted: the upstream has answered since.
-        refuted_change: number of the change that refuted it.
+        alive_at: time in seconds at which the upstream certainly ran; it did
+            not crash before.
+        alive_change: number of the change of `alive_at`.
         expires_at: time in seconds.
     """
 
     def __init__(self, at):
         self.at = at
         self.runs = {}
-        self.is_refuted = False
-        self.refuted_change = 0
+        self.alive_at = float("-inf")
+        self.alive_change = 0
         self.expires_at = at + BLAME_SECONDS
 
+    def is_refuted(self):
+        """Return whether the upstream ran on after the crash."""
+        return self.alive_at >= self.at
+
+    def is_unsettled(self, now):
+        """Return whether the upstream may still answer.
+
+        One that ran on after its connections were reset may do so again.
+        """
+        was_reset = float("-inf") < self.alive_at < self.at
+        return was_reset and now < self.at + SETTLE_SECONDS
+
 
 class Blame(typing.NamedTuple):
     """Why a request is refused.
@@ -136,6 +153,8 @@
         self._change = 0
         self._verdicts = []
         self._is_judged = True
+        self._judged_at = float("-inf")
+        self._settles_at = float("inf")
         self.state_changed = trio.Event()
 
     # --- what this instance sees -------------------------------------------
@@ -153,7 +172,7 @@
         """
         name = format_incarnation(upstream)
         now = self._now()
-        record = self._find_record(name, now)
+        record = self._open_record(name, now)
         return self._add_run(record, tuple(traits), now - seconds, True)
 
     def record_answer(self, upstream, sent_at):
@@ -166,7 +185,7 @@
             name = format_incarnation(upstream)
             record = self._records.get(name)
             if record is not None and sent_at > record.at:
-                self.retract_crash(name)
+                self._refute(name, record, sent_at)
 
     def retract_crash(self, name):
         """Remove a crash that did not happen.
@@ -175,8 +194,13 @@
             name: name and incarnation of the upstream.
         """
         record = self._records.get(name)
-        if record is not None and not record.is_refuted:
-            self._refute(record, True)
+        if record is not None:
+            self._refute(name, record, record.at)
+
+    def _refute(self, name, record, alive_at):
+        if not record.is_refuted():
+            record.alive_at = alive_at
+            record.alive_change = self._number_change(True)
             logs.log(
                 "info", "the upstream did not crash", step="blame", peer=name
             )
@@ -195,7 +219,7 @@
             heartbeat_seconds
         )
         for name, record in self._records.items():
-            if not record.is_refuted and self._now() - record.at > delay:
+            if not record.is_refuted() and self._now() - record.at > delay:
                 upstream, _, incarnation = name.rpartition("/")
                 if is_registered(upstream, int(incarnation)):
                     self.retract_crash(name)
@@ -254,14 +278,29 @@
         return sum(
             1
             for record in self._records.values()
-            if not record.is_refuted
+            if not record.is_refuted()
             and record.at > sound_at
             and any(trait in traits for traits in record.runs)
         )
 
     def _judge(self):
-        if not self._is_judged:
+        now = self._now()
+        is_due = len(self._records) <= FEW_CRASHES or (
+            now - self._judged_at >= JUDGE_INTERVAL_SECONDS
+        )
+        if now >= self._settles_at:
+            self._is_judged = False
+        if not self._is_judged and is_due:
             self._is_judged = True
+            self._judged_at = now
+            self._settles_at = min(
+                (
+                    record.at + SETTLE_SECONDS
+                    for record in self._records.values()
+                    if record.is_unsettled(now)
+                ),
+                default=float("inf"),
+            )
             before = {verdict.traits for verdict in self._verdicts}
             self._verdicts = verdicts.judge(
                 [
@@ -274,7 +313,7 @@
                         ),
                     )
                     for name, record in self._records.items()
-                    if not record.is_refuted
+                    if not record.is_refuted() and not record.is_unsettled(now)
                 ],
                 self._sound_at,
                 self._limit,
@@ -319,16 +358,18 @@
             sender: name of this instance.
             since: cursor of the last call; 0 at first.
         """
+        if since == self._change:
+            return None, since
         changes = sorted(
             change for change in self._list_changes() if change > since
         )[:MAX_NEWS]
         if not changes:
-            return None, since
+            return None, self._change
         return self._make_news(sender, since, changes[-1]), changes[-1]
 
     def _list_changes(self):
         for record in self._records.values():
-            yield record.refuted_change
+            yield record.alive_change
             for run in record.runs.values():
                 yield run.change
         yield from self._sound_changes.values()
@@ -350,13 +391,18 @@
                 for traits, run in record.runs.items()
                 if is_new(run.change)
             ]
-            if runs or is_new(record.refuted_change):
+            if runs or is_new(record.alive_change):
+                has_run_on = record.alive_at > float("-inf")
                 crashes.append(
                     wire.Crash(
                         name,
                         _convert_to_ms(now - record.at),
                         _convert_to_ms(record.expires_at - now),
-                        record.is_refuted,
+                        (
+                            _convert_to_ms(now - record.alive_at)
+                            if has_run_on
+                            else -1
+                        ),
                         runs,
                     )
                 )
@@ -413,19 +459,25 @@
             return False
         now = self._now()
         at = now - crash.age_ms * SECONDS_PER_MS
-        record = self._find_record(crash.upstream, at)
+        record = self._open_record(crash.upstream, at)
         record.expires_at = max(
             record.expires_at, now + crash.left_ms * SECONDS_PER_MS
         )
-        if at < record.at:
-            self._move_back(record, at)
         is_new = False
-        for ms, traits in crash.runs:
-            sent_at = at - ms * SECONDS_PER_MS
-            is_new |= self._add_run(record, tuple(traits), sent_at, publishes)
-        if crash.is_refuted and not record.is_refuted:
-            self._refute(record, publishes)
-            is_new = True
+        if at > record.alive_at:
+            if at < record.at:
+                self._move_back(record, at)
+            for ms, traits in crash.runs:
+                sent_at = at - ms * SECONDS_PER_MS
+                is_new |= self._add_run(
+                    record, tuple(traits), sent_at, publishes
+                )
+        alive_at = now - crash.alive_ms * SECONDS_PER_MS
+        if crash.alive_ms >= 0 and alive_at > record.alive_at:
+            is_new |= not record.is_refuted()
+            record.alive_at = alive_at
+            if record.is_refuted():
+                record.alive_change = self._number_change(publishes)
         return is_new
 
     def _merge_sound(self, trait, at, publishes):
@@ -447,7 +499,7 @@
     def compute_fingerprint(self):
         """Return a hash of the records; instances that agree have the same."""
         text = ";".join(
-            f"{name} {len(record.runs)} {record.is_refuted}"
+            f"{name} {len(record.runs)} {record.is_refuted()}"
             for name, record in sorted(self._records.items())
         )
         return xxhash.xxh3_64_intdigest(text.encode())
@@ -475,13 +527,21 @@
             if not traits <= self._crashed_at.keys():
                 del self._refused_at[traits], self._refusal_changes[traits]
 
-    def _find_record(self, name, at):
-        """Return the record of a crash; a new one may evict another."""
+    def _open_record(self, name, at):
+        """Return the record of a crash at a time; make one if needed.
+
+        It replaces that of an earlier crash which did not happen. A further
+        record may evict another.
+        """
         record = self._records.get(name)
         if record is None:
             record = self._records[name] = _Record(at)
             if len(self._records) > MAX_CRASHES:
                 self._drop(self._find_least_useful(name))
+        elif record.is_refuted() and at > record.alive_at:
+            later = self._records[name] = _Record(at)
+            later.alive_at = record.alive_at
+            record = later
         return record
 
     def _find_least_useful(self, newest):
@@ -494,7 +554,7 @@
             others,
             key=lambda name: (
                 name in blamed,
-                not self._records[name].is_refuted,
+                not self._records[name].is_refuted(),
                 self._records[name].expires_at,
             ),
         )
@@ -531,10 +591,6 @@
             known = self._crashed_at.get(trait, float("-inf"))
             self._crashed_at[trait] = max(known, at)
 
-    def _refute(self, record, publishes):
-        record.is_refuted = True
-        record.refuted_change = self._number_change(publishes)
-
     def _renew(self, traits, at, publishes):
         self._refused_at[traits] = at
         for record in self._records.values():
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -111,6 +111,18 @@
     And S and T are sent to each of these upstreams after its crash
     Then R is blamed, and nothing else
 
+  Scenario Outline: An upstream crashes after its connections were reset
+    Given crashes of different upstreams, each some seconds after the last
+    When connections of upstreams 1 2 3 are reset under S, and they run on
+    And R ran at crashes 1 2 3
+    Then R is blamed, and nothing else
+    And an instance that <learns> blames R, and nothing else
+
+    Examples:
+      | learns                     |
+      | reads all of it at once    |
+      | read of the resets before  |
+
   Scenario: Records of crashes are bounded
     When 600 crashes end 100 runs each, and one request runs at 30 of them
     Then at most 64 crashes of at most 32 runs are kept
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -294,6 +294,31 @@
         context.story.crash(number, "ST")
 
 
+@behave.when(
+    "connections of upstreams {numbers} are reset under S, and they run on"
+)
+def reset_connections(context, numbers):
+    story = context.story
+    for number in map(int, numbers.split()):
+        story.crash(number, "S")
+        story.time += 0.1
+        story.evidence.record_answer(make_upstream(number), story.time - 0.05)
+    context.before = story.evidence.answer("x", wire.ReadCrashes("y", 0))
+
+
+@behave.then("an instance that {learns} blames R, and nothing else")
+def check_learned(context, learns):
+    other = Story()
+    other.time = context.story.time
+    if learns.startswith("read of the resets"):
+        other.time -= 3 * CRASH_INTERVAL_SECONDS + 1.0
+        other.evidence.merge(context.before, False)
+        other.time = context.story.time
+    news = context.story.evidence.answer("x", wire.ReadCrashes("y", 0))
+    other.evidence.merge(news, False)
+    assert other.list_blamed() == ["R"], other.list_blamed()
+
+
 @behave.when("R is refused once a minute for {minutes:d} minutes")
 def refuse_often(context, minutes):
     for _ in range(minutes):
