Compare records of crashes with three instances, not with any

Cause, found by reading: each comparison went to an instance drawn from all, so that at 200 instances each would have kept connections to all others. Change: each instance has three partners by rendezvous hashing.

--- a/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
@@ -12,7 +12,9 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain import hashing
 
+PARTNERS = 3  # instances to compare with; bounds the connections of each
 # Few bytes, as the instances usually know the same.
 COMPARISON_SECONDS = 3.0
 # While records differ that can't be made equal, such as after many crashes.
@@ -21,6 +23,17 @@
 REPLY_TIMEOUT_SECONDS = 1.0
 
 
+def choose_partners(name, instances):
+    """Return the names of the instances that one compares its records with.
+
+    Args:
+        name: name of the instance.
+        instances: names of the instances alive.
+    """
+    others = {one: 1.0 for one in instances if one != name}
+    return hashing.rank(name, others)[:PARTNERS]
+
+
 async def follow(name, evidence, map_instances, transport):
     """Compare records with other instances until cancelled.
 
@@ -33,11 +46,11 @@
     """
     wait = COMPARISON_SECONDS
     while True:
-        others = [one for one in map_instances() if one != name]
+        partners = choose_partners(name, map_instances())
         is_useless = None
-        if others:
+        if partners:
             is_useless = await _compare(
-                name, evidence, random.choice(others), transport
+                name, evidence, random.choice(partners), transport
             )
         if is_useless is None:
             await trio.sleep(RETRY_SECONDS)
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -105,6 +105,13 @@
     Then each of them refuses that request, and none of the others
     And comparing them once more takes less than 200 bytes
 
+  Scenario: What one instance knows reaches all by comparisons alone
+    Given 200 entry instances in 4 failure domains
+    When one of them sees a request crash 3 upstreams, and publishes nothing
+    And each compares its records with a partner, 12 times
+    Then each of them refuses that request, and none of the others
+    And no instance has more than 3 partners
+
   Scenario: Requests sent to an upstream that is down did not crash it
     Given crashes of different upstreams, each some seconds after the last
     When R ran at crashes 1 2 3
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -1,6 +1,7 @@
 """Step definitions for requests that crash upstreams."""
 
 import collections
+import random
 import re
 
 import behave
@@ -8,6 +9,7 @@
 
 from camphorhook_common import wire
 from camphorhook_daemon.domain import crash_evidence
+from camphorhook_daemon.domain import crash_exchange
 from camphorhook_daemon.domain import verdicts
 from tests.features.steps import withdrawals
 from tests.harness import routers
@@ -445,3 +447,37 @@
     instances = context.simulated_fleet.instances.values()
     most = max(instance.crash_bytes for instance in instances)
     assert 0 < most <= 1000 * count, most
+
+
+@behave.when(
+    "one of them sees a request crash 3 upstreams, and publishes nothing"
+)
+def crash_at_one(context):
+    fleet = context.simulated_fleet
+    context.other_traits = []
+    # Another instance compares with it, as it need not be anyone's partner.
+    first = next(iter(fleet.instances))
+    seen_by = crash_exchange.choose_partners(first, fleet.instances)[0]
+    for number in range(3):
+        fleet.instances[seen_by].evidence.record_crash(
+            make_upstream(number), (ord("R"),), RUN_SECONDS
+        )
+        fleet.time += 1.0
+
+
+@behave.when("each compares its records with a partner, {count:d} times")
+def compare_all(context, count):
+    instances = context.simulated_fleet.instances
+    rng = random.Random(1)
+    context.partners = {
+        name: crash_exchange.choose_partners(name, instances)
+        for name in instances
+    }
+    for _ in range(count):
+        for name, partners in context.partners.items():
+            compare_records(instances[name], instances[rng.choice(partners)])
+
+
+@behave.then("no instance has more than {count:d} partners")
+def check_partners(context, count):
+    assert max(map(len, context.partners.values())) <= count
