Split the evidence on crashes: records, traits, and the forwarder's guard

Change: crash_records.py keeps crashes and runs in bounded memory, request_traits.py hashes, routing/crash_guard.py relates forwarded requests to the evidence. No decision changed.

--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -14,105 +14,26 @@
 
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain import crash_records
 from camphorhook_daemon.domain import verdicts
 
 SECONDS_PER_MS = 0.001
-# How long blame lasts after the last crash, or the last refused request.
-BLAME_SECONDS = 300.0
 # Until the last registration of a crashed upstream has expired everywhere.
 CONFIRMATION_HEARTBEATS = 4
 CONFIRMATION_SECONDS = 4.0
 RENEWAL_SECONDS = 20.0  # between two notices of refusals for one cause
-# Bounds of the records. The runs of a crash that began last are kept, as a
-# request that crashes its upstream does so when it begins to run.
-MAX_CRASHES = 64
-MAX_RUNS = 32  # of one crash
 MAX_NEWS = 96  # changes in one message: 5 kB
-SETTLE_SECONDS = 0.8  # in which an upstream that runs on answers something
 # Many crashes take milliseconds to judge, and their runs come one by one.
 FEW_CRASHES = 8
 JUDGE_INTERVAL_SECONDS = 0.1
-MAX_PARTS = 16  # of one prompt
 MAX_ANSWERED = 2048  # parts of prompts that were answered lately
 
 
-def hash_request(account, method, target, body):
-    """Return the digest of a request, the first of its traits.
-
-    Args:
-        account: name of the client account.
-        method: HTTP method.
-        target: path and query.
-        body: the complete body.
-    """
-    head = f"{account}\0{method}\0{target}\0".encode()
-    return xxhash.xxh3_64_intdigest(head + body)
-
-
-def hash_parts(parts):
-    """Return the traits of a prompt's shared parts, given their ids.
-
-    Of a long prompt the first and the last parts count.
-    """
-    if len(parts) > MAX_PARTS:
-        parts = (*parts[: MAX_PARTS // 2], *parts[-MAX_PARTS // 2 :])
-    return tuple(
-        xxhash.xxh3_64_intdigest(b"part\0" + part.encode()) for part in parts
-    )
-
-
 def format_incarnation(upstream):
     """Return the text that identifies an incarnation of an upstream."""
     return f"{upstream.name}/{upstream.incarnation}"
 
 
-class _Run:
-    """A run that a crash ended.
-
-    Attributes:
-        sent_at: time in seconds at which the request was sent.
-        change: number of the change that added it.
-    """
-
-    __slots__ = ("sent_at", "change")
-
-    def __init__(self, sent_at, change):
-        self.sent_at = sent_at
-        self.change = change
-
-
-class _Record:
-    """A crash of an upstream, as known to this instance.
-
-    Attributes:
-        at: time of the crash in seconds.
-        runs: _Run by traits.
-        alive_at: time in seconds at which the upstream certainly ran; it did
-            not crash before.
-        alive_change: number of the change of `alive_at`.
-        expires_at: time in seconds.
-    """
-
-    def __init__(self, at):
-        self.at = at
-        self.runs = {}
-        self.alive_at = float("-inf")
-        self.alive_change = 0
-        self.expires_at = at + BLAME_SECONDS
-
-    def is_refuted(self):
-        """Return whether the upstream ran on after the crash."""
-        return self.alive_at >= self.at
-
-    def is_unsettled(self, now):
-        """Return whether the upstream may still answer.
-
-        One that ran on after its connections were reset may do so again.
-        """
-        was_reset = float("-inf") < self.alive_at < self.at
-        return was_reset and now < self.at + SETTLE_SECONDS
-
-
 class Blame(typing.NamedTuple):
     """Why a request is refused.
 
@@ -142,9 +63,8 @@
         """
         self._limit = limit
         self._now = now
-        self._records = collections.OrderedDict()
-        # Traits of recorded crashes: last crash, last complete answer.
-        self._crashed_at = {}
+        self._records = crash_records.CrashRecords()
+        # Last complete answer, by trait of the recorded crashes.
         self._sound_at = {}
         self._sound_changes = {}
         self._answered_at = collections.OrderedDict()
@@ -233,9 +153,8 @@
         while len(self._answered_at) > MAX_ANSWERED:
             self._answered_at.popitem(last=False)
         for trait in traits:
-            if self._crashed_at.get(trait, float("-inf")) > (
-                self._sound_at.get(trait, float("-inf"))
-            ):
+            crashed_at = self._records.crashed_at.get(trait, float("-inf"))
+            if crashed_at > self._sound_at.get(trait, float("-inf")):
                 self._mark_sound(trait, now, True)
 
     def _mark_sound(self, trait, at, publishes):
@@ -277,7 +196,7 @@
         sound_at = self._sound_at.get(trait, float("-inf"))
         return sum(
             1
-            for record in self._records.values()
+            for _, record in self._records.items()
             if not record.is_refuted()
             and record.at > sound_at
             and any(trait in traits for traits in record.runs)
@@ -295,8 +214,8 @@
             self._judged_at = now
             self._settles_at = min(
                 (
-                    record.at + SETTLE_SECONDS
-                    for record in self._records.values()
+                    record.at + crash_records.SETTLE_SECONDS
+                    for _, record in self._records.items()
                     if record.is_unsettled(now)
                 ),
                 default=float("inf"),
@@ -368,7 +287,7 @@
         return self._make_news(sender, since, changes[-1]), changes[-1]
 
     def _list_changes(self):
-        for record in self._records.values():
+        for _, record in self._records.items():
             yield record.alive_change
             for run in record.runs.values():
                 yield run.change
@@ -466,7 +385,7 @@
         is_new = False
         if at > record.alive_at:
             if at < record.at:
-                self._move_back(record, at)
+                record.move_back(at)
             for ms, traits in crash.runs:
                 sent_at = at - ms * SECONDS_PER_MS
                 is_new |= self._add_run(
@@ -482,7 +401,7 @@
 
     def _merge_sound(self, trait, at, publishes):
         known = self._sound_at.get(trait, float("-inf"))
-        crashed_at = self._crashed_at.get(trait)
+        crashed_at = self._records.crashed_at.get(trait)
         if at <= known or crashed_at is None:
             return False
         is_news = known < crashed_at
@@ -491,7 +410,9 @@
 
     def _merge_refusal(self, traits, at, publishes):
         known = self._refused_at.get(traits, float("-inf"))
-        if at - known < RENEWAL_SECONDS / 2 or not self._is_known(traits):
+        if at - known < RENEWAL_SECONDS / 2:
+            return False
+        if not self._records.has_run(traits):
             return False
         self._renew(traits, at, publishes)
         return True
@@ -508,103 +429,52 @@
 
     def evict_expired(self):
         """Drop crashes, and what belongs to them, that no longer matter."""
-        now = self._now()
-        for name, record in list(self._records.items()):
-            if record.expires_at <= now:
-                self._drop(name)
-
-    def _drop(self, name):
-        del self._records[name]
+        expired = self._records.list_expired(self._now())
+        if not expired:
+            return
+        self._records.drop(expired)
+        self._drop_unknown()
+
+    def _drop_unknown(self):
+        """Drop what belongs to crashes that were dropped."""
         self._is_judged = False
-        self._crashed_at = {}
-        for record in self._records.values():
-            for traits in record.runs:
-                self._date_crash(traits, record.at)
-        for trait in list(self._sound_at):
-            if trait not in self._crashed_at:
-                del self._sound_at[trait], self._sound_changes[trait]
+        known = self._records.crashed_at.keys()
+        for trait in self._sound_at.keys() - known:
+            del self._sound_at[trait], self._sound_changes[trait]
         for traits in list(self._refused_at):
-            if not traits <= self._crashed_at.keys():
+            if not traits <= known:
                 del self._refused_at[traits], self._refusal_changes[traits]
 
     def _open_record(self, name, at):
-        """Return the record of a crash at a time; make one if needed.
-
-        It replaces that of an earlier crash which did not happen. A further
-        record may evict another.
-        """
-        record = self._records.get(name)
-        if record is None:
-            record = self._records[name] = _Record(at)
-            if len(self._records) > MAX_CRASHES:
-                self._drop(self._find_least_useful(name))
-        elif record.is_refuted() and at > record.alive_at:
-            later = self._records[name] = _Record(at)
-            later.alive_at = record.alive_at
-            record = later
-        return record
-
-    def _find_least_useful(self, newest):
-        """Return the crash that ends first, of those nobody is blamed for."""
         blamed = {
-            name for verdict in self._verdicts for name in verdict.upstreams
+            upstream
+            for verdict in self._verdicts
+            for upstream in verdict.upstreams
         }
-        others = [name for name in self._records if name != newest]
-        return min(
-            others,
-            key=lambda name: (
-                name in blamed,
-                not self._records[name].is_refuted(),
-                self._records[name].expires_at,
-            ),
-        )
-
-    def _move_back(self, record, at):
-        """Date a crash back, and drop the runs that were sent after it."""
-        record.at = at
-        for traits, run in list(record.runs.items()):
-            if run.sent_at > at:
-                del record.runs[traits]
+        before = len(self._records)
+        is_known = self._records.get(name) is not None
+        record = self._records.open(name, at, blamed)
+        if not is_known and len(self._records) == before:
+            self._drop_unknown()
+        return record
 
     def _add_run(self, record, traits, sent_at, publishes):
-        """Add a run to a crash; return whether it was not known.
-
-        What was sent after a crash did not run: the upstream was down.
-        """
-        if sent_at > record.at or traits in record.runs:
+        """Add a run to a crash; return whether it was not known."""
+        if not record.admits(traits, sent_at):
             return False
-        if len(record.runs) >= MAX_RUNS:
-            first = min(record.runs, key=lambda one: record.runs[one].sent_at)
-            if sent_at <= record.runs[first].sent_at:
-                return False
-            del record.runs[first]
-        record.runs[traits] = _Run(sent_at, self._number_change(publishes))
-        self._date_crash(traits, record.at)
+        run = crash_records.Run(sent_at, self._number_change(publishes))
+        self._records.add_run(record, traits, run)
         for trait in traits:
             answered_at = self._answered_at.get(trait)
             if answered_at is not None and trait not in self._sound_at:
                 self._mark_sound(trait, answered_at, True)
         return True
 
-    def _date_crash(self, traits, at):
-        for trait in traits:
-            known = self._crashed_at.get(trait, float("-inf"))
-            self._crashed_at[trait] = max(known, at)
-
     def _renew(self, traits, at, publishes):
         self._refused_at[traits] = at
-        for record in self._records.values():
-            if any(traits.issubset(run) for run in record.runs):
-                record.expires_at = max(record.expires_at, at + BLAME_SECONDS)
+        self._records.renew(traits, at)
         self._refusal_changes[traits] = self._number_change(publishes)
 
-    def _is_known(self, traits):
-        return any(
-            traits.issubset(run)
-            for record in self._records.values()
-            for run in record.runs
-        )
-
     def _number_change(self, publishes):
         """Return the number of a change; 0 if it is not to be published."""
         self._is_judged = False
--- a/packages/daemon/src/camphorhook_daemon/domain/requests.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/requests.py
@@ -7,7 +7,7 @@
 
 from camphorhook_common import secrets
 from camphorhook_common import wire
-from camphorhook_daemon.domain import crash_evidence
+from camphorhook_daemon.domain import request_traits
 
 _ROLES = ("system", "developer", "user", "assistant", "tool", "function")
 _TYPES_BY_FIELD: dict[str, tuple[type, ...]] = {
@@ -121,9 +121,9 @@
 
 def _hash_traits(account, body, messages):
     """Return the request's digest and the traits of its shared messages."""
-    digest = crash_evidence.hash_request(account, "", "", body)
+    digest = request_traits.hash_request(account, "", "", body)
     parts = [msgspec.json.encode(one).decode() for one in messages[:-1]]
-    return (digest, *crash_evidence.hash_parts(parts))
+    return (digest, *request_traits.hash_parts(parts))
 
 
 def _derive_chat_id(fields):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -14,10 +14,10 @@
 
 import trio
 
-from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import crash_guard
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_relay
 from camphorhook_daemon.domain.routing import table as tables
@@ -28,7 +28,6 @@
 ATTEMPT_TIMEOUT_SHARE = 0.4  # of the time left; the rest is for a retry
 BUSY_RETRY_SECONDS = 0.4  # a full service usually has capacity again after it
 UNCONFIRMED_REASON = "the key's account is not confirmed"
-CRASH_REASON = "upstreams crashed while running such requests"
 UNCONFIRMED_RETRY_SECONDS = 1.0  # a lost leader is usually replaced within it
 
 
@@ -165,7 +164,7 @@
             now: function that returns the time in seconds.
         """
         self._selector = selector
-        self._evidence = evidence
+        self._crash_guard = crash_guard.CrashGuard(evidence, now)
         self._loads = selector.loads
         self._outcomes = selector.outcomes
         self._pool = pool
@@ -231,10 +230,9 @@
             return Failure(504, "no upstream answered in time")
         if not self._is_allowed(request):
             return Failure(503, UNCONFIRMED_REASON, UNCONFIRMED_RETRY_SECONDS)
-        blame = self._find_blame(request)
-        if blame is not None:
-            self._evidence.record_refusal(hash_traits(request))
-            return Failure(503, CRASH_REASON, blame.seconds)
+        wait = self._crash_guard.refuse(request)
+        if wait:
+            return Failure(503, crash_guard.REASON, wait)
         if progress.sends:
             if progress.sends >= MAX_SENDS:
                 return Failure(
@@ -288,7 +286,9 @@
             return self._handle_withheld(request, progress, error)
         except ports.AttemptError as error:
             if error.sent and error.connection_broken:
-                self._record_crash(request, progress, target)
+                self._crash_guard.record_crash(
+                    request, target, progress.sent_at
+                )
             health = self._selector.health[target.name]
             return self._handle_failure(request, progress, health, error)
         finally:
@@ -304,33 +304,12 @@
             return False
         return self._rules.get_table().find_account(request.key) is not None
 
-    def _find_blame(self, request):
-        """Return the Blame for which a request is refused, or None."""
-        if not self._evidence.has_verdicts():
-            return None
-        return self._evidence.find_blame(hash_traits(request))
-
-    def _record_crash(self, request, progress, target):
-        seconds = self._now() - progress.sent_at
-        if self._evidence.record_crash(target, hash_traits(request), seconds):
-            answer_relay.log_step(
-                request,
-                "the upstream may have crashed while it ran the request",
-                "warning",
-                peer=target.name,
-                inputs={
-                    "incarnation": target.incarnation,
-                    "ms": int(seconds * 1000),
-                    "parts": [part for part, _ in request.parts],
-                },
-            )
-
     def _find_obstacle(self, request, upstream):
         """Return why a request may not be sent to an upstream now, or ""."""
         if not self._is_allowed(request):
             return UNCONFIRMED_REASON
-        if self._find_blame(request) is not None:
-            return CRASH_REASON
+        if self._crash_guard.is_refused(request):
+            return crash_guard.REASON
         return self._selector.withdrawals.find_obstacle(upstream)
 
     def _handle_withheld(self, request, progress, error):
@@ -380,7 +359,7 @@
         health = self._selector.health[target.name]
         progress.sent_at = self._now()
         async with self._pool.open(target, call) as answer:
-            self._evidence.record_answer(target, progress.sent_at)
+            self._crash_guard.record_answer(target, progress.sent_at)
             pending_prefill.release()
             self._selector.mark_prefilled(request, target.name)
             self._counts.observe(
@@ -408,8 +387,7 @@
                 body = await self._relay.read_body(
                     request, answer, progress, reply
                 )
-        if answer.head.status < 300:
-            self._record_sound(request, answer.head)
+        self._crash_guard.record_end(request, answer.head)
         if is_stream or body is None:
             self._record_success(target.name)
             return AttemptResult.ANSWERED
@@ -461,15 +439,6 @@
         )
         return AttemptResult.ANSWERED
 
-    def _record_sound(self, request, head):
-        """Record that a request did not crash its upstream.
-
-        An answer that ends with its connection is no proof: a crash may look
-        like its end.
-        """
-        if head.describe_framing() != "close":
-            self._evidence.record_success(hash_traits(request))
-
     def _record_success(self, upstream):
         self._outcomes.record(upstream, True)
         self._counts.add("attempts_total", outcome="good")
@@ -524,13 +493,3 @@
                 request, choice.upstream
             ),
         )
-
-
-def hash_traits(request):
-    """Return what a request may share with others that crash upstreams."""
-    digest = crash_evidence.hash_request(
-        request.account, request.method, request.target, request.body
-    )
-    # The last part belongs to this request or its session alone.
-    parts = [part for part, _ in request.parts[:-1]]
-    return (digest, *crash_evidence.hash_parts(parts))
--- a/packages/daemon/src/camphorhook_daemon/domain/services.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -17,8 +17,8 @@
 from camphorhook_common import logs
 from camphorhook_common import secrets
 from camphorhook_common import wire
-from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import dispatcher as dispatchers
+from camphorhook_daemon.domain import request_traits
 from camphorhook_daemon.ports import upstreams as ports
 
 CLAIM_TIMEOUT_SECONDS = 4.0
@@ -441,7 +441,7 @@
 def _hash_traits(request):
     """Return what a request may share with others that crash upstreams."""
     return (
-        crash_evidence.hash_request(
+        request_traits.hash_request(
             request.account, request.method, request.path, request.body
         ),
     )
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -5,12 +5,17 @@
 import re
 
 import behave
+import expression
 import trio
 
 from camphorhook_common import wire
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import crash_exchange
+from camphorhook_daemon.domain import dispatcher
+from camphorhook_daemon.domain import request_traits
+from camphorhook_daemon.domain import services
 from camphorhook_daemon.domain import verdicts
+from camphorhook_daemon.ports import upstreams as ports
 from tests.features.steps import withdrawals
 from tests.harness import routers
 
@@ -222,8 +227,8 @@
 
 def name_traits(prompt):
     """Return the traits of a prompt whose parts are its letters."""
-    digest = crash_evidence.hash_request("account", "", prompt, b"")
-    return (digest, *crash_evidence.hash_parts(tuple(prompt)))
+    digest = request_traits.hash_request("account", "", prompt, b"")
+    return (digest, *request_traits.hash_parts(tuple(prompt)))
 
 
 def split_prompts(text):
@@ -481,3 +486,65 @@
 @behave.then("no instance has more than {count:d} partners")
 def check_partners(context, count):
     assert max(map(len, context.partners.values())) <= count
+
+
+# --- the product's own interface ---------------------------------------------
+
+
+class _Lookups:
+    """Upstreams that answer every request, and what a runner needs."""
+
+    def __init__(self, evidence):
+        self.evidence = evidence
+        self.dispatcher = self.upstreams = self.recorder = self
+        self.configuration = self
+
+    async def reserve(self, _requirements):
+        """Reserve an upstream."""
+        record = make_upstream(9)
+        return expression.Ok(dispatcher.Reservation(record, "", 0.0, ()))
+
+    async def release(self, _reservation, _completed):
+        """Do nothing."""
+
+    async def fetch(self, _record, _call):
+        """Answer 200."""
+        return ports.Answer(200, "text/plain", [], b"found")
+
+    def record(self, *_arguments, **_fields):
+        """Do nothing."""
+
+    def get_or_default(self, _table, _name):
+        """Return the row of the service."""
+        return {"attempt_seconds": 1.0}
+
+    def list_rows(self, _table):
+        """Return one route, on which requests are repeatable."""
+        cells = {"service": "desk", "method": "ANY", "path_prefix": "/"}
+        return {"lookups": (1, {**cells, "repeatable": "yes"})}
+
+
+@behave.when("a lookup runs at a crash, is answered, and runs at another one")
+def answer_lookup(context):
+    context.story = story = Story()
+    story.evidence = crash_evidence.CrashEvidence(
+        verdicts.ISOLATED_LIMIT, lambda: story.time
+    )
+    row = {"weight": 1, "priority": 0}
+    context.lookup = services.ServiceRequest(
+        "r", "account", row, "desk", "GET", "/lookup", [], b"", ""
+    )
+    traits = services._hash_traits(context.lookup)
+    runner = services.ServiceRunner(_Lookups(story.evidence))
+    for number in (1, 2):
+        story.evidence.record_crash(make_upstream(number), traits, RUN_SECONDS)
+        story.time += CRASH_INTERVAL_SECONDS
+        if number == 1:
+            result = trio.run(runner.run, context.lookup)
+            assert result.answer.body == b"found", result
+
+
+@behave.then("the lookup is not blamed")
+def check_lookup(context):
+    traits = services._hash_traits(context.lookup)
+    assert context.story.evidence.find_blame(traits) is None
