Clear requests to plain services that were answered of earlier crashes

Cause, found by reading: on the product's own interface only chats told that they were answered. A lookup that ran beside a crash, was answered a hundred times, and ran beside another crash was refused for minutes. Change: an answer from a plain service clears the request, too. Result: "A lookup of the own interface that is answered is not blamed" fails without the change and passes with it.

--- a/packages/daemon/src/camphorhook_daemon/domain/services.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/services.py
@@ -191,6 +191,7 @@
                 await self._components.dispatcher.release(reservation, done)
             excluded.add(reservation.record.name)
             if answer is not None and answer.status not in RETRYABLE_STATUSES:
+                self._record_sound(request)
                 return ServiceResult(
                     answer, "run", False, reservation.record.name
                 )
@@ -207,6 +208,9 @@
             502, "upstream_failed", message, disposition, 1
         )
 
+    def _record_sound(self, request):
+        self._components.evidence.record_success(_hash_traits(request))
+
     def _record(self, event, request, reservation):
         self._components.recorder.record(
             event,
@@ -350,6 +354,7 @@
                         reservation, done
                     )
             if answer is not None:
+                self._record_sound(request)
                 self._record("booking.finished", request, reservation)
                 self._components.meter.count_request(request.service)
                 return ServiceResult(
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -130,6 +130,10 @@
       | reads all of it at once    |
       | read of the resets before  |
 
+  Scenario: A lookup of the own interface that is answered is not blamed
+    When a lookup runs at a crash, is answered, and runs at another one
+    Then the lookup is not blamed
+
   Scenario: Records of crashes are bounded
     When 600 crashes end 100 runs each, and one request runs at 30 of them
     Then at most 64 crashes of at most 32 runs are kept
