Soak runs of several times the usual size

Cause: all runs had three entry instances, so none had groups and relays. Change: SCALE multiplies entry instances, servers and callers. Result: not run yet; schedules at scale 1 are the same.

--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,12 @@
 	$(BIN)/python -m tools.known_red
 
 # Options as `make soak SEEDS=50 FIRST=1 JOBS=3`; FIRST is drawn without it.
+# SCALE=6 makes runs of 18 entry instances and 36 servers.
 SEEDS ?= 8
 JOBS ?= 2
+SCALE ?= 1
 soak: $(READY)
-	$(BIN)/python -m tests.soak --seeds=$(SEEDS) --jobs=$(JOBS) \
+	CAMPHORHOOK_SOAK_SCALE=$(SCALE) $(BIN)/python -m tests.soak --seeds=$(SEEDS) --jobs=$(JOBS) \
 	    $(if $(FIRST),--first=$(FIRST))
 
 soak-breaks: $(READY)
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -42,7 +42,7 @@
         self._stop_requested = threading.Event()
         self._threads = [
             threading.Thread(target=self._run_caller, args=(number,))
-            for number in range(CALLERS)
+            for number in range(CALLERS * schedules.SCALE)
         ]
 
     def start(self):
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -1,14 +1,17 @@
 """Draws schedules of faults from a seed, shortens and stores them."""
 
 import json
+import os
 import random
 import typing
 
 DEFAULT_SECONDS = 20.0  # without the start and the recovery
 REPLICA_GAP_SECONDS = 5.0  # until a restarted replica has caught up
-ENTRIES = ("entry-1", "entry-2", "entry-3")
+# Multiple of the usual number of entry instances, servers and callers.
+SCALE = int(os.environ.get("CAMPHORHOOK_SOAK_SCALE", "1"))
+ENTRIES = tuple(f"entry-{number}" for number in range(1, 3 * SCALE + 1))
 REPLICAS = ("replica-1", "replica-2", "replica-3")
-SERVERS = tuple(f"server-{number}" for number in range(1, 7))
+SERVERS = tuple(f"server-{number}" for number in range(1, 6 * SCALE + 1))
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 LINK_FAULTS = ("cut", "silent", "one_way", "delay")
 # Kind, targets, weight, minimum and maximum duration in seconds.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -112,7 +112,7 @@
         host, port = self.find_proxy_address(name)
         self.platform.start_server(
             name,
-            SERVICES[number],
+            SERVICES[number % len(SERVICES)],
             schedules.DOMAINS[number % 3],
             f"--advertise={host}:{port}",
             f"--cold={cold_seconds}",
