Exchange with instances of older builds while crashes are known

Cause, found by reading: the news about crashes went before the exchange, and an older build refuses it, so such a neighbour got no exchange at all; and an exchange of an older build that named a suspect could not be read. Change: the exchange goes first, the news after it, also to a neighbour that has just started; the field of suspects may hold what it held. Result: "An instance of an older build takes part in the exchange" fails without the change and passes; crashes.feature passes.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -608,7 +608,7 @@
         upstreams: records with changes other than in their load.
         loads: loads of upstreams, as encoded by `membership`.
         usages: recent usage of client accounts.
-        reserved: empty; older builds expect a list here.
+        reserved: empty; older builds send and expect a list here.
         stopping: the sender is shutting down.
     """
 
@@ -618,7 +618,7 @@
     upstreams: list[Upstream]
     loads: bytes
     usages: list[Usage]
-    reserved: list[str]
+    reserved: list[typing.Any]
     stopping: bool
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/exchange.py
@@ -9,6 +9,7 @@
 import trio
 
 from camphorhook_common import errors
+from camphorhook_common import logs
 from camphorhook_common import wire
 from camphorhook_daemon.domain import hashing
 
@@ -154,9 +155,6 @@
         upstreams, packed, upstream_cursor = self._directory.collect_changes(
             name, cursor.upstreams
         )
-        news, news_cursor = self._evidence.collect_changes(
-            self._settings.name, cursor.crashes
-        )
         usages = self._limits.collect_usages()
         message = wire.Exchange(
             self._settings.name,
@@ -172,20 +170,30 @@
         _, body = wire.encode(message)
         self._last_size = len(body) + MESSAGE_OVERHEAD_BYTES
         try:
-            if news is not None:
-                await self._transport.call(name, news, CALL_TIMEOUT_SECONDS)
             reply = await self._transport.call(
                 name, message, CALL_TIMEOUT_SECONDS
             )
         except errors.UnreachableError:
             return
-        if (
-            cursor.reset_if_restarted(reply.incarnation)
-            or known_incarnation != cursor.incarnation
-        ):
-            return
-        cursor.upstreams = upstream_cursor
-        cursor.crashes = news_cursor
+        cursor.reset_if_restarted(reply.incarnation)
+        if known_incarnation == cursor.incarnation:
+            cursor.upstreams = upstream_cursor
+        await self._send_crash_news(name, cursor)
+
+    async def _send_crash_news(self, name, cursor):
+        """Send news about crashes, which older builds refuse."""
+        incarnation = cursor.incarnation
+        news, news_cursor = self._evidence.collect_changes(
+            self._settings.name, cursor.crashes
+        )
+        if news is not None:
+            try:
+                await self._transport.call(name, news, CALL_TIMEOUT_SECONDS)
+            except errors.UnreachableError as error:
+                logs.log("info", error.format(), step="send crash news")
+                return
+        if incarnation == cursor.incarnation:
+            cursor.crashes = news_cursor
 
     async def push_now(self):
         """Exchange with all neighbours now; wait up to PUSH_TIMEOUT_SECONDS.
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -134,6 +134,11 @@
     When a lookup runs at a crash, is answered, and runs at another one
     Then the lookup is not blamed
 
+  Scenario: An instance of an older build takes part in the exchange
+    When an instance that knows of a crash exchanges with one of an older build
+    Then the older one got the exchange, and was sent the crash as well
+    And an exchange of the older build that names a suspect can be read
+
   Scenario: Records of crashes are bounded
     When 600 crashes end 100 runs each, and one request runs at 30 of them
     Then at most 64 crashes of at most 32 runs are kept
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -6,8 +6,10 @@
 
 import behave
 import expression
+import msgspec
 import trio
 
+from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import crash_exchange
@@ -16,6 +18,7 @@
 from camphorhook_daemon.domain import services
 from camphorhook_daemon.domain import verdicts
 from camphorhook_daemon.ports import upstreams as ports
+from tests.features.steps import limits
 from tests.features.steps import withdrawals
 from tests.harness import routers
 
@@ -548,3 +551,52 @@
 def check_lookup(context):
     traits = services._hash_traits(context.lookup)
     assert context.story.evidence.find_blame(traits) is None
+
+
+class _OlderBuild:
+    """A transport to an instance that can't read news about crashes."""
+
+    def __init__(self):
+        self.received = []
+
+    async def call(self, name, message, _timeout):
+        """Answer an exchange; refuse all else."""
+        self.received.append(type(message))
+        if not isinstance(message, wire.Exchange):
+            raise errors.UnreachableError(
+                "unknown kind", step="answer", peer=name
+            )
+        return wire.ExchangeReply(1)
+
+
+@behave.when(
+    "an instance that knows of a crash exchanges with one of an older build"
+)
+def exchange_with_older(context):
+    context.transport = _OlderBuild()
+
+    async def run():
+        evidence = crash_evidence.CrashEvidence(
+            verdicts.ISOLATED_LIMIT, trio.current_time
+        )
+        instance = limits.Instance(
+            "a", ["a", "b"], 0.1, context.transport, evidence
+        )
+        evidence.record_crash(make_upstream(1), (1,), RUN_SECONDS)
+        await instance.exchanger.push_now()
+
+    trio.run(run)
+
+
+@behave.then("the older one got the exchange, and was sent the crash as well")
+def check_exchanged(context):
+    expected = [wire.Exchange, wire.CrashNews]
+    assert context.transport.received == expected, context.transport.received
+
+
+@behave.then("an exchange of the older build that names a suspect can be read")
+def check_readable(context):
+    suspect = ["digest", ["upstream/1"], False, 1]
+    message = ["a", 1, False, [], b"", [], [suspect], False]
+    body = msgspec.msgpack.encode(message)
+    assert wire.decode("ex", body).sender == "a"
--- a/tests/features/steps/limits.py
+++ b/tests/features/steps/limits.py
@@ -38,7 +38,7 @@
 class Instance:
     """The limits of one instance, and its exchange with the others."""
 
-    def __init__(self, name, names, seconds, transport):
+    def __init__(self, name, names, seconds, transport, evidence=None):
         clock = clocks.HybridClock()
         peers = [
             types.SimpleNamespace(name=one, failure_domain="zone-a")
@@ -56,7 +56,8 @@
             settings,
             transport,
             NothingToShare(),
-            crash_evidence.CrashEvidence(
+            evidence
+            or crash_evidence.CrashEvidence(
                 verdicts.ISOLATED_LIMIT, trio.current_time
             ),
             self.limits,
