Decide ties between causes of crashes in the same way at all instances

Cause, found by reading: of two causes present at the same crashes, the first in an arbitrary order was blamed once the margin was used up, so instances could refuse different requests. Result: six instances that learn the same in other orders agree. The scenario passes on the code before as well, as small sets happen to keep an order.

--- a/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
@@ -99,8 +99,9 @@
         and count_separate(trait, own) >= limits[trait]
     }
     verdicts = []
-    # The cause is present at more crashes than what ran beside it.
-    for trait in sorted(suspects, key=lambda one: -len(suspects[one])):
+    # The cause is present at more crashes than what ran beside it. Of equal
+    # ones, all instances must take the same first.
+    for trait in sorted(suspects, key=lambda one: (-len(suspects[one]), one)):
         own = _leave_unexplained(suspects[trait], verdicts)
         count = count_separate(trait, own)
         if count < limits[trait]:
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -72,6 +72,11 @@
     And 12 upstreams crash at once, each with prompts sa sb sc on it
     Then prompts none are refused, and s sa sb sc are not
 
+  Scenario: Instances that learn in another order decide the same
+    Given crashes of different upstreams, each some seconds after the last
+    When R ran at crashes 1 2 3 4 5, S at 1 2 3 4 5, T at 1 2 3 4 5
+    Then one is blamed, by any of 6 instances that learn in another order
+
   Scenario: Blame ends some minutes after the last such request
     Given crashes of different upstreams, each some seconds after the last
     When R ran at crashes 1 2 3
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -329,6 +329,25 @@
     assert other.list_blamed() == ["R"], other.list_blamed()
 
 
+@behave.then(
+    "one is blamed, by any of {count:d} instances that learn in another order"
+)
+def check_same(context, count):
+    news = context.story.evidence.answer("x", wire.ReadCrashes("y", 0))
+    blamed = context.story.list_blamed()
+    for seed in range(count):
+        other = Story()
+        other.time = context.story.time
+        crashes = [
+            one._replace(runs=random.Random(seed).sample(one.runs, 3))
+            for one in news.crashes
+        ]
+        random.Random(seed).shuffle(crashes)
+        other.evidence.merge(news._replace(crashes=crashes), False)
+        assert other.list_blamed() == blamed, (other.list_blamed(), blamed)
+    assert len(blamed) == 1, blamed
+
+
 @behave.when("R is refused once a minute for {minutes:d} minutes")
 def refuse_often(context, minutes):
     for _ in range(minutes):
