Refute a crash by registrations only, and learn of crashes sooner at the start

Cause, from the logs of entry-1 and entry-2: an answer to a request sent after a crash refuted it, but it came from a successor with the same name, before its registration was known; the crash was then counted anew, without the cause. The instance had started 3 s before and had not yet read the others' records, as it kept asking one that was stopped. Change: an answer refutes a crash only once a successor would have registered, and the old incarnation still does. An instance asks its partners in turn, with shorter waits.

--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -21,6 +21,7 @@
 # Until the last registration of a crashed upstream has expired everywhere.
 CONFIRMATION_HEARTBEATS = 4
 CONFIRMATION_SECONDS = 4.0
+SUCCESSOR_SECONDS = 0.5  # for a registration to reach every instance
 RENEWAL_SECONDS = 20.0  # between two notices of refusals for one cause
 MAX_NEWS = 96  # changes in one message: 5 kB
 # Many crashes take milliseconds to judge, and their runs come one by one.
@@ -99,13 +100,13 @@
         """Record that an upstream answered a request that was sent at a time.
 
         An upstream that answers what was sent after its crash did not crash:
-        its connections were reset.
+        its connections were reset. If it has started again under its name,
+        its new registration will tell; see `retract_surviving`.
         """
         if self._records:
-            name = format_incarnation(upstream)
-            record = self._records.get(name)
+            record = self._records.get(format_incarnation(upstream))
             if record is not None and sent_at > record.at:
-                self._refute(name, record, sent_at)
+                record.answered_at = record.answered_at or self._now()
 
     def retract_crash(self, name):
         """Remove a crash that did not happen.
@@ -129,7 +130,8 @@
         """Retract crashes of incarnations that still register.
 
         A registration from before the crash may still hold, so a crash is
-        checked only once that must have expired.
+        checked only once that must have expired; if there was an answer, once
+        a successor must have registered.
 
         Args:
             is_registered: function of a name and an incarnation.
@@ -138,11 +140,17 @@
         delay = CONFIRMATION_SECONDS + CONFIRMATION_HEARTBEATS * (
             heartbeat_seconds
         )
+        short_delay = SUCCESSOR_SECONDS + heartbeat_seconds
+        now = self._now()
         for name, record in self._records.items():
-            if not record.is_refuted() and self._now() - record.at > delay:
+            is_due = now - record.at > delay or (
+                record.answered_at and now - record.answered_at > short_delay
+            )
+            if is_due and not record.is_refuted():
                 upstream, _, incarnation = name.rpartition("/")
                 if is_registered(upstream, int(incarnation)):
-                    self.retract_crash(name)
+                    alive_at = max(record.at, record.answered_at)
+                    self._refute(name, record, alive_at)
 
     def record_success(self, traits):
         """Record that a request with these traits was answered completely."""
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
@@ -5,7 +5,7 @@
 records with those of another instance from time to time.
 """
 
-import random
+import itertools
 
 import trio
 
@@ -19,8 +19,8 @@
 COMPARISON_SECONDS = 3.0
 # While records differ that can't be made equal, such as after many crashes.
 MAX_COMPARISON_SECONDS = 30.0
-RETRY_SECONDS = 0.5
-REPLY_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.1
+REPLY_TIMEOUT_SECONDS = 0.4
 
 
 def choose_partners(name, instances):
@@ -45,13 +45,12 @@
         transport: a Transport.
     """
     wait = COMPARISON_SECONDS
-    while True:
+    for turn in itertools.count():
         partners = choose_partners(name, map_instances())
         is_useless = None
         if partners:
-            is_useless = await _compare(
-                name, evidence, random.choice(partners), transport
-            )
+            partner = partners[turn % len(partners)]
+            is_useless = await _compare(name, evidence, partner, transport)
         if is_useless is None:
             await trio.sleep(RETRY_SECONDS)
             continue
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_records.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_records.py
@@ -35,6 +35,9 @@
         alive_at: time in seconds at which the upstream certainly ran; it did
             not crash before.
         alive_change: number of the change of `alive_at`.
+        answered_at: time in seconds at which an answer came from its address
+            to a request sent after the crash; 0 for none. It may be that of
+            a successor with the same name.
         expires_at: time in seconds.
     """
 
@@ -43,6 +46,7 @@
         self.runs = {}
         self.alive_at = float("-inf")
         self.alive_change = 0
+        self.answered_at = 0.0
         self.expires_at = at + BLAME_SECONDS
 
     def is_refuted(self):
--- a/tests/features/crashes.feature
+++ b/tests/features/crashes.feature
@@ -144,6 +144,12 @@
     Then the older one got the exchange, and was sent the crash as well
     And an exchange of the older build that names a suspect can be read
 
+  Scenario: An answer of a successor with the same name refutes no crash
+    Given crashes of different upstreams, each some seconds after the last
+    When R ran at crashes 1 2 3
+    And each of these upstreams starts again under its name, and answers
+    Then R is blamed, and nothing else
+
   Scenario: Records of crashes are bounded
     When 600 crashes end 100 runs each, and one request runs at 30 of them
     Then at most 64 crashes of at most 32 runs are kept
--- a/tests/features/steps/crashes.py
+++ b/tests/features/steps/crashes.py
@@ -26,6 +26,8 @@
 RESTART_SECONDS = 0.05
 CRASH_INTERVAL_SECONDS = 4.0
 RUN_SECONDS = 0.1
+HEARTBEAT_SECONDS = 0.4
+REGISTERED_SECONDS = 1.5  # until an upstream that runs on has registered
 
 
 def parse_path(text):
@@ -58,6 +60,9 @@
             await trio.sleep(RESTART_SECONDS)
             router.register()
             context.others.append(await router.send())
+            router.evidence.retract_surviving(
+                router.catalog.has_registered, 0.0
+            )
             await trio.sleep(seconds / count - RESTART_SECONDS)
 
     withdrawals.add_action(context, send)
@@ -66,6 +71,11 @@
 @behave.when("{target:Path} is sent {count:d} times")
 def send_target(context, target, count):
     async def send(router):
+        if router.upstreams[0].is_reset_only:
+            await trio.sleep(REGISTERED_SECONDS)
+            router.evidence.retract_surviving(
+                router.catalog.has_registered, HEARTBEAT_SECONDS
+            )
         context.before = sum(len(one.requests) for one in router.upstreams)
         context.clients = [
             await router.send(target=target, body=b"") for _ in range(count)
@@ -175,6 +185,15 @@
             upstream = make_upstream(number)
             self.evidence.record_crash(upstream, (ord(name),), RUN_SECONDS)
 
+    def run_on(self, upstream):
+        """Let an upstream answer, and register as before."""
+        self.evidence.record_answer(upstream, self.time)
+        self.time += REGISTERED_SECONDS
+        self.evidence.retract_surviving(
+            lambda name, _incarnation: name == upstream.name,
+            HEARTBEAT_SECONDS,
+        )
+
     def list_blamed(self):
         """Return the names of the requests that are refused."""
         return [
@@ -221,7 +240,7 @@
     refuted = re.fullmatch(r"(\d) was refuted", event)
     if refuted:
         upstream = make_upstream(int(refuted[1]))
-        story.evidence.record_answer(upstream, story.time)
+        story.run_on(upstream)
     if event.startswith("an outage"):
         for number in range(9):
             story.crash(100 + number, "ST")
@@ -312,8 +331,9 @@
     for number in map(int, numbers.split()):
         story.crash(number, "S")
         story.time += 0.1
-        story.evidence.record_answer(make_upstream(number), story.time - 0.05)
+        story.run_on(make_upstream(number))
     context.before = story.evidence.answer("x", wire.ReadCrashes("y", 0))
+    context.before_at = story.time
 
 
 @behave.then("an instance that {learns} blames R, and nothing else")
@@ -321,7 +341,7 @@
     other = Story()
     other.time = context.story.time
     if learns.startswith("read of the resets"):
-        other.time -= 3 * CRASH_INTERVAL_SECONDS + 1.0
+        other.time = context.before_at
         other.evidence.merge(context.before, False)
         other.time = context.story.time
     news = context.story.evidence.answer("x", wire.ReadCrashes("y", 0))
@@ -348,6 +368,19 @@
     assert len(blamed) == 1, blamed
 
 
+@behave.when(
+    "each of these upstreams starts again under its name, and answers"
+)
+def answer_as_successor(context):
+    story = context.story
+    for number in (1, 2, 3):
+        story.evidence.record_answer(make_upstream(number), story.time)
+    story.time += REGISTERED_SECONDS
+    story.evidence.retract_surviving(
+        lambda _name, incarnation: incarnation > 1, HEARTBEAT_SECONDS
+    )
+
+
 @behave.when("R is refused once a minute for {minutes:d} minutes")
 def refuse_often(context, minutes):
     for _ in range(minutes):
