Plain wording for the records of crashes and their intervals

Cause: a newcomer could not tell what some constants limit, and a few comments were figurative. Change: comments and doc strings of four modules only.

--- a/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_evidence.py
@@ -1,9 +1,9 @@
-"""What instances tell each other about crashes, and whom they blame.
+"""Records of crashes that instances exchange, and what they refuse for them.
 
 Each instance records the runs that a crash of an upstream ended, and what
 was answered completely. Instances exchange these records, and each decides by
 `verdicts` which requests to refuse. Merging is commutative and idempotent, so
-that the records may arrive in any order, repeatedly and by any way.
+that the records may arrive in any order and repeatedly.
 """
 
 import collections
@@ -24,7 +24,8 @@
 SUCCESSOR_SECONDS = 0.5  # for a registration to reach every instance
 RENEWAL_SECONDS = 20.0  # between two notices of refusals for one cause
 MAX_NEWS = 96  # changes in one message: 5 kB
-# Many crashes take milliseconds to judge, and their runs come one by one.
+# With more crashes than FEW_CRASHES, verdicts take milliseconds to compute and
+# are updated at intervals, as each run of a crash arrives separately.
 FEW_CRASHES = 8
 JUDGE_INTERVAL_SECONDS = 0.1
 MAX_ANSWERED = 2048  # parts of prompts that were answered lately
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_exchange.py
@@ -15,11 +15,11 @@
 from camphorhook_daemon.domain import hashing
 
 PARTNERS = 3  # instances to compare with; bounds the connections of each
-# Few bytes, as the instances usually know the same.
-COMPARISON_SECONDS = 3.0
-# While records differ that can't be made equal, such as after many crashes.
+COMPARISON_SECONDS = 3.0  # between two comparisons
+# The longest interval while comparisons transfer records that are known
+# already; each doubles it. Full records of two instances may stay different.
 MAX_COMPARISON_SECONDS = 30.0
-RETRY_SECONDS = 0.1
+RETRY_SECONDS = 0.1  # after a partner did not answer
 REPLY_TIMEOUT_SECONDS = 0.4
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/crash_records.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/crash_records.py
@@ -132,7 +132,7 @@
         return record
 
     def _find_least_useful(self, newest, blamed):
-        """Return the crash that ends first, of those nobody is blamed for."""
+        """Return the crash to evict: the first to expire without a verdict."""
         others = [name for name in self._records if name != newest]
         return min(
             others,
--- a/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/verdicts.py
@@ -7,7 +7,7 @@
 
 * Crashes that come together count once. A crash counts for a trait only if a
   run with it was sent after the last crash that counts, so that an outage of
-  many upstreams at once blames nobody.
+  many upstreams at once leads to no verdict.
 * A crash that a verdict explains counts for nothing else, and while two
   unrelated traits were present at the same crashes neither is blamed, up to
   TIE_MARGIN further crashes.
