--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -7,10 +7,13 @@
 target]. Each of the two is a port of 127.0.0.1 or an `ADDRESS:PORT` of the
 loopback network. The control port reads one JSON object per line and answers
 each with a line:
-    {"links": ["a1>b1", ...], "fault": FAULT, "delay_ms": MS, "drop": SHARE}
-FAULT is one of
+    {"links": ["a1>b1", ...], "fault": FAULT, "delay_ms": MS, "drop": SHARE,
+     "sources": [ADDRESS, ...]}
+With `sources`, only connections from these addresses have the fault, beside
+the fault of all others. FAULT is one of
     none      forward everything;
-    cut       close open connections and every new one;
+    cut       reset open connections and every new one;
+    refuse    reset every new connection, open ones live on;
     silent    keep connections open, forward nothing in either direction;
     one_way   forward nothing to the target, but still its answers;
     delay     delay each chunk by MS, times a random factor of 0.5 to 1.5.
@@ -47,7 +50,8 @@
         self.fault = "none"
         self.delay_seconds = 0.0
         self.drop = 0.0
-        self._scopes = set()
+        self._source_faults = {}
+        self._scopes = {}
 
     def set_fault(self, fault, delay_seconds, drop):
         """Set the injected fault; `cut` also closes open connections."""
@@ -58,6 +62,19 @@
             for scope in list(self._scopes):
                 scope.cancel()
 
+    def set_source_fault(self, sources, fault):
+        """Set the fault of connections from some addresses."""
+        for source in sources:
+            self._source_faults[source] = fault
+        if fault == "cut":
+            for scope, source in list(self._scopes.items()):
+                if source in sources:
+                    scope.cancel()
+
+    def _find_fault(self, source):
+        fault = self._source_faults.get(source, "none")
+        return self.fault if fault == "none" else fault
+
     async def run(self):
         """Accept and forward connections until cancelled."""
         host, port = self._listen
@@ -66,7 +83,10 @@
         )
 
     async def _handle_connection(self, client):
-        if self.fault == "cut" or self._rng.random() < self.drop:
+        source = client.socket.getpeername()[0]
+        is_refused = self._find_fault(source) in ("cut", "refuse")
+        if is_refused or self._rng.random() < self.drop:
+            resets.set_reset_on_close(client)
             await trio.aclose_forcefully(client)
             return
         try:
@@ -75,11 +95,15 @@
             await trio.aclose_forcefully(client)
             return
         with trio.CancelScope() as scope:
-            self._scopes.add(scope)
+            self._scopes[scope] = source
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._relay, client, target, True, scope)
-                nursery.start_soon(self._relay, target, client, False, scope)
-        self._scopes.discard(scope)
+                nursery.start_soon(
+                    self._relay, client, target, True, scope, source
+                )
+                nursery.start_soon(
+                    self._relay, target, client, False, scope, source
+                )
+        self._scopes.pop(scope, None)
         if scope.cancelled_caught:
             # A close would look like the end of an answer without length.
             resets.set_reset_on_close(client)
@@ -87,16 +111,15 @@
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(target)
 
-    def _is_blocked(self, forwards):
-        if self.fault == "silent":
-            return True
-        return self.fault == "one_way" and forwards
+    def _is_blocked(self, forwards, address):
+        fault = self._find_fault(address)
+        return fault == "silent" or fault == "one_way" and forwards
 
-    async def _relay(self, source, sink, forwards, scope):
+    async def _relay(self, source, sink, forwards, scope, address):
         try:
             while True:
                 chunk = await source.receive_some(CHUNK_BYTES)
-                while self._is_blocked(forwards):
+                while self._is_blocked(forwards, address):
                     await trio.sleep(POLL_INTERVAL_SECONDS)
                 if not chunk:
                     await sink.send_eof()
@@ -117,6 +140,11 @@
             line, buffer = buffer.split(b"\n", 1)
             command = json.loads(line)
             for name in command["links"]:
+                if "sources" in command:
+                    links[name].set_source_fault(
+                        command["sources"], command["fault"]
+                    )
+                    continue
                 links[name].set_fault(
                     command["fault"],
                     command.get("delay_ms", 0) / 1000,
