--- a/packages/client/src/camphorhook/explanation.py
+++ b/packages/client/src/camphorhook/explanation.py
@@ -171,10 +171,11 @@
 
 def _find_cause(lines, related_lines):
     """Return one or two sentences on why the request ended as it did."""
-    last = lines[-1]
-    for prefix, explainer in _EXPLAINERS:
-        if last.message.startswith(prefix):
-            return explainer(last, lines, related_lines)
+    # What is known of a crash may be logged after the end of the request.
+    for last in reversed(lines):
+        for prefix, explainer in _EXPLAINERS:
+            if last.message.startswith(prefix):
+                return explainer(last, lines, related_lines)
     return "No line in these files shows how the request ended."
 
 
--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -488,6 +488,33 @@
     version: str
 
 
+class ReadContacts(typing.NamedTuple):
+    """Asks an instance when it last heard from upstreams.
+
+    Attributes:
+        sender: name of the instance that asks.
+        upstreams: names of the upstreams.
+    """
+
+    sender: str
+    upstreams: list[str]
+
+
+class ContactsReply(typing.NamedTuple):
+    """Answers ReadContacts.
+
+    Attributes:
+        is_cut_off: the sender's links to all upstreams fail.
+        active: number of requests in flight at the sender.
+        ages_ms: milliseconds since it heard from each upstream asked about;
+            those that it never heard from are left out.
+    """
+
+    is_cut_off: bool
+    active: int
+    ages_ms: dict[str, int]
+
+
 class WatchUpstreams(typing.NamedTuple):
     """Asks a replica for the registrations that changed.
 
@@ -910,6 +937,8 @@
     "so": StoreOrigin,
     "fo": FindOrigin,
     "or": OriginReply,
+    "rk": ReadContacts,
+    "ck": ContactsReply,
     "ar": AcquireRatePermit,
     "pr": RatePermitReply,
     "rp": ReadPlacements,
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -79,6 +79,7 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.expires_at = float("inf")
+        self.is_first_use = True
 
 
 class ConnectionPool:
@@ -86,12 +87,14 @@
 
     Attributes:
         opened: number of connections opened so far.
+        heard_at: time in seconds by upstream at which bytes last arrived.
     """
 
     def __init__(self):
         self._idle = {}
         self._open = {}
         self.opened = 0
+        self.heard_at = {}
 
     def count_open(self, upstream):
         """Return the number of connections to an upstream, with idle ones."""
@@ -102,6 +105,16 @@
         for pooled in self._idle.pop(upstream, []):
             self._close(pooled)
 
+    def close_idle(self):
+        """Close all idle connections."""
+        for upstream in list(self._idle):
+            self.close_idle_to(upstream)
+
+    def retain(self, upstreams):
+        """Forget when all other upstreams were heard."""
+        for name in [one for one in self.heard_at if one not in upstreams]:
+            del self.heard_at[name]
+
     def close_expired(self):
         """Close idle connections that have expired or are not reusable."""
         now = trio.current_time()
@@ -154,6 +167,7 @@
                     step="connect",
                     peer=target.name,
                     sent=False,
+                    is_first_use=True,
                 ) from error
             raise
         self.opened += 1
@@ -180,14 +194,17 @@
             ports.SendWithheld: the call's `find_obstacle` named a reason
                 not to send it.
         """
-        pooled = await self._acquire(target)
+        if call.uses_new_connection:
+            pooled = await self._connect(target)
+        else:
+            pooled = await self._acquire(target)
         obstacle = call.find_obstacle()
         if obstacle:
             self._close(pooled)
             raise ports.SendWithheld(
                 obstacle, step="send request", peer=target.name
             )
-        answer = AnswerReader(pooled, target)
+        answer = AnswerReader(pooled, target, self.heard_at)
         can_reuse = False
         try:
             await answer.start(call)
@@ -218,6 +235,7 @@
         seconds -= KEEPALIVE_MARGIN_SECONDS
         if seconds <= 0:
             return False
+        pooled.is_first_use = False
         pooled.expires_at = trio.current_time() + seconds
         pooled.http.start_next_cycle()
         return True
@@ -229,9 +247,12 @@
     Attributes:
         head: the Head; None until it was read.
         upstream: name of the upstream.
+        is_first_use: whether no answer came on the connection before.
     """
 
-    def __init__(self, pooled, target):
+    def __init__(self, pooled, target, heard_at):
+        self._heard_at = heard_at
+        self.is_first_use = pooled.is_first_use
         self.upstream = target.name
         self._pooled = pooled
         self._target = target
@@ -247,6 +268,7 @@
             peer=self._target.name,
             sent=sent,
             connection_broken=connection_broken,
+            is_first_use=self.is_first_use,
         )
         failure.__cause__ = error
         return failure
@@ -387,6 +409,8 @@
                 data = await self._pooled.connection.receive()
             except trio.BrokenResourceError as error:
                 raise self._make_error("the connection was reset", error)
+            if data:
+                self._heard_at[self.upstream] = trio.current_time()
             self._pooled.http.receive_data(data)
 
     async def read_chunk(self):
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -0,0 +1,165 @@
+"""Requests that one instance hands over to another, over HTTP.
+
+They have the headers to pass on to the upstream, and those below. The port
+is not open to clients.
+"""
+
+from camphorhook_common import numerals
+from camphorhook_daemon.adapters import header_codec
+from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import gateways
+from camphorhook_daemon.domain.routing import intake
+
+PREFIX = "camphorhook-"
+REQUEST = PREFIX + "request"
+KEY = PREFIX + "key"
+DEADLINE_MS = PREFIX + "deadline-ms"
+PARTS = PREFIX + "parts"  # ID:TOKENS entries, separated by commas
+AFTER = PREFIX + "after"  # id of the last event that the client has
+SENDS = PREFIX + "sends"
+RUNS = PREFIX + "runs"
+SERVICE = PREFIX + "service"
+EXCLUDED = PREFIX + "excluded"
+# Of a request: the version that began its stream. Of an answer: the version
+# of the upstream that sent it.
+VERSION = PREFIX + "version"
+# The answer is the instance's own, and no upstream's.
+REFUSAL = PREFIX + "refusal"
+_CUT_OFF = "cut off"  # the instance reaches no upstream and sent nothing
+_OTHER = "other"
+RETRY_AFTER = "retry-after"
+MAX_WAIT_SECONDS = 3600.0  # a longer one is taken for an error
+SECONDS_PER_MS = 0.001
+
+
+def make_headers(request, left, resume_after, handover):
+    """Return the headers of a request that is handed over.
+
+    Args:
+        request: the attempts.Request.
+        left: seconds until the client gives up.
+        resume_after: id of the last event passed on to the client, or empty.
+        handover: the attempts.Handover.
+    """
+    parts = ",".join(f"{part}:{tokens}" for part, tokens in request.parts)
+    headers = [
+        *request.headers,
+        (REQUEST, request.request),
+        (KEY, request.key),
+        (DEADLINE_MS, str(max(1, int(left / SECONDS_PER_MS)))),
+        (PARTS, parts),
+        (AFTER, resume_after),
+        (SENDS, str(handover.sends)),
+        (RUNS, str(handover.runs)),
+        (SERVICE, handover.service),
+        (EXCLUDED, ",".join(handover.excluded)),
+    ]
+    if handover.version is not None:
+        headers.append((VERSION, handover.version))
+    return headers
+
+
+def read_outcome(head):
+    """Return the gateways.Outcome of a connection_pool.Head."""
+    refusal = head.get(REFUSAL)
+    wait = numerals.parse_number(head.get(RETRY_AFTER, "0"), MAX_WAIT_SECONDS)
+    return gateways.Outcome(
+        bool(refusal), refusal == _CUT_OFF, head.get(VERSION), wait or 0.0
+    )
+
+
+def pick_response_headers(head):
+    """Return the headers of an answer to pass on to the client."""
+    dropped = header_codec.list_hop_by_hop(head.headers)
+    return _drop_own(pair for pair in head.headers if pair[0] not in dropped)
+
+
+def _drop_own(headers):
+    return [pair for pair in headers if not pair[0].startswith(PREFIX)]
+
+
+def read_arrival(exchange):
+    """Return the intake.Arrival of a listeners.Exchange."""
+    get = exchange.get_header
+    dropped = header_codec.list_hop_by_hop(exchange.headers)
+    deadline_ms = numerals.parse_unsigned(get(DEADLINE_MS)) or 1
+    return intake.Arrival(
+        get(REQUEST),
+        exchange.method,
+        exchange.target,
+        get("host"),
+        _drop_own(pair for pair in exchange.headers if pair[0] not in dropped),
+        exchange.body,
+        get(KEY),
+        deadline_ms * SECONDS_PER_MS,
+        read_parts(get(PARTS)),
+        get(AFTER),
+        "",
+        exchange.received_at,
+    )
+
+
+def read_parts(text):
+    """Return (id, tokens) pairs of ID:TOKENS entries, malformed ones left out.
+
+    Args:
+        text: the entries, separated by commas.
+    """
+    parts = []
+    for entry in text.split(","):
+        part, _, text = entry.strip().partition(":")
+        tokens = numerals.parse_unsigned(text)
+        if part and tokens is not None:
+            parts.append((part, tokens))
+    return tuple(parts)
+
+
+def make_progress(exchange):
+    """Return the attempts.Progress of a request that is handed over."""
+    get = exchange.get_header
+    handover = attempts.Handover(
+        numerals.parse_unsigned(get(SENDS)) or 0,
+        numerals.parse_unsigned(get(RUNS)) or 0,
+        get(SERVICE),
+        get(VERSION, None),
+        tuple(name for name in get(EXCLUDED).split(",") if name),
+    )
+    return attempts.Progress(get(AFTER), handover)
+
+
+def list_refusal_headers(arrival, failure):
+    """Return the headers of the instance's own answer.
+
+    Args:
+        arrival: the intake.Arrival.
+        failure: the attempts.Failure.
+    """
+    return [(REFUSAL, _CUT_OFF if failure.is_cut_off else _OTHER)]
+
+
+def make_reply(exchange, progress):
+    """Return a reply that says which version wrote the answer."""
+    return _Reply(exchange, progress)
+
+
+class _Reply:
+    """Sends the answer of an upstream, and its software version."""
+
+    def __init__(self, exchange, progress):
+        self._exchange = exchange
+        self._progress = progress
+        self.send_chunk = exchange.send_chunk
+        self.finish = exchange.finish
+
+    def _add_version(self, headers):
+        return [*headers, (VERSION, self._progress.upstream.version)]
+
+    async def start(self, status, headers, length=None):
+        """Send the answer's head."""
+        headers = self._add_version(headers)
+        await self._exchange.start(status, headers, length)
+
+    async def send_answer(self, status, headers, body):
+        """Send a complete answer."""
+        headers = self._add_version(headers)
+        await self._exchange.send_answer(status, headers, body)
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -103,6 +103,12 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self._components.rate_permits.grant(message)
 
+    @handle.register
+    async def _(self, message: wire.ReadContacts):
+        return self._components.gateways.answer(
+            message, self._components.pool.heard_at
+        )
+
     @handle.register
     async def _(self, message: wire.StoreOrigin):
         return self._components.origins.store(message)
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
@@ -0,0 +1,75 @@
+"""The HTTP application that forwards requests, of clients or of instances."""
+
+from camphorhook_common import logs
+from camphorhook_daemon.domain.routing import answer_relay
+from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import intake
+
+
+class RequestApp:
+    """Authorizes requests and forwards them to upstreams."""
+
+    def __init__(self, protocol, forwarder, rules, counts):
+        """Create the application.
+
+        Args:
+            protocol: reads and writes headers: `read_arrival`,
+                `make_progress`, `make_reply`, `list_refusal_headers`.
+            forwarder: the forwarding.Forwarder.
+            rules: the rules.Rules in force.
+            counts: the metrics.Metrics of the instance.
+        """
+        self._protocol = protocol
+        self._counts = counts
+        self._forwarder = forwarder
+        self._rules = rules
+
+    async def handle(self, exchange):
+        """Answer one request.
+
+        Args:
+            exchange: the listeners.Exchange.
+        """
+        arrival = self._protocol.read_arrival(exchange)
+        request = intake.authorize(arrival, self._rules)
+        if isinstance(request, attempts.Failure):
+            await self._refuse(exchange, arrival, request)
+            return
+        progress = self._protocol.make_progress(exchange)
+        reply = self._protocol.make_reply(exchange, progress)
+        try:
+            failure = await self._forwarder.forward(request, reply, progress)
+        except answer_relay.StreamBroken as error:
+            # The connection is closed in the middle of the answer, so that
+            # the client can't take it for a complete one.
+            logs.log(
+                "warning",
+                f"stream broken off: {error}",
+                request=request.request,
+                step="relay stream",
+            )
+            return
+        if failure is not None:
+            await self._refuse(exchange, arrival, failure)
+
+    async def _refuse(self, exchange, arrival, failure):
+        self._counts.add("requests_refused_total", status=failure.status)
+        logs.log(
+            "info",
+            f"answered {failure.status}: {failure.reason}",
+            request=arrival.request,
+            step="refuse",
+            inputs={
+                "version": self._rules.get_version(),
+                "age_ms": self._rules.measure_age_ms(),
+            },
+        )
+        headers = [
+            ("content-type", "text/plain"),
+            *self._protocol.list_refusal_headers(arrival, failure),
+        ]
+        if failure.retry_after:
+            headers.append(("retry-after", f"{failure.retry_after:.2f}"))
+        await exchange.send_answer(
+            failure.status, headers, failure.reason.encode() + b"\n"
+        )
--- a/packages/daemon/src/camphorhook_daemon/domain/hashing.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/hashing.py
@@ -6,6 +6,7 @@
 keys move.
 """
 
+import collections
 import math
 
 import xxhash
@@ -44,3 +45,24 @@
     ]
     scored.sort(reverse=True)
     return [name for _, name in scored]
+
+
+def choose_spread(key, instances, count):
+    """Return the names of some instances in different failure domains.
+
+    As far as possible, no failure domain has two before each has one; within
+    that, they are in rendezvous order: when instances come or go, few keys
+    get others.
+
+    Args:
+        key: text that identifies what is placed.
+        instances: failure domain by name.
+        count: how many to return.
+    """
+    places = collections.Counter()
+    order = []
+    for position, name in enumerate(rank(key, dict.fromkeys(instances, 1.0))):
+        domain = instances[name]
+        order.append((places[domain], position, name))
+        places[domain] += 1
+    return [name for _, _, name in sorted(order)[:count]]
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -83,11 +83,31 @@
             will not run; 502 and 504 guarantee nothing.
         reason: one sentence, which is sent to the client.
         retry_after: seconds to wait before a retry; 0 for no advice.
+        is_cut_off: this instance reaches no upstream and sent nothing.
     """
 
     status: int
     reason: str
     retry_after: float = 0.0
+    is_cut_off: bool = False
+
+
+class Handover(typing.NamedTuple):
+    """State of a request that one instance hands over to another.
+
+    Attributes:
+        sends: attempts so far that may have reached an upstream.
+        runs: attempts so far that an upstream may have run.
+        service: service that must serve it.
+        version: software version that began its stream; None if none did.
+        excluded: names of upstreams that must not be tried.
+    """
+
+    sends: int
+    runs: int
+    service: str
+    version: str | None
+    excluded: tuple[str, ...]
 
 
 class Progress:
@@ -105,9 +125,14 @@
         fallback_answer: (status, headers, body) to send if retries fail.
         permit: the rate_permits.Permit of the last attempt, or None.
         version: software version that began the stream; None before that.
+        upstream: wire.Registration of the upstream of the last attempt.
+        handed_over_to: service that must serve the request, if another
+            instance handed it over; then this one may not do so again.
+        unreached: attempts for which no connection could be opened.
+        failed_gateways: names of instances that can't pass the request on.
     """
 
-    def __init__(self, resume_after):
+    def __init__(self, resume_after, handover=None):
         self.sent_at = 0.0
         self.has_started = False
         self.can_retry = True
@@ -119,6 +144,26 @@
         self.fallback_answer = None
         self.permit = None
         self.version = None
+        self.upstream = None
+        self.handed_over_to = ""
+        self.unreached = 0
+        self.failed_gateways = set()
+        if handover is not None:
+            self.sends = handover.sends
+            self.runs = handover.runs
+            self.version = handover.version
+            self.handed_over_to = handover.service
+            self.excluded.update(handover.excluded)
+
+    def make_handover(self, service):
+        """Return the Handover to another instance."""
+        return Handover(
+            self.sends,
+            self.runs,
+            service,
+            self.version,
+            tuple(self.excluded),
+        )
 
 
 class PendingPrefill:
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/crash_guard.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/crash_guard.py
@@ -1,5 +1,6 @@
 """Refuses requests that crash upstreams, and records what upstreams did."""
 
+from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import request_traits
 from camphorhook_daemon.domain.routing import answer_relay
 
@@ -67,6 +68,12 @@
                 },
             )
 
+    def retract_crash(self, upstream):
+        """Record that an upstream did not crash, but the link to it failed."""
+        self._evidence.retract_crash(
+            crash_evidence.format_incarnation(upstream)
+        )
+
     def record_answer(self, upstream, sent_at):
         """Record that an upstream answered what was sent at a time."""
         self._evidence.record_answer(upstream, sent_at)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -17,6 +17,7 @@
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import crash_guard
+from camphorhook_daemon.domain.routing import gateway_attempts
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_origins
@@ -40,7 +41,16 @@
     """
 
     def __init__(
-        self, selector, origins, evidence, pool, protocol, rules, counts, now
+        self,
+        selector,
+        origins,
+        evidence,
+        pool,
+        protocol,
+        rules,
+        counts,
+        elsewhere,
+        now,
     ):
         """Create a forwarder.
 
@@ -56,9 +66,13 @@
             rules: the configuration in force: `get_table`, `is_current`,
                 `make_retry_budget`.
             counts: metrics: `add` and `observe`.
+            elsewhere: the gateway_attempts.GatewayAttempts.
             now: function that returns the time in seconds.
         """
         self._selector = selector
+        self._elsewhere = elsewhere
+        self._links = elsewhere.links
+        self._links.on_heal = selector.forgive
         self._origins = origins
         self._crash_guard = crash_guard.CrashGuard(evidence, now)
         self._loads = selector.loads
@@ -78,13 +92,14 @@
             budget = self._budgets[service] = self._rules.make_retry_budget()
         return budget
 
-    async def forward(self, request, reply):
+    async def forward(self, request, reply, progress=None):
         """Forward a request and relay the answer to the client.
 
         Args:
             request: the Request.
             reply: sends the answer to the client: `start`, `send_chunk`,
                 `finish`, `send_answer`.
+            progress: the attempts.Progress; None for a new request.
 
         Returns:
             A Failure if nothing was sent to the client, else None.
@@ -93,11 +108,22 @@
             answer_relay.StreamBroken: an answer was started and cannot be
                 completed; the client's connection must be closed.
         """
+        progress = progress or attempts.Progress(request.resume_after)
+        services = [one.service for one in request.route.shares]
         service = tables.choose_service(request.route, random.random())
+        if progress.handed_over_to in services:
+            service = progress.handed_over_to
+        elif progress.version is not None:
+            return attempts.Failure(503, ORIGIN_REASON)
         budget = self._get_budget(service)
-        budget.record_request(self._now())
-        progress = attempts.Progress(request.resume_after)
-        if request.route.is_stream and request.resume_after:
+        if not progress.handed_over_to:
+            # Otherwise the instance that got it from the client counts it.
+            budget.record_request(self._now())
+        if (
+            request.route.is_stream
+            and request.resume_after
+            and progress.version is None
+        ):
             origin = await self._find_origin(request)
             if origin is None:
                 return attempts.Failure(503, ORIGIN_REASON)
@@ -175,13 +201,23 @@
         wait = self._crash_guard.refuse(request)
         if wait:
             return attempts.Failure(503, crash_guard.REASON, wait)
+        if progress.sends >= MAX_SENDS:
+            return attempts.Failure(
+                503, "every upstream rejects", BUSY_RETRY_SECONDS
+            )
+        if progress.sends and progress.runs >= max(1, request.route.attempts):
+            return attempts.Failure(502, "the attempts are used up")
+        if self._elsewhere.is_needed(request, progress):
+            result = await self._elsewhere.attempt(
+                request,
+                service,
+                progress,
+                reply,
+                lambda: self._find_refusal(request),
+            )
+            if result is not None:
+                return result
         if progress.sends:
-            if progress.sends >= MAX_SENDS:
-                return attempts.Failure(
-                    503, "every upstream rejects", BUSY_RETRY_SECONDS
-                )
-            if progress.runs >= max(1, request.route.attempts):
-                return attempts.Failure(502, "the attempts are used up")
             if not budget.spend(now, self._selector.count_instances()):
                 answer_relay.log_step(
                     request,
@@ -219,6 +255,7 @@
             },
         )
         progress.sends += 1
+        progress.upstream = target
         pending_prefill = attempts.PendingPrefill(
             self._loads, target.name, request, choice
         )
@@ -231,12 +268,7 @@
         except ports.SendWithheld as error:
             return self._handle_withheld(request, progress, error)
         except ports.AttemptError as error:
-            if error.sent and error.connection_broken:
-                self._crash_guard.record_crash(
-                    request, target, progress.sent_at
-                )
-            health = self._selector.health[target.name]
-            return self._handle_failure(request, progress, health, error)
+            return self._handle_failure(request, target, progress, error)
         finally:
             pending_prefill.release()
             self._loads.end(target.name)
@@ -276,12 +308,21 @@
             return False
         return self._rules.get_table().find_account(request.key) is not None
 
-    def _find_obstacle(self, request, upstream, permit):
-        """Return why a request may not be sent to an upstream now, or ""."""
+    def _find_refusal(self, request):
+        """Return why a request may not be sent to any upstream, or ""."""
         if not self._is_allowed(request):
             return UNCONFIRMED_REASON
         if self._crash_guard.is_refused(request):
             return crash_guard.REASON
+        return ""
+
+    def _find_obstacle(self, request, upstream, permit):
+        """Return why a request may not be sent to an upstream now, or ""."""
+        refusal = self._find_refusal(request)
+        if refusal:
+            return refusal
+        if self._links.is_cut_off:
+            return gateway_attempts.CUT_OFF_REASON
         return self._selector.find_obstacle(upstream, permit, self._now())
 
     def _handle_withheld(self, request, progress, error):
@@ -297,16 +338,33 @@
             return attempts.Failure(
                 503, UNCONFIRMED_REASON, UNCONFIRMED_RETRY_SECONDS
             )
-        progress.excluded.add(error.peer)
+        if not self._links.is_cut_off:
+            progress.excluded.add(error.peer)
         return attempts.AttemptResult.RETRY
 
-    def _handle_failure(self, request, progress, health, error):
+    def _record_failure(self, request, target, progress, error):
+        """Record an attempt that failed, unless the own links are at fault."""
+        if error.connection_broken or not error.sent:
+            self._links.record_failure(target.name, error.is_first_use)
+        if self._links.is_cut_off:
+            return
+        if error.sent and error.connection_broken:
+            # Told at once, as such a request may be on its way elsewhere.
+            self._crash_guard.record_crash(request, target, progress.sent_at)
+        self._links.report(
+            lambda: self._outcomes.record(target.name, False),
+            lambda: self._crash_guard.retract_crash(target),
+        )
+        if error.connection_broken or not error.sent:
+            self._selector.health[target.name].record_connection_error(
+                self._now(), is_down=not error.sent
+            )
+        progress.excluded.add(target.name)
+
+    def _handle_failure(self, request, target, progress, error):
         """Record a failed attempt; return RETRY or an attempts.Failure."""
-        self._outcomes.record(error.peer, False)
         self._counts.add("attempts_total", outcome=error.step)
-        if error.connection_broken or not error.sent:
-            health.record_connection_error(self._now(), is_down=not error.sent)
-        progress.excluded.add(error.peer)
+        self._record_failure(request, target, progress, error)
         self._pool.close_idle_to(error.peer)
         answer_relay.log_step(
             request,
@@ -316,6 +374,7 @@
         )
         if not error.sent:
             progress.sends -= 1
+            progress.unreached += 1
             if len(progress.excluded) >= MAX_SENDS:
                 return attempts.Failure(503, "no upstream can be reached", 0.5)
             return attempts.AttemptResult.RETRY
@@ -329,10 +388,30 @@
     ):
         """Send a request to the chosen upstream and relay its answer."""
         target = choice.upstream
-        call = self._make_call(request, choice, progress)
+        with self._links.watch(
+            target.name,
+            lambda: request.route.is_idempotent and progress.can_retry,
+        ) as wait:
+            return await self._send(
+                request, choice, progress, reply, pending_prefill, wait
+            )
+        raise ports.AttemptError(
+            "the links to upstreams failed",
+            step="wait for answer",
+            peer=target.name,
+            sent=wait.is_sent,
+        )
+
+    async def _send(
+        self, request, choice, progress, reply, pending_prefill, wait
+    ):
+        """Send a request, which `wait` observes, and relay its answer."""
+        target = choice.upstream
+        call = self._make_call(request, choice, progress, wait)
         health = self._selector.health[target.name]
         progress.sent_at = self._now()
         async with self._pool.open(target, call) as answer:
+            self._links.record_answer(wait, answer.is_first_use)
             self._crash_guard.record_answer(target, progress.sent_at)
             pending_prefill.release()
             self._selector.mark_prefilled(request, target.name)
@@ -449,7 +528,14 @@
         progress.excluded.add(target.name)
         return attempts.AttemptResult.RETRY
 
-    def _make_call(self, request, choice, progress):
+    def _make_call(self, request, choice, progress, wait):
+        def find_obstacle():
+            obstacle = self._find_obstacle(
+                request, choice.upstream, progress.permit
+            )
+            wait.is_sent = not obstacle
+            return obstacle
+
         now = self._now()
         left = request.deadline - now
         timeout = left
@@ -473,7 +559,5 @@
             request.body,
             min(left, timeout),
             request_id=request.request,
-            find_obstacle=lambda: self._find_obstacle(
-                request, choice.upstream, progress.permit
-            ),
+            find_obstacle=find_obstacle,
         )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -80,6 +80,11 @@
         self._failure_domain = instance[1]
         self.health = collections.defaultdict(choices.UpstreamHealth)
 
+    def forgive(self):
+        """Avoid no upstream any more for earlier errors of connections."""
+        for health in self.health.values():
+            health.record_success()
+
     def count_instances(self):
         """Return the number of instances that share the upstreams."""
         return self._catalog.count_instances()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
@@ -45,28 +45,6 @@
     expires_at: float
 
 
-def choose_keepers(key, instances, count=KEEPERS):
-    """Return the names of instances that keep an origin.
-
-    They are in different failure domains as far as possible, in rendezvous
-    order: when instances come or go, few keys get other keepers.
-
-    Args:
-        key: text that identifies what is kept.
-        instances: failure domain by name of the instances alive.
-        count: how many to return.
-    """
-    places = collections.Counter()
-    order = []
-    for position, name in enumerate(
-        hashing.rank(key, dict.fromkeys(instances, 1.0))
-    ):
-        domain = instances[name]
-        order.append((places[domain], position, name))
-        places[domain] += 1
-    return [name for _, _, name in sorted(order)[:count]]
-
-
 def make_key(account, request):
     """Return the number by which a stream's origin is kept.
 
@@ -109,9 +87,9 @@
         instances = self._map_instances()
         if instances != self._instances:
             self._instances = dict(instances)
-            names = choose_keepers("", instances, MAX_POOL_SIZE)
+            names = hashing.choose_spread("", instances, MAX_POOL_SIZE)
             self._pool = {name: instances[name] for name in names}
-        chosen = choose_keepers(f"{key:x}", self._pool, count)
+        chosen = hashing.choose_spread(f"{key:x}", self._pool, count)
         return [name for name in chosen if name != self._name]
 
     def count(self):
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -31,6 +31,8 @@
 SECONDS_PER_MS = 0.001
 # Despite its name, it lists an engine's cached parts, not keys and values.
 HELD_PARTS_PATH = "/-/kv-list"
+# Unlike a health check, it waits for no place at a busy engine.
+REPORT_PATH = "/-/report"
 
 # Headers that only this system sets; those of clients are dropped.
 _RESERVED_HEADERS = frozenset(
@@ -57,21 +59,6 @@
     return [pair for pair in headers if pair[0] not in dropped]
 
 
-def read_parts(text):
-    """Return a prompt's parts as (id, tokens) pairs, malformed ones left out.
-
-    Args:
-        text: ID:TOKENS entries, separated by commas.
-    """
-    parts = []
-    for entry in text.split(","):
-        part, _, text = entry.strip().partition(":")
-        tokens = numerals.parse_unsigned(text)
-        if part and tokens is not None:
-            parts.append((part, tokens))
-    return tuple(parts)
-
-
 def read_seconds(text):
     """Return seconds for a header in milliseconds; None if not above 0."""
     try:
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -134,6 +134,10 @@
         """Return the address at which an instance publishes its notices."""
         return settings_module.Endpoint(name, self.peers_listener.port + 1)
 
+    def locate_gateway(self, name):
+        """Return the address at which an instance takes others' requests."""
+        return settings_module.Endpoint(name, self.peers_listener.port + 2)
+
     def locate(self, name):
         """Return the address at which an instance listens for others."""
         return settings_module.Endpoint(name, self.peers_listener.port)
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -12,12 +12,14 @@
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import exposition
+from camphorhook_daemon.adapters import handover
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.adapters import message_handler
 from camphorhook_daemon.adapters import metrics
 from camphorhook_daemon.adapters import notices
 from camphorhook_daemon.adapters import peers
+from camphorhook_daemon.adapters import request_app
 from camphorhook_daemon.domain import comparison
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import crash_evidence
@@ -28,6 +30,9 @@
 from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import gateway_attempts
+from camphorhook_daemon.domain.routing import gateways
+from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import publishing
@@ -54,6 +59,8 @@
 # Two readiness checks, one second apart, must fail before the drain begins.
 SHUTDOWN_DELAY_SECONDS = 2.6
 HELD_PARTS_TIMEOUT_SECONDS = 1.0  # for one engine
+MAX_HANDOVER_BYTES = 4096  # of the headers of a request handed over
+MAX_PROBE_BYTES = 64 * 1024  # of an answer to a probe
 MAX_HELD_PARTS_BYTES = 4 * 1024 * 1024  # tens of thousands of parts
 
 
@@ -235,6 +242,22 @@
             self.rules,
             (settings.name, settings.failure_domain),
         )
+        self.gateways = gateways.Gateways(
+            settings.name,
+            self.catalog.map_instances,
+            settings.locate_gateway,
+            self.transport,
+            self.count_active,
+            trio.current_time,
+        )
+        self.links = self.gateways.links = links.Links(
+            self.pool,
+            self.list_probed,
+            self.probe,
+            self.gateways.ask,
+            trio.current_time,
+        )
+        self.gateway_pool = connection_pool.ConnectionPool()
         self.forwarder = forwarding.Forwarder(
             self.selector,
             self.origins,
@@ -243,9 +266,26 @@
             protocol,
             self.rules,
             self.counts,
+            gateway_attempts.GatewayAttempts(
+                self.gateways,
+                self.gateway_pool,
+                handover,
+                self.counts,
+                trio.current_time,
+            ),
             trio.current_time,
         )
-        app = entry.EntryApp(self.forwarder, self.rules, self.counts)
+        app, gateway_app = (
+            request_app.RequestApp(
+                protocol_module, self.forwarder, self.rules, self.counts
+            )
+            for protocol_module in (entry, handover)
+        )
+        self._listen(
+            settings.locate_gateway(settings.name),
+            gateway_app.handle,
+            self._read_gateway_limits,
+        )
         watch = self.counts.register_gauge
         watch("document_version", self.rules.get_version)
         watch("document_age_ms", self.rules.measure_age_ms)
@@ -253,6 +293,7 @@
         watch("upstreams_known", lambda: len(self.catalog.registrations))
         watch("connections_opened", lambda: self.pool.opened)
         watch("requests_active", self.count_active)
+        watch("links_cut_off", lambda: self.links.is_cut_off)
         self._listen(settings.callers, app.handle, self._read_limits)
         self._listen(
             settings.readiness,
@@ -273,6 +314,13 @@
             return listeners.Limits()
         return listeners.Limits(*table.limits)
 
+    def _read_gateway_limits(self):
+        """Return the limits of clients, with room for additional headers."""
+        limits = self._read_limits()
+        return limits._replace(
+            header_bytes=2 * limits.header_bytes + MAX_HANDOVER_BYTES
+        )
+
     def _is_ready(self):
         return not self.is_stopping and self.rules.is_current()
 
@@ -287,6 +335,39 @@
             for registration in self.catalog.list_service(service.name)
         ]
 
+    def list_probed(self):
+        """Return the wire.Registration of each upstream that is live."""
+        return [
+            one
+            for one in self.catalog.registrations.values()
+            if one.state == registry.LIVE
+            and not self.withdrawals.is_leaving(one)
+        ]
+
+    async def probe(self, upstream, seconds):
+        """Return whether an upstream answers on a new connection.
+
+        Args:
+            upstream: its wire.Registration.
+            seconds: longest time to wait.
+        """
+        table = self.rules.get_table()
+        service = table.services.get(upstream.service) if table else None
+        if service is None:
+            return False
+        path = service.health_path
+        if service.is_engine:
+            path = protocol.REPORT_PATH
+        call = ports.Call("GET", path, [], b"", seconds, True)
+        with trio.move_on_after(seconds):
+            try:
+                async with self.pool.open(upstream, call) as answer:
+                    await bodies.read_start(answer, MAX_PROBE_BYTES)
+                return True
+            except ports.AttemptError as error:
+                logs.log("info", error.format(), step="probe upstream")
+        return False
+
     async def fetch_held_parts(self, engine):
         """Return the prompt parts that an engine caches.
 
@@ -359,6 +440,7 @@
     def evict_limits(self):
         """Forget the limits and permits of upstreams that are gone."""
         self.limits.retain(self.catalog.registrations)
+        self.pool.retain(self.catalog.registrations)
         self.rate_permits.retain(self.catalog.registrations)
 
     def count_active(self):
@@ -444,6 +526,11 @@
             components.notices,
         )
         nursery.start_soon(components.origins.run)
+        nursery.start_soon(components.links.run)
+        nursery.start_soon(components.gateways.run)
+        nursery.start_soon(
+            _run_periodically, components.gateway_pool.close_expired
+        )
         nursery.start_soon(_learn_placements, components)
         nursery.start_soon(_run_periodically, components.pool.close_expired)
         nursery.start_soon(_run_periodically, components.evict_crashes)
--- a/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
@@ -12,12 +12,24 @@
         sent: whether any byte of the request may have been sent.
         connection_broken: whether the connection broke while the request
             ran, as it does when the upstream crashes.
+        is_first_use: whether no answer had come on the connection before, or
+            none could be opened.
     """
 
-    def __init__(self, message, *, step, peer, sent, connection_broken=False):
+    def __init__(
+        self,
+        message,
+        *,
+        step,
+        peer,
+        sent,
+        connection_broken=False,
+        is_first_use=False,
+    ):
         super().__init__(message, step=step, peer=peer)
         self.sent = sent
         self.connection_broken = connection_broken
+        self.is_first_use = is_first_use
 
 
 class SendWithheld(errors.CamphorhookError):
--- a/tests/features/emulator.feature
+++ b/tests/features/emulator.feature
@@ -56,3 +56,14 @@
     Examples: five crashes and three later ones are allowed
       | plan     | seed |
       | counter  | 1    |
+
+  Scenario Outline: Instances that reach no server serve their clients
+    When the plan "<plan>" with <instances> instances runs for <seconds> seconds while <cut> is cut off
+    Then first tries at the instances cut off are served at least 0.9 times as often as at the others
+    And no instance got more than <most> of the requests handed over
+
+    Examples: four times the share of one of the others
+      | plan    | instances | seconds | cut              | most |
+      | counter | 8         | 14      | a third          | 0.8  |
+      | counter | 8         | 14      | a failure domain | 0.8  |
+      | counter | 60        | 12      | a failure domain | 0.1  |
--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -15,3 +15,27 @@
       | 1         | cut    |
       | 2         | cut    |
       | 1         | refuse |
+
+  Scenario Outline: Whose fault it is that an upstream gives no answer
+    Given an instance that <own>
+    And other instances that <others>
+    Then it judges that <verdict> failed
+
+    Examples: seconds ago
+      | own                                                        | others                                | verdict   |
+      | waits since 0.9 for u1, u2 and u3                          | heard u1, u2 and u3 0.1 ago           | its links |
+      | waits since 0.3 for u1, u2 and u3                          | heard u1, u2 and u3 0.1 ago           | nothing   |
+      | waits since 0.9 for u1, u2 and u3                          | heard u1, u2 and u3 1.5 ago           | upstreams |
+      | waits since 0.9 for u1, u2 and u3                          | are cut off, and heard u1 0.1 ago     | upstreams |
+      | waits since 0.9 for u1, u2 and u3                          | do not answer                         | upstreams |
+      | waits since 1.0 for u1, and heard u2 0.1 ago               | heard u1 and u2 0.1 ago               | nothing   |
+      | waits since 0.9 for u1, u2 and u3                          | heard u3 0.1 ago                      | upstreams |
+      | waits since 0.9 for u1, u2 and u3                          | heard u2 and u3 0.1 ago               | its links |
+      | was just started, and could not connect to u1 0.1 ago      | heard u1 0.05 ago                     | its links |
+      | was just started, and could not connect to u1 0.1 ago      | heard u1 3 ago                        | upstreams |
+      | lost connections to u1, u2 and u3 0.2 ago                  | heard u1, u2 and u3 0.1 ago           | its links |
+      | lost a connection to u1 0.2 ago, and heard u2 0.1 ago      | heard u1 and u2 0.1 ago               | nothing   |
+      | hears u1 and u2, but they answer nothing sent since 1.5    | heard u1 and u2 0.1 ago               | its links |
+      | hears u1 and u2, but they answer nothing sent since 1.0    | heard u1 and u2 0.1 ago               | nothing   |
+      | hears u1 and u2, but they take no new connections          | heard u1 and u2 0.1 ago               | its links |
+      | hears u1 and u2, but u1 takes no new connections           | heard u1 and u2 0.1 ago               | nothing   |
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -515,6 +515,7 @@
         self._pause = pause
         self._stalls = stalls
         self.upstreams = []
+        self.heard_at = {}
 
     def close_idle_to(self, upstream):
         """Do nothing: there are no connections."""
@@ -533,6 +534,7 @@
 
     def __init__(self, upstream, last, pause, stalls):
         self.upstream = upstream
+        self.is_first_use = True
         self.head = connection_pool.Head(200, [])
         self._next = last + 1
         self._pause = pause
--- a/tests/features/steps/emulator.py
+++ b/tests/features/steps/emulator.py
@@ -213,3 +213,33 @@
 def check_request_crashes(context, low, high):
     result = context.results[0]
     assert low <= result.request_crashes <= high, result
+
+
+@behave.when(
+    'the plan "{name}" with {instances:d} instances runs for {seconds:d} '
+    "seconds while {cut} is cut off"
+)
+def run_plan_with_cut(context, name, instances, seconds, cut):
+    kind = {"a third": "cut", "a failure domain": "cut domain"}[cut]
+    fault = plans.Trouble(kind, 2.0, seconds - 2.0, share=0.33)
+    plan = msgspec.structs.replace(
+        read_plan(name, seconds), instances=instances, troubles=(fault,)
+    )
+    context.results = [trials.run(plan, 1)]
+
+
+@behave.then(
+    "first tries at the instances cut off are served at least {share:g} "
+    "times as often as at the others"
+)
+def check_first_tries(context, share):
+    (result,) = context.results
+    found = result.cut_served, result.others_served
+    print(found, result.most_by_one)
+    assert found[1] > 0.5 and found[0] >= share * found[1], found
+
+
+@behave.then("no instance got more than {most:g} of the requests handed over")
+def check_spread(context, most):
+    (result,) = context.results
+    assert 0 < result.most_by_one <= most, result.most_by_one
--- a/tests/features/steps/freshness.py
+++ b/tests/features/steps/freshness.py
@@ -5,6 +5,7 @@
 import behave
 import trio
 
+from camphorhook_daemon.adapters import request_app
 from camphorhook_daemon.domain.routing import rules as rules_module
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry
@@ -43,7 +44,7 @@
 class Forwarder:
     """Notes that a request was passed on."""
 
-    async def forward(self, request, exchange):
+    async def forward(self, request, exchange, progress):
         """Answer nothing."""
         exchange.status = "forwarded"
 
@@ -84,7 +85,7 @@
 @behave.when("{count:d} clients send requests")
 def send_requests(context, count):
     counts = types.SimpleNamespace(add=lambda *a, **k: None)
-    app = entry.EntryApp(Forwarder(), context.rules, counts)
+    app = request_app.RequestApp(entry, Forwarder(), context.rules, counts)
     context.exchanges = []
     for number in range(count):
         exchange = Exchange("/safe/a", "key-1", f"request-{number}")
@@ -110,7 +111,7 @@
 @behave.when("a client sends a request with {what}")
 def send_request(context, what):
     counts = types.SimpleNamespace(add=lambda *a, **k: None)
-    app = entry.EntryApp(Forwarder(), context.rules, counts)
+    app = request_app.RequestApp(entry, Forwarder(), context.rules, counts)
     context.exchange = Exchange(*REQUESTS[what])
     trio.run(app.handle, context.exchange)
 
--- a/tests/features/steps/malformed.py
+++ b/tests/features/steps/malformed.py
@@ -15,6 +15,7 @@
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import intake
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry
 from camphorhook_daemon.platform import protocol
@@ -233,7 +234,7 @@
 )
 def check_headers(context, count):
     table = documents.read(platforms.make_document(7))
-    app = entry.EntryApp(None, FixedRules(table), None)
+    rules = FixedRules(table)
     text = strategies.text(
         strategies.characters(min_codepoint=32, max_codepoint=255),
         max_size=20,
@@ -257,7 +258,7 @@
         request = read_request([*drawn.items(), *VALID_HEADERS.items()])
         if request is None:
             return
-        found = app._read_request(request)
+        found = intake.authorize(entry.read_arrival(request), rules)
         if isinstance(found, attempts.Failure):
             assert found.status in (401, 404, 503), found
             return
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -1,10 +1,13 @@
 """Step definitions for instances that lose their links to upstreams."""
 
+import collections
 import pathlib
+import re
 import time
 
 import behave
 
+from camphorhook_daemon.domain.routing import links
 from tests.harness import partitions
 
 CONTACT_SECONDS = 3.0  # after which a cut must not be noticed any more
@@ -71,3 +74,63 @@
     for _, _, request, _, _, answer in context.world.answers:
         if answer.status in REFUSALS:
             assert not runs[request], (request, answer.status)
+
+
+NOW = 100.0
+
+
+def find_upstreams(text):
+    """Return the names of the upstreams in a text."""
+    return re.findall(r"u\d", text)
+
+
+@behave.given("an instance that {own}")
+def observe(context, own):
+    views = collections.defaultdict(links.View)
+    numbers = [float(one) for one in re.findall(r"\d+\.\d+", own)]
+    before, _, after = own.partition(" and heard ")
+    for name in find_upstreams(before):
+        view = views[name]
+        if "waits" in own:
+            view = view._replace(waits=(NOW - numbers[0],), heard_at=90.0)
+        elif "connect to" in own or "lost" in own:
+            at = NOW - numbers[0]
+            heard_at = at - 0.01 if "lost" in own else view.heard_at
+            view = view._replace(failed_at=at, heard_at=heard_at)
+        elif "answer nothing" in own:
+            sent_at = NOW - numbers[0]
+            view = view._replace(
+                waits=(sent_at,), heard_at=NOW - 0.02, answered_at=90.0
+            )
+        else:
+            is_refused = f"{name} takes" in own or "they take" in own
+            view = view._replace(
+                heard_at=NOW - 0.02,
+                connected_at=90.0,
+                refused_at=NOW - 0.5 if is_refused else 80.0,
+            )
+        views[name] = view
+    for name in find_upstreams(after):
+        heard_at = NOW - numbers[-1]
+        views[name] = views[name]._replace(heard_at=heard_at)
+    context.views = views
+
+
+@behave.given("other instances that {others}")
+def report(context, others):
+    context.reports = []
+    if "do not answer" in others:
+        return
+    age = float(re.search(r"(\d+(\.\d+)?) ago", others).group(1))
+    heard_at = {name: NOW - age for name in find_upstreams(others)}
+    context.reports.append(links.Report("cut off" in others, heard_at))
+
+
+@behave.then("it judges that {verdict} failed")
+def check_verdict(context, verdict):
+    suspicion = links.find_suspicion(context.views, NOW)
+    found = "nothing"
+    if suspicion:
+        is_own = links.is_own_fault(suspicion, context.reports)
+        found = "its links" if is_own else "upstreams"
+    assert found == verdict, (found, suspicion)
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -13,6 +13,7 @@
 from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import connection_pool
+from camphorhook_daemon.adapters import handover
 from camphorhook_daemon.domain import configuration as configurations
 from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import events
@@ -302,7 +303,7 @@
     @hypothesis.example("nan")
     @hypothesis.given(header)
     def read_header(text):
-        protocol.read_parts(text)
+        handover.read_parts(text)
         protocol.read_seconds(text)
         head = connection_pool.Head(200, [("x-server-load", text)])
         protocol.read_head_info(head)
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -8,13 +8,18 @@
 from camphorhook_common import settings
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import connection_pool
+from camphorhook_daemon.adapters import handover
 from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.adapters import request_app
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import attempts
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import cache_index
 from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import gateway_attempts
+from camphorhook_daemon.domain.routing import gateways
+from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import rate_permits
@@ -27,6 +32,7 @@
 from camphorhook_daemon.domain import verdicts
 from camphorhook_daemon.platform import entry
 from camphorhook_daemon.platform import protocol
+from camphorhook_daemon.ports import upstreams as ports
 from tests.standins import resets
 
 SERVICE = "service"
@@ -132,6 +138,36 @@
         self.status, self.body = status, body
 
 
+def make_gateways(name, map_instances, transport, pool, upstreams, now):
+    """Return the Gateways, with Links, of an instance.
+
+    Args:
+        name: name of the instance.
+        map_instances: function that returns failure domains by name.
+        transport: a Transport.
+        pool: connection pool for upstreams.
+        upstreams: function that returns the wire.Registrations to probe.
+        now: function that returns the time in seconds.
+    """
+
+    async def probe(upstream, seconds):
+        call = ports.Call("GET", "/", [], b"", seconds, True)
+        try:
+            with trio.fail_after(seconds):
+                async with pool.open(upstream, call):
+                    return True
+        except (ports.AttemptError, trio.TooSlowError):
+            return False
+
+    found = gateways.Gateways(
+        name, map_instances, lambda one: None, transport, lambda: 0, now
+    )
+    found.links = links.Links(
+        pool, lambda: list(upstreams()), probe, found.ask, now
+    )
+    return found
+
+
 class Router:
     """The product's forwarder, its pool, and scripted upstreams.
 
@@ -206,14 +242,30 @@
         self.counts = types.SimpleNamespace(
             add=lambda *a, **k: None, observe=lambda *a, **k: None
         )
+        pool = pool or connection_pool.ConnectionPool()
+        self.gateways = make_gateways(
+            INSTANCE,
+            self.catalog.map_instances,
+            self,
+            pool,
+            self.catalog.registrations.values,
+            now,
+        )
         self.forwarder = forwarding.Forwarder(
             selector,
             self.origins,
             self.evidence,
-            pool or connection_pool.ConnectionPool(),
+            pool,
             protocol,
             self.rules,
             self.counts,
+            gateway_attempts.GatewayAttempts(
+                self.gateways,
+                connection_pool.ConnectionPool(),
+                handover,
+                self.counts,
+                now,
+            ),
             now,
         )
         self.route = tables.Route(
@@ -244,7 +296,9 @@
     async def listen(self, nursery):
         """Serve clients over HTTP on the route; return the port."""
         self.table = self._make_table([self.route])
-        app = entry.EntryApp(self.forwarder, self.rules, self.counts)
+        app = request_app.RequestApp(
+            entry, self.forwarder, self.rules, self.counts
+        )
         with trio.socket.socket() as probe:
             await probe.bind(("127.0.0.1", 0))
             port = probe.getsockname()[1]
@@ -269,6 +323,7 @@
         self.register()
         nursery.start_soon(self._keep_contact)
         nursery.start_soon(self.origins.run)
+        nursery.start_soon(self.gateways.links.run)
 
     async def _keep_contact(self):
         while True:
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -210,6 +210,14 @@
             await send(make_head(421, length), h11.EndOfMessage())
             return
         target = request.target.decode()
+        if target in ("/-/report", "/health"):
+            length = ("Content-Length", "2")
+            await send(
+                make_head(200, length),
+                h11.Data(data=b"{}"),
+                h11.EndOfMessage(),
+            )
+            return
         if target == "/-/kv-list":
             held = [["", part, n, "m"] for part, n in self.parts.items()]
             body = json.dumps({"epoch": 1, "Next": 1, "held": held})
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from camphorhook_common import settings
 from camphorhook_common import wire
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import budgets
@@ -12,6 +13,9 @@
 from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import gateway_attempts
+from camphorhook_daemon.domain.routing import gateways
+from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
 from camphorhook_daemon.domain.routing import publishing
@@ -93,11 +97,13 @@
         domain: its failure domain.
         forwarder: the product's forwarding.Forwarder.
         pool: the modelled network.Pool.
+        was_cut: it was cut off from all servers at some time.
     """
 
     def __init__(self, name, domain, fleet, policy):
         self.name = name
         self.domain = domain
+        self.was_cut = False
         now = trio.current_time
         self.catalog = catalogs.UpstreamCatalog(now)
         self.cache_index = cache_index.CacheIndex()
@@ -149,6 +155,23 @@
             rules,
             (name, domain),
         )
+        self.gateways = gateways.Gateways(
+            name,
+            self.catalog.map_instances,
+            lambda one: settings.Endpoint(one, 1),
+            transport,
+            lambda: sum(one[0] for one in self.loads.list_own().values()),
+            now,
+        )
+        self.links = self.gateways.links = links.Links(
+            self.pool,
+            lambda: list(self.catalog.registrations.values()),
+            self.pool.probe,
+            self.gateways.ask,
+            now,
+        )
+        far = fleet.plan.far_ms * plans.SECONDS_PER_MS
+        self.gateway_pool = network.GatewayPool(fleet, self.pool, far)
         self.forwarder = forwarding.Forwarder(
             selector,
             self.origins,
@@ -157,6 +180,13 @@
             network.Protocol(),
             rules,
             _NullMetrics(),
+            gateway_attempts.GatewayAttempts(
+                self.gateways,
+                self.gateway_pool,
+                network.HandoverProtocol(),
+                _NullMetrics(),
+                now,
+            ),
             now,
         )
 
@@ -179,6 +209,10 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self.permits.grant(message)
 
+    @answer.register
+    async def _(self, message: wire.ReadContacts):
+        return self.gateways.answer(message, self.pool.heard_at)
+
     @answer.register
     async def _(self, message: wire.StoreOrigin):
         return self.origins.store(message)
@@ -190,6 +224,8 @@
     def start(self, nursery):
         """Start the tasks that send messages to other instances."""
         nursery.start_soon(self.origins.run)
+        nursery.start_soon(self.links.run)
+        nursery.start_soon(self.gateways.run)
         nursery.start_soon(
             publishing.publish_notices,
             self.forwarder,
@@ -240,6 +276,10 @@
         ]
         self._incarnations = collections.Counter()
 
+    def find_instance(self, name):
+        """Return the Instance with a name."""
+        return next(one for one in self.instances if one.name == name)
+
     def get_delay(self, one, other):
         """Return the one-way delay between two failure domains in seconds."""
         near = one == other
--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -30,6 +30,8 @@
         max_pause_seconds: longest pause between two events.
         last_attempt_seconds: duration of the last attempt.
         versions: number of software versions that wrote the answer.
+        instance: name of the instance of the first attempt.
+        is_first_served: whether the first attempt brought the whole answer.
     """
 
     kind: str
@@ -39,6 +41,8 @@
     max_pause_seconds: float
     last_attempt_seconds: float
     versions: int
+    instance: str = ""
+    is_first_served: bool = False
 
 
 class _Reply:
@@ -166,9 +170,9 @@
                 parts = self._make_parts(kind, self._choose_session(kind))
                 parts = (*parts[:-1], CRASHING_PART, parts[-1])
                 give_up_at = trio.current_time() + kind.deadline_ms / 1000
-                nursery.start_soon(
-                    self._attempt, kind, route, parts, 0, _Reply(), give_up_at
-                )
+                instance = self._rng.choice(self._fleet.instances)
+                arguments = (kind, route, parts, 0, _Reply(), give_up_at)
+                nursery.start_soon(self._attempt, instance, *arguments)
                 await trio.sleep(self._rng.expovariate(per_s))
 
     def _choose_session(self, kind):
@@ -195,11 +199,22 @@
         parts = self._make_parts(kind, session)
         work = self._rng.expovariate(1.0)
         reply, first_request = _Reply(), ""
+        places, is_first_served = [], False
         for _ in range(MAX_ATTEMPTS):
             tried_at = trio.current_time()
+            instance = self._rng.choice(self._fleet.instances)
+            places.append(instance.name)
             status, wait = await self._attempt(
-                kind, route, parts, work, reply, give_up_at, first_request
+                instance,
+                kind,
+                route,
+                parts,
+                work,
+                reply,
+                give_up_at,
+                first_request,
             )
+            is_first_served |= status == 200 and len(places) == 1
             ended_at = trio.current_time()
             left = give_up_at - ended_at
             if reply.last_event and not first_request:
@@ -220,18 +235,27 @@
                 reply.max_pause_seconds,
                 ended_at - tried_at,
                 len(reply.versions),
+                places[0],
+                is_first_served,
             )
         )
 
     async def _attempt(
-        self, kind, route, parts, work, reply, give_up_at, resumes=""
+        self,
+        instance,
+        kind,
+        route,
+        parts,
+        work,
+        reply,
+        give_up_at,
+        resumes="",
     ):
         """Send a request once; return (status, seconds until a retry)."""
         self._number += 1
         name = f"request-{self._number}"
         if not reply.last_event:
             reply.first_request = name
-        instance = self._rng.choice(self._fleet.instances)
         spec = self._services[kind.service]
         tokens = 1 + (kind.events - 1) * spec.stride if kind.events else 0
 
--- a/tools/emulator/network.py
+++ b/tools/emulator/network.py
@@ -8,10 +8,14 @@
 import trio
 
 from camphorhook_common import errors
+from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import gateways
 from camphorhook_daemon.ports import upstreams as ports
 from tools.emulator import servers
 
+CONNECT_TIMEOUT_SECONDS = 0.5  # as in the product's pool
+
 
 class ResponseHead(typing.NamedTuple):
     """The head of an answer.
@@ -61,14 +65,52 @@
     Attributes:
         jobs: functions that create the servers.Job, by request id.
         arrivals: number of requests that reached servers, by service.
+        heard_at: time in seconds by server at which bytes last arrived.
+        is_cut: no packet to or from a server arrives.
     """
 
     def __init__(self, domain, all_servers, get_delay, arrivals):
         self._domain = domain
         self._servers = all_servers
         self._get_delay = get_delay
+        self._healed = trio.Event()
         self.arrivals = arrivals
         self.jobs = {}
+        self.heard_at = {}
+        self.is_cut = False
+
+    def cut(self):
+        """Lose all packets to and from servers, until `heal`."""
+        self.is_cut = True
+        self._healed = trio.Event()
+
+    def heal(self):
+        """Deliver packets again, with those that were lost."""
+        self.is_cut = False
+        self._healed.set()
+
+    async def wait_link(self):
+        """Wait until packets arrive."""
+        while self.is_cut:
+            await self._healed.wait()
+
+    def record_bytes(self, server):
+        """Record that bytes of a server arrived."""
+        self.heard_at[server] = trio.current_time()
+
+    async def probe(self, registration, seconds):
+        """Return whether a server answers within some seconds."""
+        server = self._servers[registration.name]
+        with trio.move_on_after(seconds):
+            await self.wait_link()
+            await trio.sleep(2 * self._get_delay(self._domain, server.domain))
+            if server.is_up:
+                self.record_bytes(server.name)
+            return server.is_up
+        return False
+
+    def close_idle(self):
+        """Do nothing: the model has no idle connections."""
 
     def close_idle_to(self, upstream):
         """Do nothing: the model has no idle connections."""
@@ -88,19 +130,23 @@
         server = self._servers[target.name]
         delay = self._get_delay(self._domain, server.domain)
         await trio.sleep(delay)
-        if not server.is_up:
+        with trio.move_on_after(CONNECT_TIMEOUT_SECONDS) as connecting:
+            await self.wait_link()
+        if connecting.cancelled_caught or not server.is_up:
             raise ports.AttemptError(
-                "connection refused",
+                "connection failed",
                 step="connect",
                 peer=target.name,
                 sent=False,
+                is_first_use=True,
             )
         self.arrivals[server.spec.name] += 1
         headers = dict(call.headers)
         job = self.jobs[call.request_id](headers)
         if headers["source"] is not None:
             job.source = self._servers[headers["source"].name]
-        answer = Answer(target.name, server, job, delay)
+        answer = Answer(target.name, server, job, delay, self)
+        call.find_obstacle()
         try:
             with trio.move_on_after(call.read_timeout_seconds) as silence:
                 await answer.start()
@@ -114,7 +160,9 @@
 class Answer:
     """An answer that is being received, as from the product's pool."""
 
-    def __init__(self, upstream, server, job, delay):
+    def __init__(self, upstream, server, job, delay, pool):
+        self._pool = pool
+        self.is_first_use = True
         self.upstream = upstream
         self.head = None
         self._server = server
@@ -138,6 +186,8 @@
             self._server.submit(self._job)
         except servers.ServerFull:
             await trio.sleep(self._delay)
+            await self._pool.wait_link()
+            self._pool.record_bytes(self.upstream)
             self.head = self._make_head(503, False, self._server.count_load())
             self._job.end()
             return
@@ -146,6 +196,7 @@
         self._first = await self._receive()
         load = self._server.count_load()
         await trio.sleep(self._delay)
+        self._pool.record_bytes(self.upstream)
         self.head = self._make_head(200, True, load)
 
     def _make_head(self, status, has_run, load):
@@ -158,8 +209,10 @@
             made = await self._job.events.receive()
         except trio.EndOfChannel:
             return b""
+        await self._pool.wait_link()
         if isinstance(made, servers.ServerCrashed):
             raise self.fail("connection reset by the server")
+        self._pool.record_bytes(self.upstream)
         version = self._server.version
         return f"id: {made}\nevent: {version}\ndata: x\n\n".encode()
 
@@ -171,6 +224,147 @@
         return await self._receive()
 
 
+class HandoverProtocol:
+    """Passes values between instances in place of HTTP headers."""
+
+    def make_headers(self, request, left, resume_after, handover):
+        """Return the request, and what is handed over with it."""
+        rest = request._replace(resume_after=resume_after)
+        return [("request", rest), ("handover", handover)]
+
+    def read_outcome(self, head):
+        """Return the gateways.Outcome of an answer's head, which it is."""
+        return head.outcome
+
+    def pick_response_headers(self, head):
+        """Return no headers."""
+        return []
+
+
+class _GatewayHead(typing.NamedTuple):
+    """The head of an answer by way of an instance."""
+
+    status: int
+    outcome: gateways.Outcome
+
+    def is_event_stream(self):
+        """Return whether the answer is a stream, as all that succeed are."""
+        return self.status < 300
+
+    def describe_framing(self):
+        """Return what marks the end of the answer."""
+        return "chunks"
+
+
+class _GatewayReply:
+    """Passes the answer of a gateway on; read as an answer, too."""
+
+    def __init__(self, gateway, progress, delay):
+        self.upstream = gateway
+        self.head = None
+        self.has_head = trio.Event()
+        self.is_broken = False
+        self._progress = progress
+        self._delay = delay
+        self.sender, self._receiver = trio.open_memory_channel(0)
+
+    def set_head(self, status, failure=None):
+        """Begin the answer: an upstream's, or a refusal."""
+        upstream = self._progress.upstream
+        self.head = _GatewayHead(
+            status,
+            gateways.Outcome(
+                failure is not None,
+                failure is not None and failure.is_cut_off,
+                upstream.version if upstream else "",
+                failure.retry_after if failure else 0.0,
+            ),
+        )
+        self.has_head.set()
+
+    async def start(self, status, headers, length=None):
+        """Begin the answer of an upstream."""
+        self.set_head(status)
+
+    async def send_chunk(self, data):
+        """Pass on a part of the answer, once the last one was read."""
+        await self.sender.send(data)
+
+    async def finish(self):
+        """End the answer."""
+        await self.sender.aclose()
+
+    async def send_answer(self, status, headers, body):
+        """Pass on a whole answer."""
+        self.set_head(status)
+        if body:
+            await self.sender.send(body)
+        await self.sender.aclose()
+
+    async def read_chunk(self):
+        """Return the next part of the answer, or b"" at its end."""
+        try:
+            data = await self._receiver.receive()
+        except trio.EndOfChannel as error:
+            if not self.is_broken:
+                return b""
+            raise ports.AttemptError(
+                "the answer broke off",
+                step="read answer",
+                peer=self.upstream,
+                sent=True,
+            ) from error
+        await trio.sleep(self._delay)
+        return data
+
+
+class GatewayPool:
+    """Hands requests over to other instances.
+
+    Attributes:
+        handed_over: number of requests by name of the instance.
+    """
+
+    def __init__(self, fleet, pool, delay):
+        self._fleet = fleet
+        self._pool = pool
+        self._delay = delay
+        self.handed_over = collections.Counter()
+
+    def close_idle_to(self, gateway):
+        """Do nothing: the model has no idle connections."""
+
+    @contextlib.asynccontextmanager
+    async def open(self, gateway, call):
+        """Hand a request over and yield its answer."""
+        headers = dict(call.headers)
+        request, handover = headers["request"], headers["handover"]
+        other = self._fleet.find_instance(gateway.name)
+        call.find_obstacle()
+        await trio.sleep(self._delay)
+        self.handed_over[gateway.name] += 1
+        progress = attempts.Progress(request.resume_after, handover)
+        reply = _GatewayReply(gateway.name, progress, self._delay)
+        other.pool.jobs[call.request_id] = self._pool.jobs[call.request_id]
+
+        async def forward():
+            try:
+                failure = await other.forwarder.forward(
+                    request, reply, progress
+                )
+            except answer_relay.StreamBroken:
+                failure, reply.is_broken = None, True
+            if failure is not None:
+                reply.set_head(failure.status, failure)
+            await reply.sender.aclose()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forward)
+            await reply.has_head.wait()
+            yield reply
+            nursery.cancel_scope.cancel()
+
+
 class Bus:
     """Carries notices between instances.
 
--- a/tools/emulator/plans.py
+++ b/tools/emulator/plans.py
@@ -111,8 +111,10 @@
         kind: `crash` of servers, `slow` servers, `burst` of load, `deaf`
             instances, whose notices are lost in both directions,
             `crash part`: prompts with one part that crashes the servers that
-            begin to answer on it, sent besides the load, or `limit`: servers
-            that say how many requests they take.
+            begin to answer on it, sent besides the load, `limit`: servers
+            that say how many requests they take, `cut`: instances that lose
+            all packets to and from servers, or `cut domain`: all instances
+            of the first failure domain do.
         at: seconds from the start of the load.
         for_s: seconds that it lasts.
         service: name of the service whose servers are affected.
@@ -123,7 +125,14 @@
     """
 
     kind: typing.Literal[
-        "crash", "slow", "burst", "deaf", "crash part", "limit"
+        "crash",
+        "slow",
+        "burst",
+        "deaf",
+        "crash part",
+        "limit",
+        "cut",
+        "cut domain",
     ]
     at: float
     for_s: float
--- a/tools/emulator/trials.py
+++ b/tools/emulator/trials.py
@@ -19,6 +19,8 @@
 from tools.emulator import servers
 
 SETTLE_SECONDS = 1.0  # until all instances know each other
+CONTACT_SECONDS = 3.0  # after which a cut must not be noticed any more
+END_SECONDS = 3.0  # before its end, as later ones may be served after it
 ROUTING_PACKAGE = "camphorhook_daemon.domain.routing"
 
 
@@ -64,6 +66,12 @@
         mixed_streams: answers that several software versions wrote.
         notices: messages per second that an instance received.
         seconds: `worth` of the requests sent in each second of the load.
+        cut_served: share of the first attempts that were served at
+            instances cut off from all servers, CONTACT_SECONDS and more
+            after the cut; 1 if there were none.
+        others_served: the same, at the other instances at that time.
+        most_by_one: highest share of the requests handed over that went to
+            one instance; 0 if there were none.
     """
 
     kinds: dict[str, KindResult]
@@ -76,6 +84,9 @@
     mixed_streams: int
     notices: float
     seconds: list[float]
+    cut_served: float = 1.0
+    others_served: float = 1.0
+    most_by_one: float = 0.0
 
 
 @contextlib.contextmanager
@@ -155,6 +166,9 @@
         await trio.sleep(fault.for_s)
         fleet.bus.isolated -= chosen
         return
+    if fault.kind in ("cut", "cut domain"):
+        await _cut_links(fault, fleet, rng)
+        return
     found = [
         one for one in fleet.servers.values() if one.spec.name == fault.service
     ]
@@ -178,6 +192,21 @@
             nursery.start_soon(fleet.crash, server, fault.for_s)
 
 
+async def _cut_links(fault, fleet, rng):
+    """Cut instances off from all servers for some seconds."""
+    found = fleet.instances
+    if fault.kind == "cut domain":
+        chosen = [one for one in found if one.domain == found[0].domain]
+    else:
+        chosen = rng.sample(found, math.ceil(fault.share * len(found)))
+    for instance in chosen:
+        instance.was_cut = True
+        instance.pool.cut()
+    await trio.sleep(fault.for_s)
+    for instance in chosen:
+        instance.pool.heal()
+
+
 def compute_worth(kind, outcome):
     """Return the worth of an Outcome to its caller."""
     if outcome.status != 200:
@@ -230,9 +259,36 @@
         sum(one.versions > 1 for one in outcomes),
         fleet.bus.delivered_messages / len(fleet.instances) / plan.seconds,
         [round(float(one), 4) for one in shares[:-1]],
+        *_measure_first_tries(plan, fleet, outcomes),
+        _measure_most_by_one(fleet),
     )
 
 
+def _measure_first_tries(plan, fleet, outcomes):
+    """Return Result.cut_served and Result.others_served."""
+    cut = {one.name for one in fleet.instances if one.was_cut}
+    found = {True: [], False: []}
+    for fault in plan.troubles:
+        if fault.kind not in ("cut", "cut domain"):
+            continue
+        begin, end = fault.at + CONTACT_SECONDS, fault.at + fault.for_s
+        for one in outcomes:
+            if begin <= one.sent_at < end - END_SECONDS:
+                found[one.instance in cut].append(one.is_first_served)
+    return [
+        sum(found[is_cut]) / len(found[is_cut]) if found[is_cut] else 1.0
+        for is_cut in (True, False)
+    ]
+
+
+def _measure_most_by_one(fleet):
+    """Return Result.most_by_one."""
+    counts = collections.Counter()
+    for instance in fleet.instances:
+        counts.update(instance.gateway_pool.handed_over)
+    return max(counts.values(), default=0) / max(1, sum(counts.values()))
+
+
 def _summarize_kind(kind, found):
     count = max(1, len(found))
     firsts = [
