Show that brittle upstreams fall and that no stream outlives a kill of all

After a kill of both entry instances none of 16 streams goes on, with or without the loss of a replica: origins are in the entry instances' memory only.

--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -157,6 +157,31 @@
     read_all(context, entry, lambda: context.platform.kill(entry))
 
 
+@behave.when(
+    "{count:d} streams begin at {entry}, and all entry instances start again "
+    "without {loss}"
+)
+@behave.when(
+    "{count:d} streams begin at {entry}, and all entry instances start again"
+)
+def restart_instances(context, count, entry, loss=""):
+    context.streams = [Stream() for _ in range(count)]
+    platform = context.platform
+
+    def restart():
+        for name in platform_steps.ENTRIES:
+            platform.kill(name)
+        if loss:
+            platform.kill(loss)
+        for name in platform_steps.ENTRIES:
+            platform.start(name, first=False)
+
+    read_all(context, entry, restart)
+    for name in platform_steps.ENTRIES:
+        processes.wait_until(lambda one=name: platform.is_ready(one))
+        processes.wait_until(lambda one=name: find_servers(platform, one))
+
+
 @behave.when("their clients take them up at {entry}")
 def take_up(context, entry):
     context.streams = [one for one in context.streams if one.numbers]
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -14,6 +14,18 @@
     Then each stream holds events of one version only
     And at least 14 streams are complete
 
+  Scenario Outline: All entry instances die, and their clients return
+    Given a platform with 2 entry instances and 2 engines each of v1 and v2
+    When 16 streams begin at entry-1, and <event>
+    And their clients take them up at entry-2
+    Then each stream holds events of one version only
+    And at least 14 streams are complete
+
+    Examples:
+      | event                                              |
+      | all entry instances start again                    |
+      | all entry instances start again without replica-1  |
+
   Scenario: No engine of the version that began a stream is left
     Given a platform with 2 entry instances and 2 engines each of v1 and v2
     When 16 streams begin at entry-1, and both engines of v1 are killed
--- a/tests/harness/platforms.py
+++ b/tests/harness/platforms.py
@@ -218,6 +218,14 @@
         kinds = {"leaving", "rejected", "limited"}
         return [one for one in self._read_effects() if kinds & one.keys()]
 
+    def list_falls(self):
+        """Return when servers fell over, and which."""
+        return [one for one in self._read_effects() if "fell" in one]
+
+    def count_turned_away(self):
+        """Return how many requests servers rejected for want of room."""
+        return sum("turned away" in one for one in self._read_effects())
+
     def list_departures(self):
         """Return when the departure of each server was acknowledged."""
         return [one for one in self._read_effects() if "left" in one]
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -5,6 +5,7 @@
                     --address=ADDRESS --control=LIST --effects=FILE
                     [--advertise=ADDRESS] [--cold=SECONDS]
                     [--drain=SECONDS] [--version=VERSION]
+                    [--places=N --work=SECONDS --waiting=N] [--brittle=N]
 
 The server registers with the control addresses in turn and appends a line to
 the effects file for each request that it executes. The path determines the
@@ -25,7 +26,11 @@
 address is that of a proxy if it differs from the own one. The server registers
 as cold for --cold seconds after its start, with --version, which it also
 names as the type of each event, and continues to serve for --drain
-seconds after its departure was acknowledged.
+seconds after its departure was acknowledged. With --places, it runs so many
+requests at once, for --work seconds each; --waiting more may wait, and others
+are rejected. With --brittle, it says so in all answers, and one that rejects
+more than that number within a second falls over: all connections are reset,
+and new ones for FALL_SECONDS. The effects file records both.
 """
 
 import itertools
@@ -46,6 +51,7 @@
 DRAIN_SECONDS = 1.0
 PAUSE_SECONDS = 1.5
 LIMIT_PER_SECOND = 1.5
+FALL_SECONDS = 2.0
 CRASHING_PART = "dead"
 EVENTS = 10
 EVENT_INTERVAL_SECONDS = 0.1
@@ -102,6 +108,14 @@
         self.sequence = itertools.count(1)
         self.acknowledged = trio.Event()
         self.parts = {}
+        self.places = int(arguments["--places"] or 0)
+        self.work_seconds = float(arguments["--work"] or 0)
+        self.most_waiting = int(arguments["--waiting"] or 0)
+        self.brittle = arguments["--brittle"]
+        self.running = trio.CapacityLimiter(self.places or 1)
+        self.turned_away = []
+        self.fallen_until = 0.0
+        self.scopes = set()
 
     async def register(self):
         """Register periodically, with one control address after another."""
@@ -111,7 +125,7 @@
                 "Address": self.advertised,
                 "Zone": self.zone,
                 "Version": self.version,
-                "Slots": 64,
+                "Slots": self.places or 64,
                 "State": self.state,
                 "ColdRemainingMs": self._measure_cold_ms(),
                 "Sequence": next(self.sequence),
@@ -165,12 +179,33 @@
     async def serve(self, stream):
         """Serve the requests of one connection."""
         async with stream:
-            try:
-                http = h11.Connection(h11.SERVER)
-                while await self._serve_request(stream, http):
-                    http.start_next_cycle()
-            except (trio.BrokenResourceError, h11.RemoteProtocolError):
+            if time.time() < self.fallen_until:
+                resets.set_reset_on_close(stream)
                 return
+            with trio.CancelScope() as scope:
+                self.scopes.add(scope)
+                try:
+                    http = h11.Connection(h11.SERVER)
+                    while await self._serve_request(stream, http):
+                        http.start_next_cycle()
+                except (trio.BrokenResourceError, h11.RemoteProtocolError):
+                    return
+                finally:
+                    self.scopes.discard(scope)
+            resets.set_reset_on_close(stream)
+
+    def _turn_away(self, headers):
+        """Record a rejection for want of room; fall over if there are many."""
+        now = time.time()
+        self._record(headers, "turned away")
+        self.turned_away = [one for one in self.turned_away if one > now - 1]
+        self.turned_away.append(now)
+        if self.brittle and len(self.turned_away) > int(self.brittle):
+            self.turned_away = []
+            self.fallen_until = now + FALL_SECONDS
+            self._write({"server": self.name, "fell": now})
+            for scope in self.scopes:
+                scope.cancel()
 
     async def _serve_request(self, stream, http):
         request = None
@@ -200,6 +235,8 @@
             if self.state != "ready":
                 pairs.append(("Server-Leaving", "1"))
                 self._record(headers, "leaving")
+            if self.brittle:
+                pairs.append(("Server-Brittle", self.brittle))
             if self.is_limited:
                 pairs.append(("Server-Limit", str(LIMIT_PER_SECOND)))
                 self._record(headers, "limited")
@@ -240,6 +277,19 @@
                 h11.EndOfMessage(),
             )
             return
+        if self.places:
+            waiting = self.running.statistics().tasks_waiting
+            is_full = self.running.available_tokens == 0
+            if is_full and waiting >= self.most_waiting:
+                self._turn_away(headers)
+                length = ("Content-Length", "0")
+                await send(
+                    make_head(503, length, ("X-Not-Executed", "1")),
+                    h11.EndOfMessage(),
+                )
+                return
+            async with self.running:
+                await trio.sleep(self.work_seconds)
         for entry in headers.get("x-prompt-prefix", "").split(","):
             part, _, tokens = entry.partition(":")
             if tokens:
