Share the places of brittle and full upstreams

Upstreams that say they are brittle fell 16 to 20 times where 2 are allowed, and served 11 to 148 of 770 to 1,050 requests; others turned 713 requests away in 10 s.

Cause: requests were admitted by what upstreams reject, not by the places that they have, and a retry went to the next upstream, which fell as well. Class: a limit found by exceeding it.

Change: a service whose upstreams are brittle (in their answers), or that turned a request away lately, has its places shared (routing/pressure.py, told to all instances). Two holders grant half of the places each (routing/places.py); what waits does so there by priority and arrival, if it can be expected to be served within two fifths of its time and two objectives; the rest is refused at once, with the time after which a place is likely. Falls of brittle upstreams are no evidence against requests.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -452,6 +452,76 @@
     retry_ms: int
 
 
+class ServicePressure(typing.NamedTuple):
+    """Says for how long the places of a service must be shared.
+
+    Attributes:
+        service: name of the service.
+        brittle_ms: milliseconds for which its upstreams are brittle.
+        shared_ms: milliseconds for which requests need a place.
+    """
+
+    service: str
+    brittle_ms: int
+    shared_ms: int
+
+
+class PressureNews(typing.NamedTuple):
+    """Publishes the services whose places must be shared."""
+
+    sender: str
+    services: list[ServicePressure]
+
+
+class PlaceCandidate(typing.NamedTuple):
+    """An upstream that may serve a request, and how many it runs at once."""
+
+    name: str
+    places: int
+
+
+class AcquirePlace(typing.NamedTuple):
+    """Asks a holder for a place at one of several upstreams.
+
+    Attributes:
+        sender: name of the instance that asks.
+        number: number of the question at the sender.
+        service: name of the service.
+        candidates: its upstreams that may serve the request.
+        priority: 0 is the most urgent.
+        wait_ms: longest time to wait for a place, in milliseconds.
+        lease_ms: milliseconds after which the place counts as free.
+    """
+
+    sender: str
+    number: int
+    service: str
+    candidates: list[PlaceCandidate]
+    priority: int
+    wait_ms: int
+    lease_ms: int
+
+
+class PlaceReply(typing.NamedTuple):
+    """Answers AcquirePlace.
+
+    Attributes:
+        upstream: upstream to send the request to; empty if there is no place.
+        retry_ms: milliseconds after which one is likely to be free.
+    """
+
+    upstream: str
+    retry_ms: int
+
+
+class ReleasePlace(typing.NamedTuple):
+    """Gives back what AcquirePlace of this sender and number was granted."""
+
+    sender: str
+    number: int
+    service: str
+
+
 class StoreOrigin(typing.NamedTuple):
     """Tells a keeper where a stream began.
 
@@ -937,6 +1007,10 @@
     "so": StoreOrigin,
     "fo": FindOrigin,
     "or": OriginReply,
+    "pn": PressureNews,
+    "ac": AcquirePlace,
+    "pc": PlaceReply,
+    "rz": ReleasePlace,
     "rk": ReadContacts,
     "ck": ContactsReply,
     "ar": AcquireRatePermit,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -103,6 +103,14 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self._components.rate_permits.grant(message)
 
+    @handle.register
+    async def _(self, message: wire.AcquirePlace):
+        return await self._components.places.grant(message)
+
+    @handle.register
+    async def _(self, message: wire.ReleasePlace):
+        return self._components.places.handle_release(message)
+
     @handle.register
     async def _(self, message: wire.ReadContacts):
         return self._components.gateways.answer(
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -58,6 +58,7 @@
         pause: seconds for which the upstream wants no requests.
         limit: requests per second that the upstream takes from all instances
             together; inf if it names no limit, None if that is unreadable.
+        is_brittle: the upstream falls over if it has to turn requests away.
     """
 
     has_run: bool
@@ -66,6 +67,7 @@
     is_leaving: bool = False
     pause: float = 0.0
     limit: float | None = math.inf
+    is_brittle: bool = False
 
 
 class AttemptResult(enum.Enum):
@@ -124,6 +126,7 @@
         failed: names of upstreams that ran the request and failed.
         fallback_answer: (status, headers, body) to send if retries fail.
         permit: the rate_permits.Permit of the last attempt, or None.
+        place: the places.Place of the last attempt, or None.
         version: software version that began the stream; None before that.
         upstream: wire.Registration of the upstream of the last attempt.
         handed_over_to: service that must serve the request, if another
@@ -143,6 +146,7 @@
         self.failed = set()
         self.fallback_answer = None
         self.permit = None
+        self.place = None
         self.version = None
         self.upstream = None
         self.handed_over_to = ""
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -107,6 +107,8 @@
         is_cached: the upstream probably has the prompt's shared part cached.
         source: wire.Registration of the engine to copy that part from, or
             None.
+        alternatives: wire.Registrations that would do, the best first; for
+            a prompt, the chosen one only.
     """
 
     upstream: object
@@ -115,6 +117,7 @@
     rank: int
     is_cached: bool = False
     source: object = None
+    alternatives: tuple = ()
 
 
 def list_available(upstreams, excluded, excluded_domains):
@@ -264,6 +267,7 @@
         mean,
         ranked.index(name),
         name in cached,
+        alternatives=(by_name[name],),
     )
 
 
@@ -322,5 +326,8 @@
         tie = hashing.score(demand.request, one.name)
         return cost + TIE_BREAK_COST / (1 + tie)
 
-    best = min(upstreams, key=compute_cost)
-    return Choice(best, loads[best.name].requests, mean, -1)
+    ordered = tuple(sorted(upstreams, key=compute_cost))
+    best = ordered[0]
+    return Choice(
+        best, loads[best.name].requests, mean, -1, alternatives=ordered
+    )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -66,6 +66,7 @@
         withdrawals,
         limits,
         evidence,
+        pressure,
         now,
     ):
         """Create the state of an instance that knows no others.
@@ -78,6 +79,7 @@
             withdrawals: the withdrawals.Withdrawals.
             limits: the upstream_limits.UpstreamLimits.
             evidence: the crash_evidence.CrashEvidence.
+            pressure: the pressure.Pressure.
             now: function that returns the time in seconds.
         """
         self.name = name
@@ -87,6 +89,7 @@
         self._withdrawals = withdrawals
         self._limits = limits
         self._evidence = evidence
+        self._pressure = pressure
         self._evidence_cursor = 0
         self._now = now
         self._relay_monitor = relays.RelayMonitor()
@@ -167,7 +170,7 @@
     # --- news of upstreams -------------------------------------------------
 
     def make_news(self):
-        """Return the messages on departures, limits and crashes to publish."""
+        """Return the messages on upstreams and services to publish."""
         departures = self._withdrawals.drain_unpublished()
         limits = self._limits.drain_unpublished()
         crashes, self._evidence_cursor = self._evidence.collect_changes(
@@ -180,6 +183,9 @@
             news.append(wire.LimitNews(self.name, limits))
         if crashes is not None:
             news.append(crashes)
+        services = self._pressure.drain_unpublished()
+        if services:
+            news.append(wire.PressureNews(self.name, services))
         return news
 
     def list_news_topics(self):
@@ -218,6 +224,11 @@
         is_relay = self.plan.is_relay
         return self._evidence.merge(message, is_relay) and is_relay
 
+    @apply_news.register
+    def _(self, message: wire.PressureNews):
+        is_relay = self.plan.is_relay
+        return self._pressure.merge(message, is_relay) and is_relay
+
     # --- summaries ---------------------------------------------------------
 
     def make_summaries(self):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -18,7 +18,7 @@
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import crash_guard
 from camphorhook_daemon.domain.routing import gateway_attempts
-from camphorhook_daemon.domain.routing import rate_permits
+from camphorhook_daemon.domain.routing import places
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_origins
 from camphorhook_daemon.domain.routing import table as tables
@@ -270,6 +270,8 @@
         except ports.AttemptError as error:
             return self._handle_failure(request, target, progress, error)
         finally:
+            if progress.place is not None:
+                self._selector.places.release(service, progress.place)
             pending_prefill.release()
             self._loads.end(target.name)
             self.changed.set()
@@ -281,6 +283,7 @@
             A choice.Choice, or a selection.Refusal.
         """
         denied = set()
+        refusal = None
         while True:
             now = self._now()
             choice = self._selector.choose(
@@ -292,13 +295,19 @@
                 progress.version,
             )
             if isinstance(choice, selection.Refusal):
-                return choice
-            permit = await self._selector.acquire_permit(choice, service, now)
-            if not isinstance(permit, rate_permits.Denial):
-                progress.permit = permit
-                self._selector.record_placement(request, choice, now)
-                return choice
-            denied.add(choice.upstream.name)
+                return refusal or choice
+            held = await self._selector.acquire(choice, request, service, now)
+            if isinstance(held, selection.Held):
+                progress.permit, progress.place = held.permit, held.place
+                self._selector.record_placement(request, held.choice, now)
+                return held.choice
+            if isinstance(held, places.NoPlace):
+                refusal = selection.Refusal(
+                    f"every place of {service} is taken", held.seconds
+                )
+                denied.update(one.name for one in choice.alternatives)
+            else:
+                denied.add(choice.upstream.name)
 
     def _is_allowed(self, request):
         """Return whether the client's key is confirmed as valid now."""
@@ -348,7 +357,9 @@
             self._links.record_failure(target.name, error.is_first_use)
         if self._links.is_cut_off:
             return
-        if error.sent and error.connection_broken:
+        # Brittle upstreams fall over by themselves.
+        is_brittle = self._selector.places.pressure.is_brittle(target.service)
+        if error.sent and error.connection_broken and not is_brittle:
             # Told at once, as such a request may be on its way elsewhere.
             self._crash_guard.record_crash(request, target, progress.sent_at)
         self._links.report(
@@ -461,6 +472,9 @@
             return
         if head_info.limit is not None:
             self._selector.limits.record(target, head_info.limit, sent_at)
+        if head_info.is_brittle:
+            self._selector.places.pressure.record_brittle(target.service)
+            self.changed.set()
         withdrawals = self._selector.withdrawals
         if head_info.pause:
             withdrawals.record_pause(target, head_info.pause)
@@ -525,6 +539,9 @@
             health.record_connection_error(self._now(), is_down=True)
         else:
             self._outcomes.record(target.name, False)
+            if not (head_info.pause or head_info.is_leaving):
+                pressure = self._selector.places.pressure
+                pressure.record_full(target.service)
         progress.excluded.add(target.name)
         return attempts.AttemptResult.RETRY
 
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -0,0 +1,350 @@
+"""Places at upstreams that all instances share.
+
+Two instances, the holders, grant one half each of the places that the
+upstreams of a service have, and the others ask them before each request. What
+waits does so at a holder, by priority and order of arrival, and no longer
+than it can be expected to be served within; the rest is refused at once.
+"""
+
+import heapq
+import itertools
+import typing
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+from camphorhook_daemon.domain import hashing
+
+SECONDS_PER_MS = 0.001
+REPLY_TIMEOUT_SECONDS = 0.15  # beyond the time that a request may wait
+SILENCE_SECONDS = 0.5  # for which a holder that did not answer is not asked
+NO_HOLDER_SECONDS = 0.3  # until instances agree on the holders again
+RELEASE_TIMEOUT_SECONDS = 0.5
+LEASE_MARGIN_SECONDS = 1.0  # after the deadline of a request
+WAIT_SHARE = 0.4  # of the time left; the rest is for the upstream
+WAIT_OBJECTIVES = 2.0  # longest wait in latency objectives
+# Of that time: what waits beyond it would often be refused in the end.
+ADMITTED_SHARE = 0.75
+MAX_WAITING = 500  # requests at one holder
+FIRST_HOLD_SECONDS = 0.1  # assumed until a place has been released
+HOLD_WEIGHT = 0.1  # of the last request in the mean time of a place
+
+
+class Place(typing.NamedTuple):
+    """The right to have one request at an upstream.
+
+    Attributes:
+        upstream: name of the upstream.
+        holder: name of the instance that granted it.
+        number: number that identifies it, with the instance that asked.
+    """
+
+    upstream: str
+    holder: str
+    number: int
+
+
+class NoPlace(typing.NamedTuple):
+    """No place is free in time; one may be after some seconds."""
+
+    seconds: float
+
+
+class _Waiter:
+    """A request that waits for a place."""
+
+    def __init__(self, message):
+        self.message = message
+        self.upstream = ""
+        self.is_done = False
+        self.ended = trio.Event()
+
+
+class _Pool:
+    """The places of one service that this instance grants."""
+
+    def __init__(self):
+        self.used = {}
+        self.waiting = []
+        self.hold_seconds = FIRST_HOLD_SECONDS
+        self.leases = {}
+
+    def count_waiting(self):
+        """Return the number of requests that wait."""
+        self.waiting = [one for one in self.waiting if not one[2].is_done]
+        heapq.heapify(self.waiting)
+        return len(self.waiting)
+
+
+class Places:
+    """Acquires places from holders, and grants those this instance holds."""
+
+    def __init__(self, name, holders, pressure, transport, now):
+        """Create the places of an instance that has granted none.
+
+        Args:
+            name: name of this instance.
+            holders: the rate_permits.Holders, asked by name of the service.
+            pressure: the pressure.Pressure.
+            transport: a Transport.
+            now: function that returns the time in seconds.
+        """
+        self._name = name
+        self._holders = holders
+        self._transport = transport
+        self._now = now
+        self._pools = {}
+        self._silent_until = {}
+        self._numbers = itertools.count(1)
+        self._nursery = None
+        self.pressure = pressure
+
+    async def run(self):
+        """Send releases to holders until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            await trio.sleep_forever()
+
+    # --- asking ----------------------------------------------------------
+
+    async def acquire(self, service, upstreams, priority, objective, left):
+        """Return a Place, or a NoPlace.
+
+        Args:
+            service: name of the service.
+            upstreams: wire.Registrations to choose from, the best first.
+            priority: 0 is the most urgent.
+            objective: target latency of the request in seconds.
+            left: seconds until its deadline.
+        """
+        self._holders.refresh()
+        longest = min(WAIT_SHARE * left, WAIT_OBJECTIVES * objective)
+        denials = {}
+        holders = self._list_holders(service)
+        for holder in holders:
+            found = await self._ask(
+                holder, service, upstreams, priority, 0.0, left
+            )
+            if isinstance(found, Place):
+                return found
+            if found is not None:
+                denials[holder] = found.seconds
+        if not denials:
+            return NoPlace(NO_HOLDER_SECONDS)
+        self.pressure.record_full(service)
+        holder = min(denials, key=denials.get)
+        if denials[holder] > longest:
+            return NoPlace(denials[holder])
+        found = await self._ask(
+            holder, service, upstreams, priority, longest, left
+        )
+        return found or NoPlace(NO_HOLDER_SECONDS)
+
+    def _list_holders(self, service):
+        """Return the holders that answer, in turn a different one first."""
+        now = self._now()
+        found = [
+            one
+            for one in self._holders.find(service, "")
+            if self._silent_until.get(one, 0.0) <= now
+        ]
+        if found and next(self._numbers) % 2:
+            found = found[1:] + found[:1]
+        return found
+
+    async def _ask(self, holder, service, upstreams, priority, wait, left):
+        """Ask a holder; return a Place, a NoPlace, or None without answer."""
+        number = next(self._numbers)
+        message = wire.AcquirePlace(
+            self._name,
+            number,
+            service,
+            [wire.PlaceCandidate(one.name, one.capacity) for one in upstreams],
+            priority,
+            int(wait / SECONDS_PER_MS),
+            int((left + LEASE_MARGIN_SECONDS) / SECONDS_PER_MS),
+        )
+        is_granted = False
+        try:
+            reply = await self._transport.call(
+                holder, message, wait + REPLY_TIMEOUT_SECONDS
+            )
+            is_granted = bool(reply.upstream)
+        except errors.UnreachableError as error:
+            logs.log("info", error.format(), step="acquire place")
+            self._silent_until[holder] = self._now() + SILENCE_SECONDS
+            return None
+        finally:
+            if not is_granted:
+                # A grant may be on its way to a request that was given up.
+                self._send_release(service, holder, number)
+        if is_granted:
+            return Place(reply.upstream, holder, number)
+        return NoPlace(reply.retry_ms * SECONDS_PER_MS)
+
+    def release(self, service, place):
+        """Give a Place back."""
+        self._send_release(service, place.holder, place.number)
+
+    def _send_release(self, service, holder, number):
+        message = wire.ReleasePlace(self._name, number, service)
+        if holder == self._name:
+            self.handle_release(message)
+        elif self._nursery is not None:
+            self._nursery.start_soon(self._tell, holder, message)
+
+    async def _tell(self, holder, message):
+        try:
+            await self._transport.call(
+                holder, message, RELEASE_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError as error:
+            logs.log("info", error.format(), step="release place")
+
+    # --- granting --------------------------------------------------------
+
+    async def grant(self, message):
+        """Return the wire.PlaceReply to a wire.AcquirePlace."""
+        self._holders.refresh()
+        if self._holders.find_position(message.service, "") is None:
+            wait_ms = int(NO_HOLDER_SECONDS / SECONDS_PER_MS)
+            return wire.PlaceReply("", wait_ms)
+        pool = self._pools.setdefault(message.service, _Pool())
+        self._evict(message.service, pool)
+        if not pool.count_waiting():
+            upstream = self._take(pool, message)
+            if upstream:
+                return wire.PlaceReply(upstream, 0)
+        expected = self._estimate_wait(pool, message)
+        wait = message.wait_ms * SECONDS_PER_MS
+        is_late = expected > ADMITTED_SHARE * wait
+        if is_late or len(pool.waiting) >= MAX_WAITING:
+            return wire.PlaceReply("", int(expected / SECONDS_PER_MS) + 1)
+        waiter = _Waiter(message)
+        entry = message.priority, next(self._numbers), waiter
+        heapq.heappush(pool.waiting, entry)
+        try:
+            with trio.move_on_after(wait):
+                await waiter.ended.wait()
+        finally:
+            waiter.is_done = True
+        if waiter.upstream:
+            return wire.PlaceReply(waiter.upstream, 0)
+        expected = self._estimate_wait(pool, message)
+        return wire.PlaceReply("", int(expected / SECONDS_PER_MS) + 1)
+
+    def _count_places(self, service, candidate):
+        """Return how many places of an upstream this instance grants."""
+        found = self._holders.find_position(service, "")
+        if found is None:
+            return 0
+        position, count = found
+        # Odd places of different upstreams go to different holders.
+        turn = int(hashing.hash_to_fraction("place", candidate.name) * count)
+        position = (position + turn) % count
+        return (max(1, candidate.places) + count - 1 - position) // count
+
+    def _take(self, pool, message):
+        """Take a place for a message; return its upstream, or ""."""
+        best, best_share = "", 1.0
+        for candidate in message.candidates:
+            places = self._count_places(message.service, candidate)
+            used = pool.used.get(candidate.name, 0)
+            if used < places and used / places < best_share:
+                best, best_share = candidate.name, used / places
+        if best:
+            now = self._now()
+            pool.used[best] = pool.used.get(best, 0) + 1
+            expires_at = now + message.lease_ms * SECONDS_PER_MS
+            key = message.sender, message.number
+            pool.leases[key] = best, now, expires_at
+        return best
+
+    def _estimate_wait(self, pool, message):
+        """Return the seconds after which a place is likely to be free."""
+        places = sum(
+            self._count_places(message.service, one)
+            for one in message.candidates
+        )
+        ahead = len(pool.waiting) + 1
+        return ahead * pool.hold_seconds / max(1, places)
+
+    def handle_release(self, message):
+        """Free the place of a wire.ReleasePlace; return a wire.PlaceReply.
+
+        It may come before the request that it releases has got one.
+        """
+        pool = self._pools.get(message.service)
+        if pool is not None:
+            key = message.sender, message.number
+            for _, _, waiter in pool.waiting:
+                asked = waiter.message
+                if (asked.sender, asked.number) == key:
+                    waiter.is_done = True
+                    waiter.ended.set()
+            lease = pool.leases.pop(key, None)
+            if lease is not None:
+                self._free(pool, lease)
+        return wire.PlaceReply("", 0)
+
+    def _free(self, pool, lease):
+        upstream, granted_at, _ = lease
+        held = self._now() - granted_at
+        pool.hold_seconds += HOLD_WEIGHT * (held - pool.hold_seconds)
+        self._give_up(pool, upstream)
+
+    def _give_up(self, pool, upstream):
+        """Count a place as free, and grant it to what waits."""
+        pool.used[upstream] -= 1
+        if not pool.used[upstream]:
+            del pool.used[upstream]
+        self._serve_waiting(pool)
+
+    def _serve_waiting(self, pool):
+        """Grant free places to the first requests that can use them."""
+        unserved = []
+        while pool.waiting:
+            entry = heapq.heappop(pool.waiting)
+            waiter = entry[2]
+            if waiter.is_done:
+                continue
+            waiter.upstream = self._take(pool, waiter.message)
+            if waiter.upstream:
+                waiter.is_done = True
+                waiter.ended.set()
+                break
+            unserved.append(entry)
+        for entry in unserved:
+            heapq.heappush(pool.waiting, entry)
+
+    def _evict(self, service, pool):
+        """Free places whose holder was lost without a release."""
+        now = self._now()
+        for key, (upstream, _, expires_at) in list(pool.leases.items()):
+            if expires_at <= now:
+                del pool.leases[key]
+                logs.log(
+                    "info",
+                    "a place was not released in time",
+                    step="grant place",
+                    peer=key[0],
+                    inputs={"service": service, "upstream": upstream},
+                )
+                self._give_up(pool, upstream)
+
+    def retain(self, services):
+        """Forget services that are gone, and free what was not released."""
+        self._holders.refresh()
+        self._holders.retain(services)
+        self.pressure.retain(services)
+        now = self._now()
+        for service, pool in list(self._pools.items()):
+            self._evict(service, pool)
+            if service not in services and not pool.leases:
+                del self._pools[service]
+        self._silent_until = {
+            name: until
+            for name, until in self._silent_until.items()
+            if until > now
+        }
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rate_permits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rate_permits.py
@@ -115,20 +115,27 @@
         }
 
     def find_share(self, upstream, failure_domain):
-        """Return the share of an upstream's permits to grant here now.
+        """Return the share of an upstream's permits to grant here now."""
+        found = self.find_position(upstream, failure_domain)
+        return 0.0 if found is None else 1 / found[1]
 
-        It is 0 until instances that may have been holders before this one
+    def find_position(self, upstream, failure_domain):
+        """Return (position, number) of the holders, if this is one now.
+
+        It is None until instances that may have been holders before this one
         have stopped.
         """
         now = self._now()
         if self._measure_contact_age() > CONTACT_SECONDS:
-            return 0.0
+            return None
         if now - self._listed_at < TAKEOVER_SECONDS:
-            return 0.0
+            return None
         domains = {name: one[0] for name, one in self._departed.items()}
         domains |= self._instances
         found = choose_holders(upstream, failure_domain, domains)
-        return 1 / len(found) if self._name in found else 0.0
+        if self._name not in found:
+            return None
+        return found.index(self._name), len(found)
 
 
 def choose_holders(upstream, failure_domain, instances):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -6,6 +6,8 @@
 
 from camphorhook_daemon.domain import hashing
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import places as place_grants
+from camphorhook_daemon.domain.routing import rate_permits
 
 # Of the latency objective or the time left: longest wait for the prefill of a
 # part, which would take as long if repeated.
@@ -30,6 +32,20 @@
     is_final: bool = False
 
 
+class Held(typing.NamedTuple):
+    """What a request holds that may be sent.
+
+    Attributes:
+        choice: the choice.Choice.
+        permit: a rate_permits.Permit; None if none is needed.
+        place: a places.Place; None if none is needed.
+    """
+
+    choice: choices.Choice
+    permit: rate_permits.Permit | None
+    place: place_grants.Place | None
+
+
 class Selector:
     """Selects upstreams for requests.
 
@@ -41,6 +57,7 @@
         limits: the upstream_limits.UpstreamLimits that upstreams named.
         permits: the rate_permits.RatePermits for upstreams that take few
             requests per second.
+        places: the places.Places at upstreams that take few at once.
     """
 
     def __init__(
@@ -52,6 +69,7 @@
         withdrawals,
         limits,
         permits,
+        places,
         rules,
         instance,
     ):
@@ -65,6 +83,7 @@
             withdrawals: the withdrawals.Withdrawals.
             limits: the upstream_limits.UpstreamLimits.
             permits: the rate_permits.RatePermits.
+            places: the places.Places.
             rules: the configuration in force: `get_table`,
                 `list_excluded_domains`.
             instance: (name, failure domain) of this instance.
@@ -76,6 +95,7 @@
         self.withdrawals = withdrawals
         self.limits = limits
         self.permits = permits
+        self.places = places
         self._rules = rules
         self._failure_domain = instance[1]
         self.health = collections.defaultdict(choices.UpstreamHealth)
@@ -227,23 +247,57 @@
         )
         return choice._replace(source=source)
 
-    async def acquire_permit(self, choice, service, now):
-        """Return what must be held to send to a chosen upstream.
+    async def acquire(self, choice, request, service, now):
+        """Return what must be held to send a request, or why it can't be.
 
         Args:
             choice: the Choice.
+            request: request with `priority`, `route` and `deadline`.
             service: name of the service.
             now: current time in seconds.
 
         Returns:
-            None if nothing is needed, a rate_permits.Permit, or a
+            Held, whose upstream may be an alternative of the Choice; a
+            places.NoPlace, if none of these has a place; or a
             rate_permits.Denial: then another upstream must be chosen.
         """
         spec = self._rules.get_table().services.get(service)
+        place = None
+        if self._needs_place(service, spec):
+            place = await self.places.acquire(
+                service,
+                choice.alternatives,
+                request.priority,
+                request.route.objective,
+                request.deadline - now,
+            )
+            if isinstance(place, place_grants.NoPlace):
+                return place
+            (upstream,) = (
+                one
+                for one in choice.alternatives
+                if one.name == place.upstream
+            )
+            choice = choice._replace(upstream=upstream)
         rate = self._find_rate(choice.upstream, spec, now)
-        if rate == math.inf:
-            return None
-        return await self.permits.acquire(choice.upstream, rate)
+        permit = None
+        if rate < math.inf:
+            permit = await self.permits.acquire(choice.upstream, rate)
+            if isinstance(permit, rate_permits.Denial):
+                if place is not None:
+                    self.places.release(service, place)
+                return permit
+        return Held(choice, permit, place)
+
+    def _needs_place(self, service, spec):
+        """Return whether a request to a service needs a place.
+
+        Engines that turn requests away bear it, unless they are brittle.
+        """
+        pressure = self.places.pressure
+        if spec is None or spec.is_engine:
+            return pressure.is_brittle(service)
+        return pressure.is_shared(service)
 
     def record_placement(self, request, choice, now):
         """Record that a prompt is sent to the upstream of a Choice."""
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -23,6 +23,8 @@
 NOT_EXECUTED = "x-not-executed"
 SERVER_LEAVING = "server-leaving"
 SERVER_LIMIT = "server-limit"
+# How many requests it may turn away within a second before it falls over.
+SERVER_BRITTLE = "server-brittle"
 RETRY_AFTER = "retry-after"
 MAX_PAUSE_SECONDS = 3600.0  # a longer one is taken for an error
 MAX_REQUESTS_PER_SECOND = 1e6  # a higher limit is taken for an error
@@ -119,6 +121,7 @@
         _read_number(head, SERVER_LEAVING, 1) == 1,
         pause,
         limit,
+        bool(head.get(SERVER_BRITTLE)),
     )
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -35,6 +35,8 @@
 from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import places
+from camphorhook_daemon.domain.routing import pressure
 from camphorhook_daemon.domain.routing import publishing
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import registry
@@ -197,6 +199,7 @@
         self.evidence = crash_evidence.CrashEvidence(
             verdicts.SHARED_LIMIT, trio.current_time
         )
+        self.pressure = pressure.Pressure(trio.current_time)
         self.dissemination = dissemination.Dissemination(
             settings.name,
             self.loads,
@@ -205,19 +208,22 @@
             self.withdrawals,
             self.limits,
             self.evidence,
+            self.pressure,
             trio.current_time,
         )
         self.rate_permits = rate_permits.RatePermits(
-            rate_permits.Holders(
-                settings.name,
-                self.catalog.map_instances,
-                self.catalog.measure_contact_age,
-                trio.current_time,
-            ),
+            self._make_holders(),
             self.limits,
             self.transport,
             trio.current_time,
         )
+        self.places = places.Places(
+            settings.name,
+            self._make_holders(),
+            self.pressure,
+            self.transport,
+            trio.current_time,
+        )
         self.notices = notices.NoticeExchange(
             settings.name,
             settings.notices_listener,
@@ -239,6 +245,7 @@
             self.withdrawals,
             self.limits,
             self.rate_permits,
+            self.places,
             self.rules,
             (settings.name, settings.failure_domain),
         )
@@ -301,6 +308,14 @@
             listeners.Limits,
         )
 
+    def _make_holders(self):
+        return rate_permits.Holders(
+            self.settings.name,
+            self.catalog.map_instances,
+            self.catalog.measure_contact_age,
+            trio.current_time,
+        )
+
     def _listen(self, address, handle, read_limits):
         self.listeners.append(
             listeners.Listener(
@@ -441,6 +456,8 @@
         """Forget the limits and permits of upstreams that are gone."""
         self.limits.retain(self.catalog.registrations)
         self.pool.retain(self.catalog.registrations)
+        table = self.rules.get_table()
+        self.places.retain(table.services if table else ())
         self.rate_permits.retain(self.catalog.registrations)
 
     def count_active(self):
@@ -526,6 +543,7 @@
             components.notices,
         )
         nursery.start_soon(components.origins.run)
+        nursery.start_soon(components.places.run)
         nursery.start_soon(components.links.run)
         nursery.start_soon(components.gateways.run)
         nursery.start_soon(
--- a/tests/features/steps/dissemination.py
+++ b/tests/features/steps/dissemination.py
@@ -12,6 +12,7 @@
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import pressure
 from camphorhook_daemon.domain.routing import summaries
 from camphorhook_daemon.domain.routing import upstream_limits
 from camphorhook_daemon.domain.routing import withdrawals
@@ -43,6 +44,7 @@
             self.withdrawals,
             self.limits,
             self.evidence,
+            pressure.Pressure(now),
             now,
         )
         self.news_reads = collections.Counter()
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -22,6 +22,8 @@
 from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import places
+from camphorhook_daemon.domain.routing import pressure
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import selection
@@ -202,6 +204,18 @@
         self.cache_index = cache_index.CacheIndex()
         self.withdrawals = withdrawals.Withdrawals(now)
         self.limits = upstream_limits.UpstreamLimits(now)
+        self.places = places.Places(
+            INSTANCE,
+            rate_permits.Holders(
+                INSTANCE,
+                self.catalog.map_instances,
+                self.catalog.measure_contact_age,
+                now,
+            ),
+            pressure.Pressure(now),
+            self,
+            now,
+        )
         self.permits = rate_permits.RatePermits(
             rate_permits.Holders(
                 INSTANCE,
@@ -233,6 +247,7 @@
             self.withdrawals,
             self.limits,
             self.permits,
+            self.places,
             self.rules,
             (INSTANCE, "zone-a"),
         )
@@ -341,6 +356,8 @@
 
     async def call(self, _peer, message, _timeout):
         """Answer a message of this instance, the only one, to itself."""
+        if isinstance(message, wire.AcquirePlace):
+            return await self.places.grant(message)
         return self.permits.grant(message)
 
     def register(self):
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -18,6 +18,8 @@
 from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import places
+from camphorhook_daemon.domain.routing import pressure
 from camphorhook_daemon.domain.routing import publishing
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import registry
@@ -114,6 +116,7 @@
         self.evidence = crash_evidence.CrashEvidence(
             verdicts.SHARED_LIMIT, now
         )
+        self.pressure = pressure.Pressure(now)
         self.dissemination = dissemination.Dissemination(
             name,
             self.loads,
@@ -122,6 +125,7 @@
             self.withdrawals,
             self.limits,
             self.evidence,
+            self.pressure,
             now,
         )
         transport = fleet.bus.connect(name, self.answer)
@@ -136,6 +140,18 @@
             transport,
             now,
         )
+        self.places = places.Places(
+            name,
+            rate_permits.Holders(
+                name,
+                self.catalog.map_instances,
+                self.catalog.measure_contact_age,
+                now,
+            ),
+            self.pressure,
+            transport,
+            now,
+        )
         self.origins = stream_origins.StreamOrigins(
             name, self.catalog.map_instances, transport, now
         )
@@ -152,6 +168,7 @@
             self.withdrawals,
             self.limits,
             self.permits,
+            self.places,
             rules,
             (name, domain),
         )
@@ -209,6 +226,14 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self.permits.grant(message)
 
+    @answer.register
+    async def _(self, message: wire.AcquirePlace):
+        return await self.places.grant(message)
+
+    @answer.register
+    async def _(self, message: wire.ReleasePlace):
+        return self.places.handle_release(message)
+
     @answer.register
     async def _(self, message: wire.ReadContacts):
         return self.gateways.answer(message, self.pool.heard_at)
@@ -224,6 +249,7 @@
     def start(self, nursery):
         """Start the tasks that send messages to other instances."""
         nursery.start_soon(self.origins.run)
+        nursery.start_soon(self.places.run)
         nursery.start_soon(self.links.run)
         nursery.start_soon(self.gateways.run)
         nursery.start_soon(
