Let streams go on after a kill of all entry instances

Cause: where streams began was kept by entry instances, in memory. Class: state that one kind of process keeps, lost with all of that kind.

Change: entry instances send origins to two replicas, some at a time, by version (9 bytes a stream and more); the first event does not wait for that. An instance at which a client takes a stream up asks replicas if no entry instance knows it. Versions seen lately are remembered by replicas as well (routing/versions.py); an entry instance that has just started learns them from one that remembers a minute, or from all replicas, and until then holds back.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -538,6 +538,53 @@
     keep_ms: int
 
 
+class OriginGroup(typing.NamedTuple):
+    """Streams that one version of a service began.
+
+    Attributes:
+        service: the service.
+        version: its software version.
+        keep_ms: milliseconds for which clients may take the streams up.
+        keys: identify the streams; see `stream_origins.make_key`.
+    """
+
+    service: str
+    version: str
+    keep_ms: int
+    keys: list[int]
+
+
+class StoreOrigins(typing.NamedTuple):
+    """Tells a replica where streams began."""
+
+    groups: list[OriginGroup]
+
+
+class ReadVersions(typing.NamedTuple):
+    """Asks an instance which versions it saw lately."""
+
+
+class SeenVersion(typing.NamedTuple):
+    """A version of a service, and milliseconds since it was last seen."""
+
+    service: str
+    version: str
+    age_ms: int
+
+
+class VersionsReply(typing.NamedTuple):
+    """Answers ReadVersions.
+
+    Attributes:
+        is_complete: the sender saw all versions of the last minute that it
+            could see.
+        versions: the versions.
+    """
+
+    is_complete: bool
+    versions: list[SeenVersion]
+
+
 class FindOrigin(typing.NamedTuple):
     """Asks an instance where the stream with this key began."""
 
@@ -1005,6 +1052,9 @@
     "ln": LimitNews,
     "rl": ReadLimits,
     "so": StoreOrigin,
+    "sg": StoreOrigins,
+    "rv": ReadVersions,
+    "vs": VersionsReply,
     "fo": FindOrigin,
     "or": OriginReply,
     "pn": PressureNews,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -125,6 +125,15 @@
     async def _(self, message: wire.FindOrigin):
         return self._components.origins.answer(message)
 
+    @handle.register
+    async def _(self, message: wire.StoreOrigins):
+        return self._components.origins.store_all(message)
+
+    @handle.register
+    async def _(self, message: wire.ReadVersions):
+        known = self._components.registry or self._components.catalog
+        return known.answer_versions()
+
     @handle.register
     async def _(self, message: wire.CrashNews):
         self._components.evidence.merge(message, True)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/catalog.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/catalog.py
@@ -6,10 +6,10 @@
 from camphorhook_common import logs
 from camphorhook_common import wire
 from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import versions
 
 SECONDS_PER_MS = 0.001
 COMPLETE_AFTER_SECONDS = 4.0  # a new replica then knows every upstream
-VERSION_MEMORY_SECONDS = 60.0  # longer than a stream may last
 WATCH_MS = 1500  # a fraction of the time after which a watcher is lost
 REPLY_MARGIN_SECONDS = 0.8  # longer than a packet's retransmission takes
 RETRY_SECONDS = 0.25
@@ -48,19 +48,22 @@
         changed: event that is set and replaced at each change.
     """
 
-    def __init__(self, now=trio.current_time, read_boottime=None):
+    def __init__(self, now=trio.current_time, read_boottime=None, memory=None):
         """Create a catalog without upstreams.
 
         Args:
             now: function that returns the time in seconds.
             read_boottime: function that returns a time in seconds which goes
                 on while the machine is suspended; by default, `now`.
+            memory: the versions.VersionMemory; by default, that of the first
+                start of a fleet.
         """
         self._now = now
         self._read_boottime = read_boottime or now
         self._views = {}
         self._tombstones = {}
-        self._versions = {}
+        self._began_at = self._read_boottime()
+        self.versions = memory or versions.VersionMemory(now, True)
         self.registrations = {}
         self.cold_until = {}
         self.changed = trio.Event()
@@ -92,8 +95,7 @@
         for registration in reply.changed:
             view.registrations[registration.name] = registration
             self._record_cold_time(registration)
-            place = registration.service, registration.version
-            self._versions.setdefault(place, self._now())
+            self.versions.record(registration)
         for name in reply.removed:
             view.registrations.pop(name, None)
         if reply.changed or reply.removed or reply.is_full or has_completed:
@@ -107,34 +109,46 @@
 
     def _record_versions(self):
         """Note which versions the upstreams have that are not gone."""
-        now = self._now()
-        self._versions = {
-            place: seen_at
-            for place, seen_at in self._versions.items()
-            if now - seen_at < VERSION_MEMORY_SECONDS
-        }
         for view in self._views.values():
             for one in view.registrations.values():
                 if one.state != registry.GONE:
-                    self._versions[one.service, one.version] = now
+                    self.versions.record(one)
 
     def find_sole_version(self, service):
         """Return the only version that a service has had lately, or None.
 
-        It is also None while no replica answers: then upstreams of another
-        version may have begun to serve.
+        It is also None while this instance can't know: no replica answers,
+        some have not answered yet, or it has just started.
         """
         if self.measure_contact_age() > registry.WATCHER_TTL_SECONDS:
             return None
-        now = self._now()
-        found = {
-            version
-            for (name, version), seen_at in self._versions.items()
-            if name == service and now - seen_at < VERSION_MEMORY_SECONDS
-        }
+        if not self.versions.is_complete() or not self._has_all_lists():
+            return None
+        found = self.versions.find(service)
         found |= {one.version for one in self.list_service(service)}
         return found.pop() if len(found) == 1 else None
 
+    def _has_all_lists(self):
+        """Return whether each replica has answered, or is probably lost."""
+        age = self._read_boottime() - self._began_at
+        return age > registry.WATCHER_TTL_SECONDS or all(
+            view.answered_at > float("-inf") for view in self._views.values()
+        )
+
+    def answer_versions(self):
+        """Return the wire.VersionsReply to wire.ReadVersions."""
+        self._record_versions()
+        return self.versions.answer()
+
+    def list_replicas(self):
+        """Return the names of the replicas that answer."""
+        now = self._read_boottime()
+        return [
+            name
+            for name, view in self._views.items()
+            if now - view.answered_at < registry.WATCHER_TTL_SECONDS
+        ]
+
     def _merge(self):
         self._record_versions()
         merged = {}
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -15,6 +15,7 @@
 
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import versions
 
 SECONDS_PER_MS = 0.001
 LIVE = "live"
@@ -129,14 +130,22 @@
             have to fetch.
     """
 
-    def __init__(self, heartbeat_seconds, recorder, now=trio.current_time):
+    def __init__(
+        self,
+        heartbeat_seconds,
+        recorder,
+        now=trio.current_time,
+        is_first=False,
+    ):
         """Create an empty registry.
 
         Args:
             heartbeat_seconds: interval of an upstream's registrations.
             recorder: the Recorder of the time line.
             now: function that returns the time in seconds.
+            is_first: whether the whole fleet starts for the first time.
         """
+        self.versions = versions.VersionMemory(now, is_first)
         self._ttl = heartbeat_seconds * MISSED_HEARTBEATS
         self._recorder = recorder
         self._now = now
@@ -173,6 +182,7 @@
                 },
             )
         self._removed.pop(name, None)
+        self.versions.record(registration)
         self._entries[name] = _Entry(registration, self._now(), position)
         return True
 
@@ -226,6 +236,13 @@
                 self._removed[name] = self._advance_position()
                 logs.log("info", "upstream is silent", step="drop", peer=name)
 
+    def answer_versions(self):
+        """Return the wire.VersionsReply to wire.ReadVersions."""
+        for entry in self._entries.values():
+            if entry.registration.state != GONE:
+                self.versions.record(entry.registration)
+        return self.versions.answer()
+
     def list_names(self):
         """Return the names of the upstreams, tombstones included."""
         return list(self._entries)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
@@ -4,7 +4,9 @@
 first event of a stream that may be resumed is passed on, the instance tells
 three keepers, in different failure domains, which service and version wrote
 it. An instance at which a client takes the stream up asks the keepers. Only a
-few instances are keepers, so that each one needs connections to those.
+few instances are keepers, so that each one needs connections to those. Two
+replicas get the origins as well, some at a time, in case all entry instances
+are killed at once.
 """
 
 import collections
@@ -29,6 +31,11 @@
 MARGIN_SECONDS = 5.0  # after the client's deadline
 MAX_SECONDS = 120.0  # for which an origin is kept
 MAX_ORIGINS = 10_000  # 4 MB; the oldest are dropped
+MAX_REPLICA_ORIGINS = 40_000  # a replica keeps those of the whole fleet
+REPLICAS = 2  # that keep an origin, so that one may be lost
+# Between two messages to replicas, which a fleet of any size must bear.
+BATCH_SECONDS = 0.05
+BATCH_SECONDS_PER_INSTANCE = 0.002
 
 
 class Origin(typing.NamedTuple):
@@ -58,7 +65,15 @@
 class StreamOrigins:
     """The origins that this instance keeps, and those of other keepers."""
 
-    def __init__(self, name, map_instances, transport, now):
+    def __init__(
+        self,
+        name,
+        map_instances,
+        transport,
+        now,
+        list_replicas=lambda: (),
+        most=MAX_ORIGINS,
+    ):
         """Create the records of an instance that keeps none.
 
         Args:
@@ -67,7 +82,14 @@
                 of the instances alive.
             transport: a Transport.
             now: function that returns the time in seconds.
+            list_replicas: function that returns the names of replicas that
+                answer.
+            most: number of origins to keep.
         """
+        self._list_replicas = list_replicas
+        self._most = most
+        self._batch = {}
+        self._has_batch = trio.Event()
         self._name = name
         self._map_instances = map_instances
         self._transport = transport
@@ -80,7 +102,35 @@
     async def run(self):
         """Send to keepers what `record` is given, until cancelled."""
         async with trio.open_nursery() as self._nursery:
-            await trio.sleep_forever()
+            while True:
+                await self._has_batch.wait()
+                instances = len(self._map_instances())
+                await trio.sleep(
+                    BATCH_SECONDS + BATCH_SECONDS_PER_INSTANCE * instances
+                )
+                await self._send_batch()
+
+    async def _send_batch(self):
+        """Send origins to replicas until two of them have them."""
+        batch, self._batch = self._batch, {}
+        self._has_batch = trio.Event()
+        message = wire.StoreOrigins(
+            [
+                wire.OriginGroup(
+                    *origin,
+                    max(keep_ms for _, keep_ms in found),
+                    [key for key, _ in found],
+                )
+                for origin, found in batch.items()
+            ]
+        )
+        stored = 0
+        weights = dict.fromkeys(self._list_replicas(), 1.0)
+        for name in hashing.rank(self._name, weights):
+            reply = await self._call(name, message, FIND_TIMEOUT_SECONDS)
+            stored += reply is not None
+            if stored == REPLICAS:
+                return
 
     def _choose_keepers(self, key, count):
         """Return the names of the other instances that keep an origin."""
@@ -114,11 +164,19 @@
         self._kept[message.key] = _Kept(origin, now + seconds)
         return wire.OriginReply(origin is not None, *(origin or ("", "")))
 
+    def store_all(self, message):
+        """Keep the origins in a wire.StoreOrigins; return wire.OriginReply."""
+        for group in message.groups:
+            service, version, keep_ms, keys = group
+            for key in keys:
+                self.store(wire.StoreOrigin(key, service, version, keep_ms))
+        return wire.OriginReply(False, "", "")
+
     def _evict_expired(self, now):
         while self._kept:
             oldest = next(iter(self._kept))
             is_expired = self._kept[oldest].expires_at <= now
-            if not is_expired and len(self._kept) < MAX_ORIGINS:
+            if not is_expired and len(self._kept) < self._most:
                 return
             del self._kept[oldest]
 
@@ -144,6 +202,8 @@
         keep_ms = int((seconds + MARGIN_SECONDS) / SECONDS_PER_MS)
         message = wire.StoreOrigin(key, *origin, keep_ms)
         self.store(message)
+        self._batch.setdefault(origin, []).append((key, keep_ms))
+        self._has_batch.set()
         keepers = self._choose_keepers(key, KEEPERS)
         is_stored = trio.Event()
         for name in keepers:
@@ -167,6 +227,8 @@
         reply = self.answer(message)
         if not reply.is_known:
             reply = await self._ask(self._choose_keepers(key, ASKED), message)
+        if reply is None:
+            reply = await self._ask(self._list_replicas(), message)
         if reply is None:
             return None
         return Origin(reply.service, reply.version)
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -44,6 +44,7 @@
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_origins
 from camphorhook_daemon.domain.routing import upstream_limits
+from camphorhook_daemon.domain.routing import versions
 from camphorhook_daemon.domain.routing import withdrawals
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.domain import verdicts
@@ -159,7 +160,16 @@
             settings, _LocalReplicaView(self.replica), self.transport
         )
         self.registry = registry.Registry(
-            settings.heartbeat_seconds, self.recorder
+            settings.heartbeat_seconds,
+            self.recorder,
+            is_first=settings.founds,
+        )
+        self.origins = stream_origins.StreamOrigins(
+            settings.name,
+            dict,
+            self.transport,
+            trio.current_time,
+            most=stream_origins.MAX_REPLICA_ORIGINS,
         )
         watch = self.counts.register_gauge
         watch("log_term", lambda: self.replica.term)
@@ -190,7 +200,11 @@
             documents.read,
             lambda: now() - self._began_at,
         )
-        self.catalog = catalogs.UpstreamCatalog(trio.current_time, now)
+        self.catalog = catalogs.UpstreamCatalog(
+            trio.current_time,
+            now,
+            versions.VersionMemory(trio.current_time, settings.founds),
+        )
         self.cache_index = cache_index.CacheIndex()
         self.loads = loads.FleetLoads(settings.name, trio.current_time)
         self.outcomes = outcomes.Outcomes(trio.current_time)
@@ -235,6 +249,7 @@
             self.catalog.map_instances,
             self.transport,
             trio.current_time,
+            self.catalog.list_replicas,
         )
         self.pool = connection_pool.ConnectionPool()
         self.selector = selection.Selector(
@@ -308,6 +323,11 @@
             listeners.Limits,
         )
 
+    def list_known_replicas(self):
+        """Return the names of all replicas that this instance knows."""
+        known = self.settings.list_replicas()
+        return sorted({*known, *self.configuration.replicas})
+
     def _make_holders(self):
         return rate_permits.Holders(
             self.settings.name,
@@ -550,6 +570,14 @@
             _run_periodically, components.gateway_pool.close_expired
         )
         nursery.start_soon(_learn_placements, components)
+        nursery.start_soon(
+            versions.learn,
+            components.settings.name,
+            components.catalog.versions,
+            components.catalog.map_instances,
+            components.list_known_replicas,
+            components.transport,
+        )
         nursery.start_soon(_run_periodically, components.pool.close_expired)
         nursery.start_soon(_run_periodically, components.evict_crashes)
         nursery.start_soon(_run_periodically, components.evict_limits)
@@ -579,8 +607,7 @@
     """Watch the upstreams that each replica knows, new replicas included."""
     watched = set()
     while True:
-        known = components.settings.list_replicas()
-        for name in (*known, *components.configuration.replicas):
+        for name in components.list_known_replicas():
             if name not in watched:
                 watched.add(name)
                 nursery.start_soon(
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -36,16 +36,16 @@
         self.registry = None
         self.other_registry = None
         self.catalog = catalogs.UpstreamCatalog(self.read_time)
-        self.restart_replica()
+        self.restart_replica(True)
 
     def read_time(self):
         """Return the simulated time in seconds."""
         return self.time
 
-    def restart_replica(self):
+    def restart_replica(self, is_first=False):
         """Replace the registry by an empty one, as a restart does."""
         self.registry = registry.Registry(
-            HEARTBEAT_SECONDS, NULL_RECORDER, self.read_time
+            HEARTBEAT_SECONDS, NULL_RECORDER, self.read_time, is_first
         )
 
     def synchronize(self):
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -1,6 +1,7 @@
 """Step definitions for where streams began, and versions of upstreams."""
 
 import random
+import re
 import types
 import typing
 
@@ -18,8 +19,10 @@
 from camphorhook_daemon.domain import exchange
 from camphorhook_daemon.domain import limits as account_limits
 from camphorhook_daemon.domain import membership
+from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import stream_origins
+from camphorhook_daemon.domain.routing import versions
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.domain import verdicts
 from camphorhook_daemon.ports import upstreams as ports
@@ -240,14 +243,53 @@
             simulation.synchronize()
 
     first = first._replace(version="v1")
+    age = re.search(r"(\d+) s ago", upstreams)
     if "left" in upstreams:
         simulation.registry.register(second._replace(state=registry.GONE))
-        register(int(upstreams.split()[-3]), first)
-    if "lost" in upstreams:
+        register(int(age.group(1)), first)
+    if "were lost" in upstreams:
         register(100, first, second)
-        register(int(upstreams.split()[-3]), first)
+        register(int(age.group(1)), first)
     if "no replica" in upstreams:
         simulation.time += 6
+    if "start" in upstreams:
+        restart(simulation, upstreams, first._replace(sequence=1000))
+
+
+def restart(simulation, upstreams, registration):
+    """Restart an instance, and the replica if the text says so."""
+    if "replica and instance start" in upstreams:
+        simulation.restart_replica()
+        simulation.registry.register(registration)
+        simulation.time += catalogs.COMPLETE_AFTER_SECONDS + 0.1
+    simulation.catalog = catalog = catalogs.UpstreamCatalog(
+        simulation.read_time,
+        memory=versions.VersionMemory(simulation.read_time),
+    )
+    simulation.synchronize()
+    if "asks" not in upstreams:
+        return
+    replicas = ["replica"]
+    if "lost replica" in upstreams:
+        replicas.append("other")
+
+    async def call(peer, message, _timeout):
+        if peer != "replica":
+            raise errors.UnreachableError("lost", step="call", peer=peer)
+        return simulation.registry.answer_versions()
+
+    async def learn():
+        with trio.move_on_after(20.0):
+            await versions.learn(
+                "entry",
+                catalog.versions,
+                dict,
+                lambda: replicas,
+                types.SimpleNamespace(call=call),
+            )
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(learn, clock=clock)
 
 
 @behave.when("a client takes up a stream without naming its first request")
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -51,6 +51,12 @@
       | of version v1 whose upstreams of v2 left 90 s ago  | sent to v1 |
       | of version v1 whose upstreams of v2 were lost 30 s ago | refused |
       | of version v1 only, and no replica answered for 6 s | refused   |
+      | of version v1 whose upstreams of v2 left 30 s ago, and the instance starts | refused |
+      | of version v1 only, and the instance starts         | refused    |
+      | of version v1 whose upstreams of v2 left 30 s ago, and the instance starts and asks the replica | refused |
+      | of version v1 only, and the instance starts and asks the replica | sent to v1 |
+      | of version v1 only, and replica and instance start, and it asks the replica | refused |
+      | of version v1 only, and the instance starts and asks all but a lost replica | refused |
 
   Scenario Outline: The keepers of an origin find it for all, whatever is lost
     Given <instances> instances that keep where streams began
