Count requests without a place while holders begin to share places

Holders now count the load that instances publish for the first second, and serve what waits without a release. Instances that know no holder send without a place unless upstreams are brittle; before, a rejection made an instance refuse requests for its first two seconds (withdrawals.feature, 503 in place of 200).

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -508,10 +508,12 @@
     Attributes:
         upstream: upstream to send the request to; empty if there is no place.
         retry_ms: milliseconds after which one is likely to be free.
+        is_holder: whether the sender grants places of the service now.
     """
 
     upstream: str
     retry_ms: int
+    is_holder: bool = True
 
 
 class ReleasePlace(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -28,6 +28,10 @@
 # Of that time: what waits beyond it would often be refused in the end.
 ADMITTED_SHARE = 0.75
 MAX_WAITING = 500  # requests at one holder
+# At first, requests that were sent without a place occupy upstreams, which
+# only the instances' notices tell.
+SETTLE_SECONDS = 1.0
+SETTLE_INTERVAL_SECONDS = 0.05  # longer than a notice takes
 FIRST_HOLD_SECONDS = 0.1  # assumed until a place has been released
 HOLD_WEIGHT = 0.1  # of the last request in the mean time of a place
 
@@ -47,9 +51,18 @@
 
 
 class NoPlace(typing.NamedTuple):
-    """No place is free in time; one may be after some seconds."""
+    """No place is free in time.
+
+    Attributes:
+        seconds: time after which one is likely to be free.
+        is_known: whether a holder said so; otherwise none answered.
+    """
 
     seconds: float
+    is_known: bool = True
+
+
+_NO_HOLDER = NoPlace(NO_HOLDER_SECONDS, False)
 
 
 class _Waiter:
@@ -70,6 +83,8 @@
         self.waiting = []
         self.hold_seconds = FIRST_HOLD_SECONDS
         self.leases = {}
+        self.settles_at = 0.0
+        self.asked_at = float("-inf")
 
     def count_waiting(self):
         """Return the number of requests that wait."""
@@ -81,17 +96,20 @@
 class Places:
     """Acquires places from holders, and grants those this instance holds."""
 
-    def __init__(self, name, holders, pressure, transport, now):
+    def __init__(self, name, holders, pressure, count_load, transport, now):
         """Create the places of an instance that has granted none.
 
         Args:
             name: name of this instance.
             holders: the rate_permits.Holders, asked by name of the service.
             pressure: the pressure.Pressure.
+            count_load: function that returns how many requests all instances
+                have at an upstream, by its name.
             transport: a Transport.
             now: function that returns the time in seconds.
         """
         self._name = name
+        self._count_load = count_load
         self._holders = holders
         self._transport = transport
         self._now = now
@@ -128,18 +146,17 @@
             )
             if isinstance(found, Place):
                 return found
-            if found is not None:
+            if found.is_known:
                 denials[holder] = found.seconds
         if not denials:
-            return NoPlace(NO_HOLDER_SECONDS)
+            return _NO_HOLDER
         self.pressure.record_full(service)
         holder = min(denials, key=denials.get)
         if denials[holder] > longest:
             return NoPlace(denials[holder])
-        found = await self._ask(
+        return await self._ask(
             holder, service, upstreams, priority, longest, left
         )
-        return found or NoPlace(NO_HOLDER_SECONDS)
 
     def _list_holders(self, service):
         """Return the holders that answer, in turn a different one first."""
@@ -154,7 +171,7 @@
         return found
 
     async def _ask(self, holder, service, upstreams, priority, wait, left):
-        """Ask a holder; return a Place, a NoPlace, or None without answer."""
+        """Ask a holder; return a Place or a NoPlace."""
         number = next(self._numbers)
         message = wire.AcquirePlace(
             self._name,
@@ -174,14 +191,14 @@
         except errors.UnreachableError as error:
             logs.log("info", error.format(), step="acquire place")
             self._silent_until[holder] = self._now() + SILENCE_SECONDS
-            return None
+            return _NO_HOLDER
         finally:
             if not is_granted:
                 # A grant may be on its way to a request that was given up.
                 self._send_release(service, holder, number)
         if is_granted:
             return Place(reply.upstream, holder, number)
-        return NoPlace(reply.retry_ms * SECONDS_PER_MS)
+        return NoPlace(reply.retry_ms * SECONDS_PER_MS, reply.is_holder)
 
     def release(self, service, place):
         """Give a Place back."""
@@ -209,9 +226,10 @@
         self._holders.refresh()
         if self._holders.find_position(message.service, "") is None:
             wait_ms = int(NO_HOLDER_SECONDS / SECONDS_PER_MS)
-            return wire.PlaceReply("", wait_ms)
+            return wire.PlaceReply("", wait_ms, False)
         pool = self._pools.setdefault(message.service, _Pool())
         self._evict(message.service, pool)
+        self._settle(pool)
         if not pool.count_waiting():
             upstream = self._take(pool, message)
             if upstream:
@@ -234,6 +252,36 @@
         expected = self._estimate_wait(pool, message)
         return wire.PlaceReply("", int(expected / SECONDS_PER_MS) + 1)
 
+    def _settle(self, pool):
+        """Begin to watch the load, if no place was asked for of late."""
+        now = self._now()
+        is_new = now - pool.asked_at > SETTLE_SECONDS and not pool.leases
+        pool.asked_at = now
+        if is_new and self._nursery is not None:
+            pool.settles_at = now + SETTLE_SECONDS
+            self._nursery.start_soon(self._serve_while_settling, pool)
+
+    async def _serve_while_settling(self, pool):
+        """Grant places that no release tells of."""
+        while self._now() < pool.settles_at:
+            await trio.sleep(SETTLE_INTERVAL_SECONDS)
+            while self._serve_waiting(pool):
+                continue
+
+    def _is_occupied(self, pool, candidate):
+        """Return whether requests without a place may fill an upstream."""
+        now = self._now()
+        if now >= pool.settles_at:
+            return False
+        recent = sum(
+            upstream == candidate.name
+            and now - granted_at < SETTLE_INTERVAL_SECONDS
+            for upstream, granted_at, _ in pool.leases.values()
+        )
+        # The other holder may grant as many meanwhile.
+        load = self._count_load(candidate.name) + 2 * recent
+        return load >= candidate.places
+
     def _count_places(self, service, candidate):
         """Return how many places of an upstream this instance grants."""
         found = self._holders.find_position(service, "")
@@ -251,7 +299,9 @@
         for candidate in message.candidates:
             places = self._count_places(message.service, candidate)
             used = pool.used.get(candidate.name, 0)
-            if used < places and used / places < best_share:
+            if used >= places or self._is_occupied(pool, candidate):
+                continue
+            if used / places < best_share:
                 best, best_share = candidate.name, used / places
         if best:
             now = self._now()
@@ -302,8 +352,13 @@
         self._serve_waiting(pool)
 
     def _serve_waiting(self, pool):
-        """Grant free places to the first requests that can use them."""
+        """Grant a free place to the first request that can use it.
+
+        Returns:
+            Whether one was granted.
+        """
         unserved = []
+        is_granted = False
         while pool.waiting:
             entry = heapq.heappop(pool.waiting)
             waiter = entry[2]
@@ -311,12 +366,13 @@
                 continue
             waiter.upstream = self._take(pool, waiter.message)
             if waiter.upstream:
-                waiter.is_done = True
+                waiter.is_done = is_granted = True
                 waiter.ended.set()
                 break
             unserved.append(entry)
         for entry in unserved:
             heapq.heappush(pool.waiting, entry)
+        return is_granted
 
     def _evict(self, service, pool):
         """Free places whose holder was lost without a release."""
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -272,7 +272,11 @@
                 request.deadline - now,
             )
             if isinstance(place, place_grants.NoPlace):
-                return place
+                if place.is_known or self.places.pressure.is_brittle(service):
+                    return place
+                # Others bear a few requests too many until there is a holder.
+                place = None
+        if place is not None:
             (upstream,) = (
                 one
                 for one in choice.alternatives
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -235,6 +235,7 @@
             settings.name,
             self._make_holders(),
             self.pressure,
+            lambda name: self.loads.sum_load(name)[0],
             self.transport,
             trio.current_time,
         )
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -213,6 +213,7 @@
                 now,
             ),
             pressure.Pressure(now),
+            lambda one: 0,
             self,
             now,
         )
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -149,6 +149,7 @@
                 now,
             ),
             self.pressure,
+            lambda one: self.loads.sum_load(one)[0],
             transport,
             now,
         )
