Cut links and brittle servers in the soak and the emulator

The soak's instances reach servers from their own addresses, so that its proxy can reset, silence or refuse the links of one instance alone; plain servers have two places, and become brittle and slow for a time. check_partitions holds the service at instances cut off to two thirds of that of the others, check_falls brittle servers to two falls; the builds "ignore cuts" and "exceed places" must be found by them (not run yet).

--- a/tests/features/emulator.feature
+++ b/tests/features/emulator.feature
@@ -57,6 +57,16 @@
       | plan     | seed |
       | counter  | 1    |
 
+  Scenario Outline: Brittle servers do not fall
+    When the plan "counter" with <instances> instances and servers of <slots> slots, brittle from 1 on, gets <rate> requests for them a second
+    Then no more than 2 servers fall over
+    And at least <served> of these requests are served
+
+    Examples: the served share is 0.9 of what three servers can run
+      | instances | slots | rate | served |
+      | 8         | 4     | 77   | 0.55   |
+      | 60        | 4     | 105  | 0.4    |
+
   Scenario Outline: Instances that reach no server serve their clients
     When the plan "<plan>" with <instances> instances runs for <seconds> seconds while <cut> is cut off
     Then first tries at the instances cut off are served at least 0.9 times as often as at the others
--- a/tests/features/steps/emulator.py
+++ b/tests/features/steps/emulator.py
@@ -243,3 +243,53 @@
 def check_spread(context, most):
     (result,) = context.results
     assert 0 < result.most_by_one <= most, result.most_by_one
+
+
+@behave.when(
+    'the plan "{name}" with {instances:d} instances and servers of {slots:d} '
+    "slots, brittle from {most:d} on, gets {rate:d} requests for them a second"
+)
+def run_plan_with_brittle(context, name, instances, slots, most, rate):
+    plan = read_plan(name, 14)
+    services = [
+        (
+            one
+            if one.is_engine
+            else msgspec.structs.replace(
+                one, slots=slots, queue=2, work_ms=250.0
+            )
+        )
+        for one in plan.services
+    ]
+    plain = next(one.name for one in services if not one.is_engine)
+    kinds = [
+        (
+            msgspec.structs.replace(one, per_s=float(rate), deadline_ms=2500.0)
+            if one.service == plain
+            else msgspec.structs.replace(one, per_s=one.per_s / 10)
+        )
+        for one in plan.kinds
+    ]
+    fault = plans.Trouble("brittle", 4.0, 20.0, plain, 1.0, float(most))
+    plan = msgspec.structs.replace(
+        plan,
+        instances=instances,
+        services=services,
+        kinds=kinds,
+        troubles=(fault,),
+    )
+    context.kind = next(one.name for one in kinds if one.service == plain)
+    context.results = [trials.run(plan, 1)]
+
+
+@behave.then("no more than {most:d} servers fall over")
+def check_falls(context, most):
+    (result,) = context.results
+    print(result.falls, result.turned_away, result.kinds[context.kind])
+    assert result.falls <= most, result.falls
+
+
+@behave.then("at least {share:g} of these requests are served")
+def check_kind_served(context, share):
+    kind = context.results[0].kinds[context.kind]
+    assert kind.in_aim + kind.late >= share, kind
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -53,6 +53,7 @@
         [make_effect(one.request_id, one.sent_at) for one in answers],
         [],
         [],
+        [],
         histories.FinalState(1.0, (2, 2, 2)),
     )
 
--- a/tests/harness/platforms.py
+++ b/tests/harness/platforms.py
@@ -213,9 +213,9 @@
     def list_notices(self):
         """Return the answers in which a server said something of itself.
 
-        It leaves, wants a pause, or names a limit.
+        It leaves, wants a pause, names a limit, or has no room.
         """
-        kinds = {"leaving", "rejected", "limited"}
+        kinds = {"leaving", "rejected", "limited", "turned away"}
         return [one for one in self._read_effects() if kinds & one.keys()]
 
     def list_falls(self):
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -83,6 +83,7 @@
         world.platform.list_effects(),
         world.platform.list_departures(),
         world.platform.list_notices(),
+        world.platform.list_falls(),
         final_state,
     )
 
--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -70,6 +70,14 @@
             for n in range(8)
         ],
     ),
+    "exceed places": (
+        "check_falls",
+        [_Fault(1.0, "brittle", name, 10.0) for name in schedules.SERVERS[:3]],
+    ),
+    "ignore cuts": (
+        "check_partitions",
+        [_Fault(1.0, "upstream links", "entry-1", 10.0, "silent")],
+    ),
     "forget crashes": (
         "check_crashes",
         [
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -18,12 +18,14 @@
 from camphorhook_daemon.domain.routing import choice
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import forwarding
+from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import table
 from camphorhook_daemon.domain.routing import upstream_limits
 from camphorhook_daemon.domain.routing import withdrawals
 from camphorhook_daemon.domain import verdicts
+from tests.harness import bound_daemon
 
 STALE_SECONDS = 6.0  # longer than a document may take to be in force
 
@@ -136,6 +138,20 @@
     upstream_limits.UpstreamLimits.find_rate = lambda *arguments: math.inf
 
 
+def _exceed_places():
+    """Send requests to upstreams that have no place for them."""
+    selection.Selector._needs_place = lambda *arguments: False
+
+
+def _ignore_cuts():
+    """Take lost links to upstreams for upstreams that are down."""
+
+    async def inquire(self, _suspicion):
+        return None
+
+    links.Links._inquire = inquire
+
+
 def _forget_crashes():
     """Send on every request, whatever upstreams crashed under it."""
     crash_evidence.CrashEvidence.has_verdicts = lambda self: False
@@ -178,6 +194,8 @@
     "crowd cold": _crowd_cold,
     "forget limits": _forget_limits,
     "mix versions": _mix_versions,
+    "exceed places": _exceed_places,
+    "ignore cuts": _ignore_cuts,
     "forget crashes": _forget_crashes,
     "blame bystanders": _blame_bystanders,
     "write nothing": _write_nothing,
@@ -186,4 +204,5 @@
 
 if __name__ == "__main__":
     BREAKS[sys.argv.pop(1)]()
+    bound_daemon.bind_connections()
     runpy.run_module("camphorhook_daemon.main", run_name="__main__")
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -16,6 +16,9 @@
 MOST_IN_PAUSE = 2
 LIMIT_GRACE_SECONDS = 0.5  # after which the limit of a server binds
 LIMIT_TOLERANCE, LIMIT_SLACK, LIMIT_WINDOW_SECONDS = 1.5, 5, 4.0
+MOST_FALLS = 2  # of a brittle server; a tenth of the servers is less than one
+MOST_FAILED = 10  # first tries, and one in 50
+DEADLINE_SECONDS = 4.0  # as in load.DEADLINE_SECONDS
 EVACUATE_SECONDS = 5.0  # until an evacuated failure domain gets no more
 RECOVER_SECONDS = 12.0  # until requests are served again
 SLACK_SECONDS = 0.25
@@ -360,6 +363,81 @@
     return violations
 
 
+def check_falls(history):
+    """Check that brittle servers do not fall over for want of room.
+
+    A fall counts if most requests that its server turned away in the second
+    before came from instances without a fault.
+    """
+    answers = {one.request_id: one for one in history.answers}
+    turned_away = [one for one in history.notices if "turned away" in one]
+    violations = []
+    for period in history.fault_periods:
+        if period.kind != "brittle":
+            continue
+        falls = 0
+        for fall in history.falls:
+            at = fall["fell"]
+            is_bound = period.begin + RECONNECT_SECONDS < at <= period.end
+            if fall["server"] != period.target or not is_bound:
+                continue
+            senders = [
+                answers[one["request"]].entry
+                for one in turned_away
+                if one["server"] == period.target
+                and at - 1.0 < one["at"] <= at + SLACK_SECONDS
+                and one["request"] in answers
+            ]
+            sound = [
+                entry
+                for entry in senders
+                if not _overlaps_fault(history, entry, at - 1.0, at)
+            ]
+            falls += 2 * len(sound) > len(senders)
+        if falls > MOST_FALLS:
+            violations.append(f"brittle {period.target} fell {falls} times")
+    return violations
+
+
+def check_partitions(history):
+    """Check the service at instances cut off from all servers.
+
+    From RECONNECT_SECONDS after the cut on, first tries are served at least
+    two thirds as often as at instances without a fault.
+    """
+    violations = []
+    for period in history.fault_periods:
+        if period.kind != "upstream links":
+            continue
+        begin = period.begin + RECONNECT_SECONDS
+        end = period.end - DEADLINE_SECONDS
+        served = {True: [], False: []}
+        for answer in history.answers:
+            is_cut = answer.entry == period.target
+            if not begin <= answer.sent_at < end or answer.resumes:
+                continue
+            if answer.key != "key-1" or _find_cause(answer.target):
+                continue
+            if not is_cut and _overlaps_fault(
+                history, answer.entry, answer.sent_at, answer.ended_at
+            ):
+                continue
+            is_served = answer.status == 200 and answer.is_whole
+            served[is_cut].append(is_served)
+        cut, others = served[True], served[False]
+        if not cut or not others:
+            continue
+        share, usual = (sum(one) / len(one) for one in (cut, others))
+        failed = len(cut) - sum(cut)
+        most = MOST_FAILED + (len(cut) + len(others)) / 50
+        if share < 2 / 3 * usual and failed > most:
+            violations.append(
+                f"{period.target}, cut off, served {sum(cut)} of {len(cut)}, "
+                f"the others {sum(others)} of {len(others)}"
+            )
+    return violations
+
+
 def check_evacuations(history):
     """Check that an evacuated failure domain gets no more requests."""
     answers_by_id = {one.request_id: one for one in history.answers}
@@ -557,6 +635,8 @@
     check_leaving,
     check_pauses,
     check_limits,
+    check_falls,
+    check_partitions,
     check_evacuations,
     check_cold,
     check_retries,
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -92,7 +92,8 @@
         departures: acknowledged departures of servers: server, left.
         notices: answers of servers that were leaving, that rejected a
             request and wanted a pause, or that named a limit: server,
-            request, at, pause, limit.
+            request, at, pause, limit; or that had no room.
+        falls: brittle servers that fell over: server, fell.
         final_state: state at the end.
     """
 
@@ -102,4 +103,5 @@
     effects: list[dict]
     departures: list[dict]
     notices: list[dict]
+    falls: list[dict]
     final_state: FinalState
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -135,6 +135,18 @@
         time.sleep(fault.seconds)
         self._world.send_signal(fault.target, signal.SIGHUP)
 
+    def weaken(self, fault):
+        """Make a server with few places brittle and slow."""
+        self._world.send_signal(fault.target, signal.SIGWINCH)
+        time.sleep(fault.seconds)
+        self._world.send_signal(fault.target, signal.SIGWINCH)
+
+    def cut_off(self, fault):
+        """Inject a fault at the links of an instance to all servers."""
+        self._world.set_upstream_links(fault.target, fault.detail)
+        time.sleep(fault.seconds)
+        self._world.set_upstream_links(fault.target, "none")
+
     def garble(self, fault):
         """Make a server answer without framing and break answers off."""
         self._world.send_signal(fault.target, signal.SIGUSR2)
@@ -243,6 +255,8 @@
     "reject": Injector.reject,
     "limit": Injector.limit,
     "garble": Injector.garble,
+    "brittle": Injector.weaken,
+    "upstream links": Injector.cut_off,
     "link": Injector.disturb_link,
     "lose disk": Injector.lose_disk,
     "torn write": Injector.tear_journal,
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -14,6 +14,7 @@
 SERVERS = tuple(f"server-{number}" for number in range(1, 6 * SCALE + 1))
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 LINK_FAULTS = ("cut", "silent", "one_way", "delay")
+PARTITIONS = ("cut", "silent", "refuse")
 # Kind, targets, weight, minimum and maximum duration in seconds.
 FAULT_KINDS = (
     ("kill", ENTRIES, 2, 0.2, 3.0),
@@ -33,6 +34,8 @@
     ("link", SERVERS, 4, 0.3, 4.0),
     ("reject", SERVERS, 3, 0.5, 3.0),
     ("limit", SERVERS, 4, 4.0, 12.0),
+    ("brittle", SERVERS, 3, 4.0, 12.0),
+    ("upstream links", ENTRIES, 4, 4.0, 9.0),
     ("garble", SERVERS, 3, 0.5, 4.0),
     ("crash request", ("",), 2, 3.0, 8.0),
     ("crash part", ("",), 2, 3.0, 8.0),
@@ -50,7 +53,8 @@
         kind: kind of the fault, one of FAULT_KINDS or `kill all`.
         target: name of the process or failure domain; may be empty.
         seconds: duration until the fault is undone.
-        detail: fault of a `link`, one of LINK_FAULTS.
+        detail: fault of a `link`, one of LINK_FAULTS, or of an instance's
+            `upstream links`, one of PARTITIONS.
     """
 
     at: float
@@ -60,6 +64,12 @@
     detail: str = ""
 
 
+def _draw_detail(kind, rng):
+    if kind == "link":
+        return rng.choice(LINK_FAULTS)
+    return rng.choice(PARTITIONS) if kind == "upstream links" else ""
+
+
 def draw(seed, seconds=DEFAULT_SECONDS):
     """Return the list of Faults that a seed determines, in order of time.
 
@@ -80,7 +90,7 @@
             kind,
             target,
             round(rng.uniform(low, high), 2),
-            rng.choice(LINK_FAULTS) if kind == "link" else "",
+            _draw_detail(kind, rng),
         )
         group = "replicas" if target in REPLICAS else target or kind
         if busy_until.get(group, 0.0) <= at:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
 PROXY_PORT_OFFSET = 100  # from the port of a process to that of its proxy
 SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
 VERSIONS = 2
+PLACES = ("--places=2", "--work=0.002", "--waiting=2")
 COLD_SECONDS = 2.0
 DRAIN_SECONDS = 3.0  # longer than requests may arrive after a departure
 DELAY_MS = 150
@@ -55,7 +56,10 @@
             program: command line of the daemon; None runs the installed one.
         """
         self.platform = platforms.Platform(folder, slot)
-        self._program = program
+        # The proxy tells instances apart by their addresses.
+        self._program = program or processes.run_module(
+            "tests.harness.bound_daemon", "--platform"
+        )
         self._seed = seed
         self._starts = collections.Counter()
         self._control_port = 24000 + slot
@@ -123,6 +127,7 @@
             f"--cold={cold_seconds}",
             f"--drain={DRAIN_SECONDS}",
             f"--version=v{version}",
+            *(PLACES if SERVICES[number % len(SERVICES)] == "plain" else ()),
         )
 
     def is_serving(self, entry):
@@ -161,7 +166,17 @@
 
     def set_link(self, name, fault):
         """Inject a fault at the proxy of a process."""
-        command = {"links": [name], "fault": fault, "delay_ms": DELAY_MS}
+        self._call_proxy(
+            {"links": [name], "fault": fault, "delay_ms": DELAY_MS}
+        )
+
+    def set_upstream_links(self, entry, fault):
+        """Inject a fault at the links of an instance to all servers."""
+        sources = [self.platform.find_address(entry)]
+        links = list(schedules.SERVERS)
+        self._call_proxy({"links": links, "sources": sources, "fault": fault})
+
+    def _call_proxy(self, command):
         address = ("127.0.0.1", self._control_port)
         with socket.create_connection(address, 5.0) as connection:
             connection.sendall(json.dumps(command).encode() + b"\n")
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -30,7 +30,9 @@
 requests at once, for --work seconds each; --waiting more may wait, and others
 are rejected. With --brittle, it says so in all answers, and one that rejects
 more than that number within a second falls over: all connections are reset,
-and new ones for FALL_SECONDS. The effects file records both.
+and new ones for FALL_SECONDS. The effects file records both. On SIGWINCH a
+server with places becomes brittle and takes BRITTLE_WORK_SECONDS for a
+request, on the next one it ends that.
 """
 
 import itertools
@@ -52,6 +54,7 @@
 PAUSE_SECONDS = 1.5
 LIMIT_PER_SECOND = 1.5
 FALL_SECONDS = 2.0
+BRITTLE_WORK_SECONDS = 0.15
 CRASHING_PART = "dead"
 EVENTS = 10
 EVENT_INTERVAL_SECONDS = 0.1
@@ -170,6 +173,16 @@
             async for _ in signals:
                 self.garbles = not self.garbles
 
+    async def toggle_brittleness(self):
+        """Become brittle and slow, or sound again, at each SIGWINCH."""
+        usual = self.work_seconds
+        with trio.open_signal_receiver(signal.SIGWINCH) as signals:
+            async for _ in signals:
+                self.brittle = None if self.brittle else "1"
+                self.work_seconds = (
+                    BRITTLE_WORK_SECONDS if self.brittle else usual
+                )
+
     async def toggle_limit(self):
         """Start or stop naming a limit at each SIGHUP."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
@@ -409,6 +422,7 @@
         nursery.start_soon(server.toggle_rejections)
         nursery.start_soon(server.toggle_garbling)
         nursery.start_soon(server.toggle_limit)
+        nursery.start_soon(server.toggle_brittleness)
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
                 break
--- a/tools/emulator/network.py
+++ b/tools/emulator/network.py
@@ -25,12 +25,14 @@
         has_run: whether the server ran the request.
         load: the server's (running, waiting) requests.
         limit: requests per second that it takes; inf if it names no limit.
+        is_brittle: it falls over if it has to turn requests away.
     """
 
     status: int
     has_run: bool
     load: tuple[int, int]
     limit: float
+    is_brittle: bool
 
     def is_event_stream(self):
         """Return whether the answer is a stream, as all that succeed are."""
@@ -51,7 +53,11 @@
     def read_head_info(self, head):
         """Return the attempts.HeadInfo of a ResponseHead."""
         return attempts.HeadInfo(
-            head.has_run, False, head.load, limit=head.limit
+            head.has_run,
+            False,
+            head.load,
+            limit=head.limit,
+            is_brittle=head.is_brittle,
         )
 
     def pick_response_headers(self, head):
@@ -202,7 +208,8 @@
     def _make_head(self, status, has_run, load):
         period = self._server.limit
         limit = math.inf if period is None else period.rate
-        return ResponseHead(status, has_run, load, limit)
+        is_brittle = self._server.brittle is not None
+        return ResponseHead(status, has_run, load, limit, is_brittle)
 
     async def _receive(self):
         try:
--- a/tools/emulator/plans.py
+++ b/tools/emulator/plans.py
@@ -108,20 +108,21 @@
     """A fault to inject.
 
     Attributes:
-        kind: `crash` of servers, `slow` servers, `burst` of load, `deaf`
-            instances, whose notices are lost in both directions,
-            `crash part`: prompts with one part that crashes the servers that
-            begin to answer on it, sent besides the load, `limit`: servers
-            that say how many requests they take, `cut`: instances that lose
-            all packets to and from servers, or `cut domain`: all instances
-            of the first failure domain do.
+        kind: `crash` of servers, `brittle` servers, `slow` servers, `burst`
+            of load, `deaf` instances, whose notices are lost in both
+            directions, `crash part`: prompts with one part that crashes the
+            servers that begin to answer on it, sent besides the load,
+            `limit`: servers that say how many requests they take, `cut`:
+            instances that lose all packets to and from servers, or `cut
+            domain`: all instances of the first failure domain do.
         at: seconds from the start of the load.
         for_s: seconds that it lasts.
         service: name of the service whose servers are affected.
         share: share of the servers or instances that are affected.
         times: factor of the servers' time (`slow`) or of the load (`burst`);
             prompts per second (`crash part`); requests per second that a
-            server takes from all instances (`limit`).
+            server takes from all instances (`limit`); requests that one may
+            turn away within a second (`brittle`).
     """
 
     kind: typing.Literal[
@@ -133,6 +134,7 @@
         "limit",
         "cut",
         "cut domain",
+        "brittle",
     ]
     at: float
     for_s: float
--- a/tools/emulator/servers.py
+++ b/tools/emulator/servers.py
@@ -114,6 +114,10 @@
         crashes: number of crashes by overload while it was cold.
         request_crashes: number of crashes that a request caused.
         incarnation: increases with every start.
+        brittle: requests that it may turn away within a second before it
+            falls over; None if it bears any number.
+        falls: number of times that it fell over.
+        turned_away: number of requests that it turned away.
         limit: the LimitPeriod while it names a limit, else None.
         limit_periods: every LimitPeriod so far.
         crashed: event that is set when a request crashes the server.
@@ -133,6 +137,10 @@
         self.crashes = 0
         self.request_crashes = 0
         self.incarnation = 1
+        self.brittle = None
+        self.falls = 0
+        self.turned_away = 0
+        self._turned_away_at = collections.deque()
         self.crashed = trio.Event()
         self.limit = None
         self.limit_periods = []
@@ -177,11 +185,30 @@
                 self.crash()
                 raise ServerCrashed
         if len(self.waiting) >= self.spec.queue:
+            self._turn_away(now)
             raise ServerFull
         self.waiting.append(job)
         self.waiting.sort(key=lambda one: (one.priority, one.order))
         self.wake_up.set()
 
+    def _turn_away(self, now):
+        """Count a request that finds no room.
+
+        Raises:
+            ServerCrashed: the server is brittle, and this is one too many.
+        """
+        self.turned_away += 1
+        self._turned_away_at.append(now)
+        while self._turned_away_at[0] < now - 1.0:
+            self._turned_away_at.popleft()
+        if self.brittle is None or len(self._turned_away_at) <= self.brittle:
+            return
+        self.falls += 1
+        self._turned_away_at.clear()
+        self.crash()
+        self.crashed.set()
+        raise ServerCrashed
+
     def drop(self, job):
         """Remove a request that has ended or whose caller has disconnected."""
         for jobs in (self.waiting, self.running):
--- a/tools/emulator/trials.py
+++ b/tools/emulator/trials.py
@@ -72,6 +72,8 @@
         others_served: the same, at the other instances at that time.
         most_by_one: highest share of the requests handed over that went to
             one instance; 0 if there were none.
+        falls: number of times that a brittle server fell over.
+        turned_away: requests that servers turned away for want of room.
     """
 
     kinds: dict[str, KindResult]
@@ -87,6 +89,8 @@
     cut_served: float = 1.0
     others_served: float = 1.0
     most_by_one: float = 0.0
+    falls: int = 0
+    turned_away: int = 0
 
 
 @contextlib.contextmanager
@@ -180,6 +184,13 @@
         for server in chosen:
             server.slowdown = server.base_slowdown
         return
+    if fault.kind == "brittle":
+        for server in chosen:
+            server.brittle = int(fault.times)
+        await trio.sleep(fault.for_s)
+        for server in chosen:
+            server.brittle = None
+        return
     if fault.kind == "limit":
         for server in chosen:
             server.start_limit(fault.times)
@@ -261,6 +272,8 @@
         [round(float(one), 4) for one in shares[:-1]],
         *_measure_first_tries(plan, fleet, outcomes),
         _measure_most_by_one(fleet),
+        sum(one.falls for one in fleet.servers.values()),
+        sum(one.turned_away for one in fleet.servers.values()),
     )
 
 
