--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -16,6 +16,31 @@
       | 2         | cut    |
       | 1         | refuse |
 
+  Scenario Outline: An instance by way of which requests go is lost
+    Given 4 entry instances that reach 6 upstreams through a proxy
+    When the links of 1 instances to all upstreams are silent for 11 seconds, and entry-2 is <event> after 4
+    Then they serve first tries nine tenths as often as the others
+    And no unsafe request ran twice
+    And no request that was refused ran
+
+    Examples:
+      | event   |
+      | killed  |
+      | frozen  |
+      | stopped |
+      | cut off |
+
+  Scenario Outline: Links to upstreams fail in part, or upstreams do
+    Given 4 entry instances that reach 6 upstreams through a proxy
+    When <event> for 6 seconds
+    Then no instance takes its links for lost
+    And at least <served> of all first tries are served
+
+    Examples:
+      | event                                            | served |
+      | one upstream after the other is silent for 1.2 s | 0.97   |
+      | the upstreams of a failure domain are silent     | 0.6    |
+
   Scenario Outline: Whose fault it is that an upstream gives no answer
     Given an instance that <own>
     And other instances that <others>
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -1,14 +1,18 @@
 """Step definitions for instances that lose their links to upstreams."""
 
 import collections
+import itertools
 import pathlib
 import re
+import signal
+import threading
 import time
 
 import behave
 
 from camphorhook_daemon.domain.routing import links
 from tests.harness import partitions
+from tests.harness import platforms
 
 CONTACT_SECONDS = 3.0  # after which a cut must not be noticed any more
 SETTLE_SECONDS = 1.0
@@ -47,6 +51,72 @@
     world.stop_load()
 
 
+@behave.when(
+    "the links of {count:d} instances to all upstreams are {fault} for "
+    "{seconds:g} seconds, and {entry} is {event} after {delay:g}"
+)
+def cut_links_and_disturb(context, count, fault, seconds, entry, event, delay):
+    world = context.world
+    disturb = {
+        "killed": lambda: world.platform.kill(entry),
+        "frozen": lambda: world.platform.pause(entry),
+        "stopped": lambda: world.platform.running[entry].send_signal(
+            signal.SIGTERM
+        ),
+        "cut off": lambda: world.set_links([entry], "silent"),
+    }[event]
+    timer = threading.Timer(SETTLE_SECONDS + delay, disturb)
+    timer.start()
+    cut_links(context, count, fault, seconds)
+    if event == "frozen":
+        world.platform.resume(entry)
+    context.others.remove(entry)
+
+
+@behave.when("{event} for {seconds:g} seconds")
+def disturb_upstreams(context, event, seconds):
+    world = context.world
+    world.start_load()
+    time.sleep(SETTLE_SECONDS)
+    end = time.time() + seconds
+    if "one upstream after the other" in event:
+        for server in itertools.cycle(partitions.SERVERS):
+            if time.time() > end:
+                break
+            world.set_server(server, "silent")
+            time.sleep(1.2)
+            world.set_server(server, "none")
+    else:
+        silent = [
+            server
+            for number, server in enumerate(partitions.SERVERS)
+            if number % len(platforms.DOMAINS) == 0
+        ]
+        for server in silent:
+            world.set_server(server, "silent")
+        time.sleep(seconds)
+        for server in silent:
+            world.set_server(server, "none")
+    time.sleep(SETTLE_SECONDS)
+    world.stop_load()
+
+
+@behave.then("no instance takes its links for lost")
+def check_no_verdict(context):
+    for entry in context.world.entries:
+        log = context.world.platform.running[entry].read_log()
+        assert "reaches no upstream" not in log, entry
+
+
+@behave.then("at least {share:g} of all first tries are served")
+def check_all_served(context, share):
+    served, sent = context.world.measure_share(
+        context.world.entries, 0.0, time.time()
+    )
+    print(f"{served} of {sent}")
+    assert served >= share * sent, (served, sent)
+
+
 @behave.then("they serve first tries nine tenths as often as the others")
 def check_served(context):
     begin = context.cut_at + CONTACT_SECONDS
