Grant free places to what waits without a release

Cause, first: the numbers of an instance's questions began at 1 at each start, so a restarted instance overwrote the leases of its lost requests, and their places were never free. Second: what waits was looked at only when a place was released. Class: progress that depends on an event which may never come.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import random
 import typing
 
 import trio
@@ -32,7 +33,9 @@
 # only the instances' notices tell.
 SETTLE_SECONDS = 1.0
 SETTLE_INTERVAL_SECONDS = 0.05  # longer than a notice takes
+SERVE_INTERVAL_SECONDS = 0.05  # in which a waiting request looks again
 FIRST_HOLD_SECONDS = 0.1  # assumed until a place has been released
+NUMBER_BITS = 48
 HOLD_WEIGHT = 0.1  # of the last request in the mean time of a place
 
 
@@ -115,7 +118,8 @@
         self._now = now
         self._pools = {}
         self._silent_until = {}
-        self._numbers = itertools.count(1)
+        # A process that starts again must not use the numbers of before.
+        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
         self._nursery = None
         self.pressure = pressure
 
@@ -228,8 +232,8 @@
             wait_ms = int(NO_HOLDER_SECONDS / SECONDS_PER_MS)
             return wire.PlaceReply("", wait_ms, False)
         pool = self._pools.setdefault(message.service, _Pool())
-        self._evict(message.service, pool)
         self._settle(pool)
+        self._serve(message.service, pool)
         if not pool.count_waiting():
             upstream = self._take(pool, message)
             if upstream:
@@ -244,7 +248,10 @@
         heapq.heappush(pool.waiting, entry)
         try:
             with trio.move_on_after(wait):
-                await waiter.ended.wait()
+                while not waiter.ended.is_set():
+                    with trio.move_on_after(SERVE_INTERVAL_SECONDS):
+                        await waiter.ended.wait()
+                    self._serve(message.service, pool)
         finally:
             waiter.is_done = True
         if waiter.upstream:
@@ -257,16 +264,14 @@
         now = self._now()
         is_new = now - pool.asked_at > SETTLE_SECONDS and not pool.leases
         pool.asked_at = now
-        if is_new and self._nursery is not None:
+        if is_new:
             pool.settles_at = now + SETTLE_SECONDS
-            self._nursery.start_soon(self._serve_while_settling, pool)
 
-    async def _serve_while_settling(self, pool):
-        """Grant places that no release tells of."""
-        while self._now() < pool.settles_at:
-            await trio.sleep(SETTLE_INTERVAL_SECONDS)
-            while self._serve_waiting(pool):
-                continue
+    def _serve(self, service, pool):
+        """Grant the free places of which no release tells."""
+        self._evict(service, pool)
+        while self._serve_waiting(pool):
+            continue
 
     def _is_occupied(self, pool, candidate):
         """Return whether requests without a place may fill an upstream."""
--- a/tests/features/steps/upstream_places.py
+++ b/tests/features/steps/upstream_places.py
@@ -130,3 +130,55 @@
         if answer.status == 503 and took > seconds
     ]
     assert not late, late
+
+
+@behave.when(
+    "{entry} is killed with requests in flight and starts again, {times:d} "
+    "times"
+)
+def restart_with_places(context, entry, times):
+    platform = context.platform
+    for _ in range(times):
+        # More than the upstream has room for, so that places are shared.
+        threads = [
+            threading.Thread(
+                target=platform.request,
+                args=(one, "/safe/a", platform_steps.KEY),
+            )
+            for one in context.entries * 6
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        platform.kill(entry)
+        for thread in threads:
+            thread.join()
+        platform.start(entry, first=False)
+        processes.wait_until(lambda: platform.is_ready(entry))
+        time.sleep(2.5)
+
+
+@behave.then(
+    "within {seconds:d} seconds {entry} serves {count:d} requests at the same "
+    "time"
+)
+def check_places_free(context, seconds, entry, count):
+    def serve_all():
+        statuses = []
+        threads = [
+            threading.Thread(
+                target=lambda: statuses.append(
+                    context.platform.request(
+                        entry, "/safe/a", platform_steps.KEY
+                    ).status
+                )
+            )
+            for _ in range(count)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return statuses == [200] * count
+
+    processes.wait_until(serve_all, seconds)
--- a/tests/features/upstream_places.feature
+++ b/tests/features/upstream_places.feature
@@ -24,3 +24,8 @@
     Given 2 plain upstreams of 1 places at 0.1 s, brittle from 1 on, and 4 entry instances
     When 40 requests a second are sent for 10 seconds
     Then at most 2 of the upstreams fall over
+
+  Scenario: Places of an instance that starts again are not lost
+    Given 1 plain upstreams of 2 places at 1.0 s, not brittle, and 2 entry instances
+    When entry-2 is killed with requests in flight and starts again, 3 times
+    Then within 6 seconds entry-1 serves 2 requests at the same time
