--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -32,7 +32,7 @@
 
   Scenario Outline: Links to upstreams fail in part, or upstreams do
     Given 4 entry instances that reach 6 upstreams through a proxy
-    When <event> for 6 seconds
+    When upstreams fail: <event> for 6 seconds
     Then no instance takes its links for lost
     And at least <served> of all first tries are served
 
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -73,7 +73,7 @@
     context.others.remove(entry)
 
 
-@behave.when("{event} for {seconds:g} seconds")
+@behave.when("upstreams fail: {event} for {seconds:g} seconds")
 def disturb_upstreams(context, event, seconds):
     world = context.world
     world.start_load()
