Forget when gateways that are gone were heard

Read in the diff: the pool of connections to gateways kept a time for each instance that had ever been one; it forgets those that are gone now, as the upstreams' pool does. Comments say what the interval, the bits of a number, a late release and two attributes mean.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
@@ -67,7 +67,8 @@
     """Chooses the gateways of this instance, and answers those who ask.
 
     Attributes:
-        links: the links.Links of this instance.
+        links: the links.Links of this instance, set after both are created,
+            as they need each other.
     """
 
     def __init__(
@@ -163,7 +164,7 @@
             for name, domain in instances.items()
             if name not in self._avoid_until and name not in usable
         }
-        # An instance that knows no other names some again.
+        # If all others are avoided and none is usable, they are asked again.
         others = others or (not usable and instances) or {}
         missing = max(0, ASKED - len(usable))
         return usable + hashing.choose_spread(self._name, others, missing)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -15,7 +15,7 @@
 from camphorhook_common import logs
 from camphorhook_daemon.domain import hashing
 
-CHECK_INTERVAL_SECONDS = 0.1
+CHECK_INTERVAL_SECONDS = 0.1  # between two judgements of the links
 # A check that comes later than this shows that the process did not run.
 MAX_CHECK_GAP_SECONDS = 0.5
 SILENCE_SECONDS = 0.5  # without any byte from an upstream that owes an answer
@@ -169,6 +169,7 @@
 
     Attributes:
         is_cut_off: the links fail; nothing may be sent on them but probes.
+        on_heal: function that is called when the links work again.
     """
 
     def __init__(self, pool, list_upstreams, probe, ask, now):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -22,7 +22,7 @@
 REPLY_TIMEOUT_SECONDS = 0.15  # beyond the time that a request may wait
 SILENCE_SECONDS = 0.5  # for which a holder that did not answer is not asked
 NO_HOLDER_SECONDS = 0.3  # until instances agree on the holders again
-RELEASE_TIMEOUT_SECONDS = 0.5
+RELEASE_TIMEOUT_SECONDS = 0.5  # later, the lease ends by itself
 LEASE_MARGIN_SECONDS = 1.0  # after the deadline of a request
 WAIT_SHARE = 0.4  # of the time left; the rest is for the upstream
 WAIT_OBJECTIVES = 2.0  # longest wait in latency objectives
@@ -35,7 +35,7 @@
 SETTLE_INTERVAL_SECONDS = 0.05  # longer than a notice takes
 SERVE_INTERVAL_SECONDS = 0.05  # in which a waiting request looks again
 FIRST_HOLD_SECONDS = 0.1  # assumed until a place has been released
-NUMBER_BITS = 48
+NUMBER_BITS = 48  # of the random first number of a process's questions
 HOLD_WEIGHT = 0.1  # of the last request in the mean time of a place
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -477,6 +477,7 @@
         """Forget the limits and permits of upstreams that are gone."""
         self.limits.retain(self.catalog.registrations)
         self.pool.retain(self.catalog.registrations)
+        self.gateway_pool.retain(self.catalog.map_instances())
         table = self.rules.get_table()
         self.places.retain(table.services if table else ())
         self.rate_permits.retain(self.catalog.registrations)
