Let nobody wait for a place where none is granted

Callers of a service whose upstreams have one place each got 503 'every place is taken' after waiting in vain, while the place was free again in time.

Cause: two holders share the places, so of an upstream with one place one of them grants none. It still let requests wait, and as nobody waited there before, it named the shorter time. Class: a queue that nobody serves.

Change: a holder that grants none of the candidates' places says that it is no holder of them.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -508,7 +508,7 @@
     Attributes:
         upstream: upstream to send the request to; empty if there is no place.
         retry_ms: milliseconds after which one is likely to be free.
-        is_holder: whether the sender grants places of the service now.
+        is_holder: whether the sender grants places of any candidate now.
     """
 
     upstream: str
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -228,7 +228,8 @@
     async def grant(self, message):
         """Return the wire.PlaceReply to a wire.AcquirePlace."""
         self._holders.refresh()
-        if self._holders.find_position(message.service, "") is None:
+        # Of an upstream with one place, one of the holders grants none.
+        if not self._count_all_places(message):
             wait_ms = int(NO_HOLDER_SECONDS / SECONDS_PER_MS)
             return wire.PlaceReply("", wait_ms, False)
         pool = self._pools.setdefault(message.service, _Pool())
@@ -298,6 +299,13 @@
         position = (position + turn) % count
         return (max(1, candidate.places) + count - 1 - position) // count
 
+    def _count_all_places(self, message):
+        """Return how many places of a message's candidates are granted here."""
+        return sum(
+            self._count_places(message.service, one)
+            for one in message.candidates
+        )
+
     def _take(self, pool, message):
         """Take a place for a message; return its upstream, or ""."""
         best, best_share = "", 1.0
@@ -318,10 +326,7 @@
 
     def _estimate_wait(self, pool, message):
         """Return the seconds after which a place is likely to be free."""
-        places = sum(
-            self._count_places(message.service, one)
-            for one in message.candidates
-        )
+        places = self._count_all_places(message)
         ahead = len(pool.waiting) + 1
         return ahead * pool.hold_seconds / max(1, places)
 
--- /dev/null
+++ b/tests/features/steps/places.py
@@ -0,0 +1,76 @@
+"""Step definitions for places that instances share."""
+
+import behave
+import trio
+from trio import testing
+
+from camphorhook_daemon.domain.routing import places
+from tests.harness import place_holders
+
+OBJECTIVE_SECONDS = 0.5
+LEFT_SECONDS = 2.5
+
+
+@behave.given(
+    "{count:d} instances that share 1 place at each of {upstreams:d} upstreams"
+)
+def prepare(context, count, upstreams):
+    context.count = count
+    context.upstreams = place_holders.make_upstreams(upstreams, 1)
+    context.is_silent = False
+
+
+@behave.given("the instance that grants none of the places is silent")
+def silence(context):
+    context.is_silent = True
+
+
+@behave.when(
+    "{count:d} requests of {run:g} s are sent at once, {times:d} times, every "
+    "{interval:g} s"
+)
+def send(context, count, run, times, interval):
+    context.results = []
+
+    async def send_one(holder):
+        began_at = trio.current_time()
+        found = await holder.send(
+            context.upstreams, run, OBJECTIVE_SECONDS, LEFT_SECONDS
+        )
+        waited = trio.current_time() - began_at - run
+        context.results.append((found, waited))
+
+    async def play():
+        holders = place_holders.make_holders(context.count)
+        async with trio.open_nursery() as nursery:
+            for holder in holders.values():
+                nursery.start_soon(holder.places.run)
+            await trio.sleep(0)  # until they can send releases
+            granter = await place_holders.find_granter(
+                holders, context.upstreams
+            )
+            if context.is_silent:
+                for name, holder in holders.items():
+                    holder.is_silent = name != granter
+            senders = [one for one in holders.values() if not one.is_silent]
+            async with trio.open_nursery() as requests:
+                for _ in range(times):
+                    for number in range(count):
+                        requests.start_soon(
+                            send_one, senders[number % len(senders)]
+                        )
+                    await trio.sleep(interval)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=testing.MockClock(autojump_threshold=0))
+
+
+@behave.then("all of them are sent within {seconds:d} second")
+def check(context, seconds):
+    sent = [
+        waited
+        for found, waited in context.results
+        if isinstance(found, places.Place) and waited < seconds
+    ]
+    print(f"{len(sent)} of {len(context.results)}")
+    assert len(sent) == len(context.results), context.results
