Let requests wait for places while another upstream names a limit

Cause: what limited upstreams leave was refused at once if the others were full, from the time before places were shared. Class: two mechanisms for one limit.

Change: a plain service with an upstream that names a limit shares its places, so that requests wait in the holders' bounded queues. Engines stay as they were.

Result: the new scenario of upstream_limits.feature, 6 requests at once for one limited and one busy upstream: all answered; some got 503 before. The features upstream_limits and withdrawals pass.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -164,7 +164,7 @@
         if not available:
             return Refusal(f"every upstream of {service} is full")
         loads = self._estimate_loads(known, instances, now)
-        if self._has_limits(known):
+        if spec.is_engine and self._has_limits(known):
             available = self._list_relieving(available, loads)
             if not available:
                 for one in upstreams:
@@ -199,9 +199,10 @@
         )
 
     def _list_relieving(self, upstreams, loads):
-        """Return the upstreams that can take what limited ones leave.
+        """Return the engines that can take what limited ones leave.
 
         Requests beyond the capacity of the others would only wait there.
+        Plain services share their places then.
         """
         return [
             one
@@ -301,7 +302,9 @@
         pressure = self.places.pressure
         if spec is None or spec.is_engine:
             return pressure.is_brittle(service)
-        return pressure.is_shared(service)
+        if pressure.is_shared(service):
+            return True
+        return self._has_limits(self._catalog.list_service(service))
 
     def record_placement(self, request, choice, now):
         """Record that a prompt is sent to the upstream of a Choice."""
--- a/tests/features/steps/upstream_limits.py
+++ b/tests/features/steps/upstream_limits.py
@@ -22,6 +22,20 @@
     withdrawals.add_action(context, sleep)
 
 
+@behave.given(
+    "upstream {number:d} runs {capacity:d} request at once, for {seconds:g} "
+    "seconds"
+)
+def slow_down(context, number, capacity, seconds):
+    async def slow(router):
+        upstream = router.upstreams[number - 1]
+        upstream.capacity = capacity
+        upstream.run_seconds = seconds
+        router.register()
+
+    withdrawals.add_action(context, slow)
+
+
 def find_most(times, seconds):
     """Return the largest number of times within any window of a length."""
     times = sorted(times)
@@ -60,6 +74,8 @@
 
 @behave.then("each of these requests was answered by an upstream")
 def check_answered(context):
+    if "clients" not in context:
+        withdrawals.run_actions(context)
     statuses = {client.status for client in context.clients}
     assert statuses == {200}, statuses
 
--- a/tests/features/upstream_limits.feature
+++ b/tests/features/upstream_limits.feature
@@ -25,6 +25,15 @@
     And 200 requests are sent one after the other
     Then upstream 1 got from 80 to 120 of the last 200 requests
 
+  Scenario: What a limited upstream leaves waits for places at busy ones
+    Given 2 upstreams of a service that has no engines
+    And upstream 1 answers with status 200 and Server-Limit: 0.2
+    And upstream 2 runs 1 request at once, for 0.05 seconds
+    When the instance has run for 2.1 seconds
+    And requests are sent until upstream 1 has got one
+    And 6 requests are sent at the same time
+    Then each of these requests was answered by an upstream
+
   Scenario: What no upstream takes is refused at once, with the true time
     Given 2 upstreams of a service that has no engines
     And upstream 1 answers with status 200 and Server-Limit: 2
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -57,9 +57,13 @@
         crash_part: part of a prompt under which it crashes as it begins to
             answer.
         is_reset_only: it resets the connection there and runs on.
+        capacity: number of requests that it says it runs at once.
+        run_seconds: time until it answers.
     """
 
     def __init__(self, number):
+        self.capacity = 64
+        self.run_seconds = 0.0
         self.name = f"upstream-{number}"
         self.incarnation = 1
         self.requests = []
@@ -102,6 +106,7 @@
                     self.incarnation += 1
                     await stream.send_all(CHUNKED_START)
                     return
+                await trio.sleep(self.run_seconds)
                 body = self.name.encode()
                 await stream.send_all(
                     f"HTTP/1.1 {self.status} Status\r\n"
@@ -120,7 +125,7 @@
             self.incarnation,
             len(self.requests),
             registry.LIVE,
-            64,
+            self.capacity,
             0,
         )
 
