Refuse at once what no instance can send

With 4 of 4 instances cut off, of first tries sent later than 3 s after the cut (links silent) 143 got 504 and 70 got 502, after up to 2.5 s; where links were reset 210 of 396 got 502, which promises nothing.

Cause: an instance asked others whether its own links failed, and took the upstreams to be down if nobody reached them; each request found that out anew.

Change: once upstreams are suspected for a second, six of them left a probe unanswered, and no other instance heard from any, requests are refused with 503 and a Retry-After. A probe every half second, and the other instances' answers, end it.

All upstreams silent for 1.2 s: no instance refuses.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
@@ -8,6 +8,7 @@
 MAX_REASON_BYTES = 1024
 CUT_OFF_REASON = "this instance reaches no upstream"
 CUT_OFF_RETRY_SECONDS = 1.0  # until another instance may reach them
+OUTAGE_REASON = "no instance reaches an upstream"
 # Attempts without a connection until a gateway gives a request back.
 MAX_UNREACHED = 2
 
@@ -55,6 +56,10 @@
             An attempts.AttemptResult or Failure; None if the request must be
             sent directly, as the links work or no instance is left.
         """
+        if self.links.is_outage:
+            return attempts.Failure(
+                503, OUTAGE_REASON, CUT_OFF_RETRY_SECONDS, True
+            )
         is_cut_off = self.links.is_cut_off
         refusal = attempts.Failure(
             503, CUT_OFF_REASON, CUT_OFF_RETRY_SECONDS, True
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
@@ -115,9 +115,8 @@
             for name in message.upstreams
             if name in heard_at
         }
-        return wire.ContactsReply(
-            self.links.is_cut_off, self._count_active(), ages
-        )
+        is_cut_off = self.links.is_cut_off or self.links.is_outage
+        return wire.ContactsReply(is_cut_off, self._count_active(), ages)
 
     async def ask(self, upstreams):
         """Ask other instances about upstreams; return links.Reports.
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -33,6 +33,11 @@
 HEAL_ANSWERS = 2  # upstreams that must answer before links are used again
 # In which requests return to the direct links, each with a new connection.
 RETURN_SECONDS = 2.0
+# For which upstreams must be suspected, without a sign of life from any of
+# them anywhere, until requests are refused; sound ones may be silent for a
+# second.
+OUTAGE_SECONDS = 1.0
+OUTAGE_PROBES = 6  # upstreams that must have left a probe unanswered by then
 HOLD_SECONDS = 2.0  # longest delay of a report of a failure
 MAX_HELD = 1000  # reports of failures; more are dropped
 
@@ -118,7 +123,12 @@
         suspicion: what `find_suspicion` returned, not empty.
         reports: Reports of other instances.
     """
-    heard = [
+    return 2 * len(_list_heard(suspicion, reports)) >= len(suspicion)
+
+
+def _list_heard(suspicion, reports):
+    """Return the upstreams that others heard since they are suspected."""
+    return [
         name
         for name, since in suspicion.items()
         if any(
@@ -126,7 +136,6 @@
             for one in reports
         )
     ]
-    return 2 * len(heard) >= len(suspicion)
 
 
 class Wait:
@@ -169,6 +178,7 @@
 
     Attributes:
         is_cut_off: the links fail; nothing may be sent on them but probes.
+        is_outage: no instance is known that reaches an upstream.
         on_heal: function that is called when the links work again.
     """
 
@@ -199,7 +209,11 @@
         self._inquiry_seconds = MIN_INQUIRY_SECONDS
         self._healed_at = -math.inf
         self._probes = 0
+        self._unanswered = set()
+        self._suspected_at = None
+        self._outage = {}
         self.is_cut_off = False
+        self.is_outage = False
         self.on_heal = lambda: None
 
     # --- observations ------------------------------------------------------
@@ -302,7 +316,7 @@
         Args:
             request: id of the request.
         """
-        if self.is_cut_off:
+        if self.is_cut_off or self.is_outage:
             return False
         share = (self._now() - self._healed_at) / RETURN_SECONDS
         return share >= 1 or hashing.hash_to_fraction("heal", request) < share
@@ -330,12 +344,22 @@
                 await self._try_links()
             self._checked_at = self._now()
             return
+        if self.is_outage:
+            if now >= self._inquire_at:
+                self._inquire_at = now + HEAL_INTERVAL_SECONDS
+                await self._check_outage()
+            self._checked_at = self._now()
+            return
         suspicion = self._find_suspicion()
         self._release()
         if not suspicion:
             self._inquiry_seconds = MIN_INQUIRY_SECONDS
+            self._suspected_at = None
             self._forget()
         elif now >= self._inquire_at:
+            if self._suspected_at is None:
+                self._suspected_at = now
+                self._unanswered.clear()
             await self._inquire(suspicion)
             self._inquire_at = self._now() + self._inquiry_seconds
             self._inquiry_seconds = min(
@@ -359,10 +383,20 @@
                 del self._links[name]
 
     async def _inquire(self, suspicion):
-        """Ask other instances and probe upstreams; record what that shows."""
-        reports = []
+        """Ask other instances and probe upstreams; act on what that shows."""
         earliest = sorted(suspicion, key=suspicion.get)[:MAX_ASKED]
         suspicion = {name: suspicion[name] for name in earliest}
+        reports = await self._ask_and_probe(suspicion)
+        if not self._find_suspicion():
+            return
+        if is_own_fault(suspicion, reports):
+            self._begin_cut(suspicion, reports)
+        elif self._is_outage(suspicion, reports):
+            self._begin_outage(suspicion)
+
+    async def _ask_and_probe(self, suspicion):
+        """Return the Reports of other instances on suspected upstreams."""
+        reports = []
 
         async def ask():
             reports.extend(await self._ask(list(suspicion)))
@@ -371,10 +405,10 @@
             nursery.start_soon(ask)
             for upstream in self._choose_probes(PROBES):
                 nursery.start_soon(self._probe_one, upstream)
-        if not self._find_suspicion():
-            return
-        if not is_own_fault(suspicion, reports):
-            return
+        return reports
+
+    def _begin_cut(self, suspicion, reports):
+        """Send nothing more on the links, and withdraw what waits there."""
         self.is_cut_off = True
         held, self._held = self._held, []
         for _, _, retract in held:
@@ -399,6 +433,48 @@
         for wait in waits:
             wait.withdraw()
 
+    # --- outages -------------------------------------------------------------
+
+    def _is_outage(self, suspicion, reports):
+        """Return whether nobody has heard from any upstream for some time."""
+        needed = max(1, min(OUTAGE_PROBES, len(self._list_upstreams())))
+        return (
+            len(self._unanswered) >= needed
+            and self._now() - self._suspected_at >= OUTAGE_SECONDS
+            and not _list_heard(suspicion, reports)
+        )
+
+    def _begin_outage(self, suspicion):
+        self.is_outage = True
+        self._outage = suspicion
+        self._inquire_at = self._now() + HEAL_INTERVAL_SECONDS
+        logs.log(
+            "warning",
+            "no instance reaches an upstream; requests are refused",
+            step="check links",
+            inputs={"upstreams": len(suspicion)},
+        )
+
+    async def _check_outage(self):
+        """Look for a sign of life from an upstream, here or elsewhere."""
+        began_at = self._now()
+        reports = await self._ask_and_probe(self._outage)
+        heard_at = max(self._pool.heard_at.values(), default=-math.inf)
+        is_heard = not self._unanswered or heard_at > began_at
+        heard_elsewhere = _list_heard(self._outage, reports)
+        if not is_heard and not heard_elsewhere:
+            return
+        self.is_outage = False
+        self._unanswered.clear()
+        logs.log(
+            "info",
+            "an upstream is reached again",
+            step="check links",
+            inputs={"here": is_heard, "elsewhere": len(heard_elsewhere)},
+        )
+        if not is_heard:
+            self._begin_cut(self._outage, reports)
+
     def _list_lost(self):
         """Return the Waits to which no answer comes on the present links."""
         now = self._now()
@@ -423,7 +499,9 @@
 
     async def _probe_one(self, upstream):
         sent_at = self._now()
+        self._unanswered.add(upstream.name)
         if await self._probe(upstream, PROBE_TIMEOUT_SECONDS):
+            self._unanswered.clear()
             self._record_answer(upstream.name, sent_at, True)
             if self.is_cut_off:
                 self._record_heal(upstream.name)
--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -30,6 +30,25 @@
       | stopped |
       | cut off |
 
+  Scenario Outline: No instance reaches any upstream
+    Given 4 entry instances that reach 6 upstreams through a proxy
+    When the links of 4 instances to all upstreams are <fault> for 8 seconds
+    Then later first tries are refused within 0.3 seconds, with a Retry-After
+    And no unsafe request ran twice
+    And no request that was refused ran
+    And all are served from 2 seconds after the end of the cut on
+
+    Examples:
+      | fault  |
+      | silent |
+      | cut    |
+
+  Scenario: All upstreams are silent for a second
+    Given 4 entry instances that reach 6 upstreams through a proxy
+    When the links of 4 instances to all upstreams are silent for 1.2 seconds
+    Then no instance takes upstreams for lost
+    And all are served from 2 seconds after the end of the cut on
+
   Scenario Outline: Links to upstreams fail in part, or upstreams do
     Given 4 entry instances that reach 6 upstreams through a proxy
     When upstreams fail: <event> for 6 seconds
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -16,6 +16,7 @@
 
 CONTACT_SECONDS = 3.0  # after which a cut must not be noticed any more
 SETTLE_SECONDS = 1.0
+HEAL_SECONDS = 4.0  # of load after a cut
 SHARE = 0.9  # of the service at other instances
 REFUSALS = (408, 421, 429, 503)  # guarantee that the request has not run
 
@@ -47,7 +48,7 @@
     time.sleep(seconds)
     context.healed_at = time.time()
     world.set_links(context.cut, "none")
-    time.sleep(SETTLE_SECONDS)
+    time.sleep(SETTLE_SECONDS if context.others else HEAL_SECONDS)
     world.stop_load()
 
 
@@ -108,6 +109,43 @@
         assert "reaches no upstream" not in log, entry
 
 
+@behave.then("no instance takes upstreams for lost")
+def check_no_outage(context):
+    for entry in context.world.entries:
+        log = context.world.platform.running[entry].read_log()
+        assert "no instance reaches" not in log, entry
+
+
+@behave.then(
+    "later first tries are refused within {seconds:g} seconds, with a "
+    "Retry-After"
+)
+def check_refused_at_once(context, seconds):
+    begin = context.cut_at + CONTACT_SECONDS
+    found = [
+        (took, answer)
+        for _, _, _, sent_at, took, answer in context.world.answers
+        if begin <= sent_at < context.healed_at
+    ]
+    print(collections.Counter(answer.status for _, answer in found))
+    assert found
+    for took, answer in found:
+        text = f"{answer.status} after {took:.2f} s: {answer.body[:80]}"
+        assert answer.status == 503 and took <= seconds, text
+        assert float(answer.headers["retry-after"]) > 0, text
+
+
+@behave.then(
+    "all are served from {seconds:g} seconds after the end of the cut on"
+)
+def check_healed(context, seconds):
+    served, sent = context.world.measure_share(
+        context.world.entries, context.healed_at + seconds, time.time()
+    )
+    print(f"{served} of {sent}")
+    assert sent and served == sent, (served, sent)
+
+
 @behave.then("at least {share:g} of all first tries are served")
 def check_all_served(context, share):
     served, sent = context.world.measure_share(
