Ask others about upstreams that left a probe unanswered

An instance that started while its links were cut refused all requests for 1.7 s, and its clients got 503 'no instance reaches an upstream', while others reached four of six.

Cause: it had sent to two upstreams only, which were down, and asked others about those. Class: a judgement of the whole from a part of it, introduced with the refusals of an outage.

Change: the upstreams that left a probe unanswered are asked about as well, and count when it judges whose fault it is.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -26,7 +26,7 @@
 MIN_INQUIRY_SECONDS = 0.2  # between two inquiries of the same suspicion
 MAX_INQUIRY_SECONDS = 2.0  # while all upstreams are down, for example
 MIN_REFUSED = 2  # upstreams that take no new connection, while others answer
-MAX_ASKED = 8  # upstreams about which other instances are asked
+MAX_ASKED = 16  # upstreams about which other instances are asked
 PROBES = 2  # upstreams that one inquiry probes
 PROBE_TIMEOUT_SECONDS = 0.4
 HEAL_INTERVAL_SECONDS = 0.5  # between two probes of an instance cut off
@@ -209,7 +209,7 @@
         self._inquiry_seconds = MIN_INQUIRY_SECONDS
         self._healed_at = -math.inf
         self._probes = 0
-        self._unanswered = set()
+        self._unanswered = {}
         self._suspected_at = None
         self._outage = {}
         self.is_cut_off = False
@@ -384,8 +384,7 @@
 
     async def _inquire(self, suspicion):
         """Ask other instances and probe upstreams; act on what that shows."""
-        earliest = sorted(suspicion, key=suspicion.get)[:MAX_ASKED]
-        suspicion = {name: suspicion[name] for name in earliest}
+        suspicion = self._add_probed(suspicion)
         reports = await self._ask_and_probe(suspicion)
         if not self._find_suspicion():
             return
@@ -394,6 +393,16 @@
         elif self._is_outage(suspicion, reports):
             self._begin_outage(suspicion)
 
+    def _add_probed(self, suspicion):
+        """Add upstreams that left a probe unanswered; return the earliest.
+
+        An instance that has just started may have sent to few upstreams, and
+        just to such as are down.
+        """
+        found = {**self._unanswered, **suspicion}
+        earliest = sorted(found, key=found.get)[:MAX_ASKED]
+        return {name: found[name] for name in earliest}
+
     async def _ask_and_probe(self, suspicion):
         """Return the Reports of other instances on suspected upstreams."""
         reports = []
@@ -458,10 +467,11 @@
     async def _check_outage(self):
         """Look for a sign of life from an upstream, here or elsewhere."""
         began_at = self._now()
-        reports = await self._ask_and_probe(self._outage)
+        suspicion = self._add_probed(self._outage)
+        reports = await self._ask_and_probe(suspicion)
         heard_at = max(self._pool.heard_at.values(), default=-math.inf)
         is_heard = not self._unanswered or heard_at > began_at
-        heard_elsewhere = _list_heard(self._outage, reports)
+        heard_elsewhere = _list_heard(suspicion, reports)
         if not is_heard and not heard_elsewhere:
             return
         self.is_outage = False
@@ -473,7 +483,7 @@
             inputs={"here": is_heard, "elsewhere": len(heard_elsewhere)},
         )
         if not is_heard:
-            self._begin_cut(self._outage, reports)
+            self._begin_cut(suspicion, reports)
 
     def _list_lost(self):
         """Return the Waits to which no answer comes on the present links."""
@@ -499,7 +509,7 @@
 
     async def _probe_one(self, upstream):
         sent_at = self._now()
-        self._unanswered.add(upstream.name)
+        self._unanswered.setdefault(upstream.name, sent_at)
         if await self._probe(upstream, PROBE_TIMEOUT_SECONDS):
             self._unanswered.clear()
             self._record_answer(upstream.name, sent_at, True)
--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -83,3 +83,27 @@
       | hears u1 and u2, but they answer nothing sent since 1.0    | heard u1 and u2 0.1 ago               | nothing   |
       | hears u1 and u2, but they take no new connections          | heard u1 and u2 0.1 ago               | its links |
       | hears u1 and u2, but u1 takes no new connections           | heard u1 and u2 0.1 ago               | nothing   |
+
+  Scenario Outline: What an instance decides that gets no answer to probes
+    Given requests of an instance to <failing> of 6 upstreams fail, <probes>
+    And an instance beside it that hears <heard>
+    When 3 seconds have passed
+    Then this instance <decision>
+
+    Examples:
+      | failing | probes                 | heard             | decision                   |
+      | 2       | and no probe answered  | the other four    | sends by way of others     |
+      | 2       | and no probe answered  | all six           | sends by way of others     |
+      | 2       | and no probe answered  | none              | refuses what it gets       |
+      | 2       | but other probes are   | the other four    | goes on as before          |
+      | 2       | but other probes are   | none              | goes on as before          |
+      | 6       | and no probe answered  | none              | refuses what it gets       |
+      | 6       | and no probe answered  | all six           | sends by way of others     |
+
+  Scenario: An outage ends with the first sign of life elsewhere
+    Given requests of an instance to 6 of 6 upstreams fail, and no probe answered
+    And an instance beside it that hears none
+    When 3 seconds have passed
+    And the other instance hears all six
+    And 1 seconds have passed
+    Then this instance sends by way of others
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -11,6 +11,7 @@
 import behave
 
 from camphorhook_daemon.domain.routing import links
+from tests.harness import link_checks
 from tests.harness import partitions
 from tests.harness import platforms
 
@@ -242,3 +243,42 @@
         is_own = links.is_own_fault(suspicion, context.reports)
         found = "its links" if is_own else "upstreams"
     assert found == verdict, (found, suspicion)
+
+
+HEARD = {"the other four": (2, 3, 4, 5), "all six": range(6), "none": ()}
+
+
+@behave.given(
+    "requests of an instance to {failing:d} of 6 upstreams fail, {probes}"
+)
+def fail_requests(context, failing, probes):
+    context.check = link_checks.LinkCheck(failing, "but" in probes)
+
+
+@behave.given("an instance beside it that hears {heard}")
+def hear(context, heard):
+    context.check.heard = HEARD[heard]
+
+
+@behave.when("the other instance hears {heard}")
+def hear_later(context, heard):
+    context.check.steps.append(
+        lambda: setattr(context.check, "heard", HEARD[heard])
+    )
+
+
+@behave.when("{seconds:d} seconds have passed")
+def wait(context, seconds):
+    context.check.steps.append(seconds)
+
+
+@behave.then("this instance {decision}")
+def check_decision(context, decision):
+    found = context.check.run()
+    states = {
+        (True, False): "sends by way of others",
+        (False, True): "refuses what it gets",
+        (False, False): "goes on as before",
+    }
+    state = states.get((found.is_cut_off, found.is_outage))
+    assert state == decision, (state, found.is_cut_off, found.is_outage)
