Wait for places only at holders that are known to answer

It asks a holder that has not answered for 0.3 s without waiting first, and where upstreams bear it does not wait at all while a holder is missing. The new scenario of places.feature failed without this.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -22,6 +22,7 @@
 SECONDS_PER_MS = 0.001
 REPLY_TIMEOUT_SECONDS = 0.15  # beyond the time that a request may wait
 SILENCE_SECONDS = 0.5  # for which a holder that did not answer is not asked
+HEARD_SECONDS = 0.3  # for which one that answered is taken to be there
 NO_HOLDER_SECONDS = 0.3  # until instances agree on the holders again
 RELEASE_TIMEOUT_SECONDS = 0.5  # later, the lease ends by itself
 LEASE_MARGIN_SECONDS = 1.0  # after the deadline of a request
@@ -123,6 +124,7 @@
         self._now = now
         self._pools = {}
         self._silent_until = {}
+        self._heard_at = {}
         # A process that starts again must not use the numbers of before.
         self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
         self._nursery = None
@@ -148,36 +150,57 @@
         self._holders.refresh()
         asked_at = self._now()
         longest = min(WAIT_SHARE * left, WAIT_OBJECTIVES * objective)
-        denials = {}
         holders = self._list_holders(service)
-        is_complete = len(holders) == len(self._holders.find(service, ""))
+        is_brittle = self.pressure.is_brittle(service)
+        # Of a holder that was lost the places would stay empty for seconds.
+        # Only brittle upstreams need that.
+        is_one_missing = len(holders) < len(self._holders.find(service, ""))
+        waits_at = self._choose_waiting(holders)
+        denials = {}
         for holder in holders:
-            # What finds no place waits at the last one that is asked.
-            wait = longest if holder == holders[-1] else 0.0
+            may_wait = holder == waits_at and (
+                is_brittle or not is_one_missing
+            )
             found = await self._ask(
-                holder, service, upstreams, priority, wait, left
+                holder,
+                service,
+                upstreams,
+                priority,
+                longest if may_wait else 0.0,
+                left,
             )
             if isinstance(found, Place):
                 if denials and self._now() - asked_at > SERVE_INTERVAL_SECONDS:
                     self.pressure.record_full(service)
                 return found
-            is_complete &= found.is_known
+            is_one_missing |= not found.is_known
             if found.is_known and found.seconds < math.inf:
                 denials[holder] = found.seconds
         if not denials:
             return _NO_HOLDER
         self.pressure.record_full(service)
-        if not (is_complete or self.pressure.is_brittle(service)):
-            # The places of a holder that was lost would stay empty.
+        if is_one_missing and not is_brittle:
             return _NO_HOLDER
         holder = min(denials, key=denials.get)
         longest -= self._now() - asked_at
-        if denials[holder] > longest or holder == holders[-1]:
+        if denials[holder] > longest or holder == waits_at:
             return NoPlace(denials[holder])
         return await self._ask(
             holder, service, upstreams, priority, longest, left
         )
 
+    def _choose_waiting(self, holders):
+        """Return the holder at which the first question may wait, or "".
+
+        It is the last one that is asked. One that is not known to answer is
+        asked without waiting first, as it may have been lost.
+        """
+        if not holders:
+            return ""
+        heard_at = self._heard_at.get(holders[-1], -math.inf)
+        is_heard = self._now() - heard_at < HEARD_SECONDS
+        return holders[-1] if is_heard else ""
+
     def _list_holders(self, service):
         """Return the holders that answer, in turn a different one first."""
         now = self._now()
@@ -215,6 +238,7 @@
             if reply is None:
                 # A grant may be on its way to a request that was given up.
                 self._send_release(service, holder, number)
+        self._heard_at[holder] = self._now()
         if reply.upstream:
             return Place(reply.upstream, holder, number)
         seconds = reply.retry_ms * SECONDS_PER_MS
@@ -442,3 +466,8 @@
             for name, until in self._silent_until.items()
             if until > now
         }
+        self._heard_at = {
+            name: at
+            for name, at in self._heard_at.items()
+            if now - at < HEARD_SECONDS
+        }
--- a/tests/features/places.feature
+++ b/tests/features/places.feature
@@ -17,6 +17,12 @@
     When 2 requests of 0.1 s are sent at once, 10 times, every 0.5 s
     Then all of them are sent within 1 second
 
+  Scenario: Requests do not wait for an instance that was lost
+    Given 2 instances that share 1 place at each of 2 upstreams
+    And one of the instances was lost
+    When 6 requests of 0.1 s are sent at once, 10 times, every 0.5 s
+    Then each of them may be sent within 0.5 seconds, with a place or without
+
   Scenario Outline: Places of requests that were lost are free again in time
     Given 2 instances that share 1 place at each of 2 upstreams, <kind>
     And 2 requests got places and were lost, 10 seconds before their deadline
--- a/tests/features/steps/places.py
+++ b/tests/features/steps/places.py
@@ -18,11 +18,18 @@
     context.count = count
     context.upstreams = place_holders.make_upstreams(upstreams, 1)
     context.is_silent = False
+    context.is_brittle = False
 
 
 @behave.given("the instance that grants none of the places is silent")
 def silence(context):
     context.is_silent = True
+    context.is_brittle = True  # others are sent without a place then
+
+
+@behave.given("one of the instances was lost")
+def lose_instance(context):
+    context.is_silent = True
 
 
 @behave.when(
@@ -37,7 +44,9 @@
         found = await holder.send(
             context.upstreams, run, OBJECTIVE_SECONDS, LEFT_SECONDS
         )
-        waited = trio.current_time() - began_at - run
+        waited = trio.current_time() - began_at
+        if isinstance(found, places.Place):
+            waited -= run
         context.results.append((found, waited))
 
     async def play():
@@ -52,10 +61,9 @@
             if context.is_silent:
                 for name, holder in holders.items():
                     holder.is_silent = name != granter
-                    # Others are sent without a place then.
-                    holder.places.pressure.record_brittle(
-                        place_holders.SERVICE
-                    )
+            if context.is_brittle:
+                for holder in holders.values():
+                    holder.record_brittle()
             senders = [one for one in holders.values() if not one.is_silent]
             async with trio.open_nursery() as requests:
                 for _ in range(times):
@@ -80,6 +88,21 @@
     assert len(sent) == len(context.results), context.results
 
 
+@behave.then(
+    "each of them may be sent within {seconds:g} seconds, with a place or "
+    "without"
+)
+def check_known_in_time(context, seconds):
+    late = [
+        (found, waited)
+        for found, waited in context.results
+        if waited > seconds
+        or isinstance(found, places.NoPlace)
+        and found.is_known
+    ]
+    assert not late, late
+
+
 @behave.given(
     "{count:d} instances that share 1 place at each of {upstreams:d} "
     "upstreams, {kind}"
@@ -106,7 +129,7 @@
         sender = next(iter(holders.values()))
         for holder in holders.values():
             if context.is_brittle:
-                holder.places.pressure.record_brittle(place_holders.SERVICE)
+                holder.record_brittle()
         for _ in range(count):
             lost = await sender.acquire(
                 context.upstreams, OBJECTIVE_SECONDS, left
--- a/tests/harness/place_holders.py
+++ b/tests/harness/place_holders.py
@@ -54,6 +54,10 @@
             return other.places.handle_release(message)
         raise errors.UnreachableError("no reply", step="call", peer=peer)
 
+    def record_brittle(self):
+        """Record that the upstreams are brittle."""
+        self.places.pressure.record_brittle(SERVICE)
+
     async def acquire(self, upstreams, objective, left):
         """Ask for a place for a request; return the Place or NoPlace."""
         return await self.places.acquire(
