Count the falls of a service's brittle servers together in the soak

The rule counts the falls of a service's servers while they say that they are brittle; check_falls counted those of each server. Overlapping times of servers of one service count as one now, which is stricter. Histories show that check_falls and check_partitions find what they are for.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -23,6 +23,8 @@
       | a server that said that it leaves got a request | check_leaving |
       | a server that wanted a pause got requests  | check_pauses      |
       | a server got more than the limit that it named | check_limits  |
+      | brittle servers fell over together         | check_falls       |
+      | an instance that was cut off served nothing | check_partitions |
       | a failure domain that is out got a request | check_evacuations |
       | a cold server got too much                 | check_cold        |
       | too many requests were sent again          | check_retries     |
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -182,6 +182,41 @@
     return history
 
 
+def fall_over(history):
+    """Let two servers of a service that are brittle fall three times."""
+    for server in ("server-1", "server-2"):
+        history.fault_periods.append(
+            histories.FaultPeriod(
+                server, "brittle", START_SECONDS, START_SECONDS + 20
+            )
+        )
+    falls = ("server-1", 5), ("server-2", 6), ("server-1", 9)
+    for server, at in falls:
+        at += START_SECONDS
+        history.notices.append(
+            {"server": server, "request": "a", "turned away": True, "at": at}
+        )
+        history.falls.append({"server": server, "fell": at})
+    return history
+
+
+def serve_nothing_while_cut_off(history):
+    history.fault_periods.append(
+        histories.FaultPeriod(
+            "entry-1", "upstream links", START_SECONDS, START_SECONDS + 12
+        )
+    )
+    for number in range(20):
+        at = START_SECONDS + 4 + number / 4
+        answer = make_answer(f"d{number}", "/safe/d", at)
+        history.answers.append(answer._replace(status=504, body=""))
+        history.answers.append(
+            answer._replace(request_id=f"e{number}", entry="entry-2")
+        )
+        history.effects.append(make_effect(f"e{number}", at))
+    return history
+
+
 def reach_evacuated_domain(history):
     history.operator_requests.append(
         histories.OperatorRequest(
@@ -264,6 +299,8 @@
     "a server that said that it leaves got a request": reach_leaving_server,
     "a server that wanted a pause got requests": reach_paused_server,
     "a server got more than the limit that it named": exceed_limit,
+    "brittle servers fell over together": fall_over,
+    "an instance that was cut off served nothing": serve_nothing_while_cut_off,
     "a failure domain that is out got a request": reach_evacuated_domain,
     "a cold server got too much": overload_cold_server,
     "too many requests were sent again": retry_too_often,
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -18,7 +18,7 @@
 MOST_IN_PAUSE = 2
 LIMIT_GRACE_SECONDS = 0.5  # after which the limit of a server binds
 LIMIT_TOLERANCE, LIMIT_SLACK, LIMIT_WINDOW_SECONDS = 1.5, 5, 4.0
-MOST_FALLS = 2  # of a brittle server; a tenth of the servers is less than one
+MOST_FALLS = 2  # of brittle servers; a tenth of their number is below one
 MOST_FAILED = 4  # first tries, and one in 50
 LONGEST_SECONDS = 1.5  # that a sound answer takes
 EVACUATE_SECONDS = 5.0  # until an evacuated failure domain gets no more
@@ -365,39 +365,70 @@
     return violations
 
 
+def _list_spells(periods):
+    """Return lists of FaultPeriods, each of which overlaps in time.
+
+    Args:
+        periods: the FaultPeriods of the servers of one service.
+    """
+    spells = []
+    until = -float("inf")
+    for period in sorted(periods, key=lambda one: one.begin):
+        if period.begin > until:
+            spells.append([])
+        spells[-1].append(period)
+        until = max(until, period.end)
+    return spells
+
+
+def _is_fall_counted(history, period, fall):
+    """Return whether instances without a fault are to blame for a fall."""
+    at = fall["fell"]
+    is_bound = period.begin + RECONNECT_SECONDS < at <= period.end
+    if fall["server"] != period.target or not is_bound:
+        return False
+    entries = {one.request_id: one.entry for one in history.answers}
+    senders = [
+        entries[one["request"]]
+        for one in history.notices
+        if "turned away" in one
+        and one["server"] == period.target
+        and at - 1.0 < one["at"] <= at + SLACK_SECONDS
+        and one["request"] in entries
+    ]
+    sound = [
+        entry
+        for entry in senders
+        if not _overlaps_fault(history, entry, at - 1.0, at)
+    ]
+    return 2 * len(sound) > len(senders)
+
+
 def check_falls(history):
     """Check that brittle servers do not fall over for want of room.
 
     A fall counts if most requests that its server turned away in the second
-    before came from instances without a fault.
+    before came from instances without a fault. The servers of a service that
+    are brittle at the same time may fall MOST_FALLS times together.
     """
-    answers = {one.request_id: one for one in history.answers}
-    turned_away = [one for one in history.notices if "turned away" in one]
-    violations = []
+    periods = collections.defaultdict(list)
     for period in history.fault_periods:
-        if period.kind != "brittle":
-            continue
-        falls = 0
-        for fall in history.falls:
-            at = fall["fell"]
-            is_bound = period.begin + RECONNECT_SECONDS < at <= period.end
-            if fall["server"] != period.target or not is_bound:
-                continue
-            senders = [
-                answers[one["request"]].entry
-                for one in turned_away
-                if one["server"] == period.target
-                and at - 1.0 < one["at"] <= at + SLACK_SECONDS
-                and one["request"] in answers
-            ]
-            sound = [
-                entry
-                for entry in senders
-                if not _overlaps_fault(history, entry, at - 1.0, at)
-            ]
-            falls += 2 * len(sound) > len(senders)
-        if falls > MOST_FALLS:
-            violations.append(f"brittle {period.target} fell {falls} times")
+        if period.kind == "brittle":
+            service = schedules.find_service(period.target)
+            periods[service].append(period)
+    violations = []
+    for service, found in periods.items():
+        for spell in _list_spells(found):
+            falls = sum(
+                _is_fall_counted(history, period, fall)
+                for period in spell
+                for fall in history.falls
+            )
+            if falls > MOST_FALLS:
+                names = ", ".join(one.target for one in spell)
+                violations.append(
+                    f"brittle servers of {service} fell {falls} times: {names}"
+                )
     return violations
 
 
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -12,6 +12,7 @@
 ENTRIES = tuple(f"entry-{number}" for number in range(1, 3 * SCALE + 1))
 REPLICAS = ("replica-1", "replica-2", "replica-3")
 SERVERS = tuple(f"server-{number}" for number in range(1, 6 * SCALE + 1))
+SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 LINK_FAULTS = ("cut", "silent", "one_way", "delay")
 PARTITIONS = ("cut", "silent", "refuse")
@@ -64,6 +65,11 @@
     detail: str = ""
 
 
+def find_service(server):
+    """Return the service of a server."""
+    return SERVICES[SERVERS.index(server) % len(SERVICES)]
+
+
 def _draw_detail(kind, rng):
     if kind == "link":
         return rng.choice(LINK_FAULTS)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,7 +15,6 @@
 from tests.soak import schedules
 
 PROXY_PORT_OFFSET = 100  # from the port of a process to that of its proxy
-SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
 VERSIONS = 2
 PLACES = ("--places=1", "--work=0.002", "--waiting=1")
 COLD_SECONDS = 2.0
@@ -116,18 +115,20 @@
     def start_server(self, name, cold_seconds=0.0):
         """Start a server behind the proxy, of another version each time."""
         number = schedules.SERVERS.index(name)
+        service = schedules.find_service(name)
         host, port = self.find_proxy_address(name)
-        version = 1 + (number // len(SERVICES) + self._starts[name]) % VERSIONS
+        turn = number // len(schedules.SERVICES)
+        version = 1 + (turn + self._starts[name]) % VERSIONS
         self._starts[name] += 1
         self.platform.start_server(
             name,
-            SERVICES[number % len(SERVICES)],
+            service,
             schedules.DOMAINS[number % 3],
             f"--advertise={host}:{port}",
             f"--cold={cold_seconds}",
             f"--drain={DRAIN_SECONDS}",
             f"--version=v{version}",
-            *(PLACES if SERVICES[number % len(SERVICES)] == "plain" else ()),
+            *(PLACES if service == "plain" else ()),
         )
 
     def is_serving(self, entry):
