Let a request look for a place at the other holder before it is refused

Four requests waited 2.1 s at one holder, whose only place a slow request had, while the other holder granted its place every few milliseconds.

Cause: a request waited at one holder to the end. Class: a queue before half of the servers.

Change: it waits half of its time there, and the rest at the other one.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -32,6 +32,9 @@
 LEASE_HOLDS = 4.0  # mean times of a place until it counts as free
 WAIT_SHARE = 0.35  # of the time left; messages and the upstream need the rest
 WAIT_OBJECTIVES = 2.0  # longest wait in latency objectives
+# Of that wait at the first holder: it may have no free place for long while
+# the other one has some.
+FIRST_WAIT_SHARE = 0.5
 # Of that time: what waits beyond it would often be refused in the end.
 ADMITTED_SHARE = 0.75
 MAX_WAITING = 500  # requests at one holder
@@ -166,7 +169,7 @@
                 service,
                 upstreams,
                 priority,
-                longest if may_wait else 0.0,
+                FIRST_WAIT_SHARE * longest if may_wait else 0.0,
                 left,
             )
             if isinstance(found, Place):
@@ -181,13 +184,19 @@
         self.pressure.record_full(service)
         if is_one_missing and not is_brittle:
             return _NO_HOLDER
-        holder = min(denials, key=denials.get)
-        longest -= self._now() - asked_at
-        if denials[holder] > longest or holder == waits_at:
-            return NoPlace(denials[holder])
-        return await self._ask(
-            holder, service, upstreams, priority, longest, left
-        )
+        others = sorted(denials.keys() - {waits_at}, key=denials.get)
+        for holder in others:
+            wait = longest - (self._now() - asked_at)
+            if denials[holder] > wait:
+                continue
+            if holder != others[-1]:
+                wait *= FIRST_WAIT_SHARE
+            found = await self._ask(
+                holder, service, upstreams, priority, wait, left
+            )
+            if isinstance(found, Place):
+                return found
+        return NoPlace(min(denials.values()))
 
     def _choose_waiting(self, holders):
         """Return the holder at which the first question may wait, or "".
--- a/tests/features/places.feature
+++ b/tests/features/places.feature
@@ -11,6 +11,12 @@
       | 1         | 3     |
       | 2         | 6     |
 
+  Scenario: Requests find a place at one instance while the other has none for long
+    Given 2 instances that share 1 place at each of 2 upstreams
+    And a request of 6 s has one of the places
+    When 3 requests of 0.1 s are sent at once, 10 times, every 0.5 s
+    Then all of them are sent within 1 second
+
   Scenario: A request waits for the only place while the other instance is silent
     Given 2 instances that share 1 place at each of 1 upstreams
     And the instance that grants none of the places is silent
--- a/tests/features/steps/places.py
+++ b/tests/features/steps/places.py
@@ -19,6 +19,7 @@
     context.upstreams = place_holders.make_upstreams(upstreams, 1)
     context.is_silent = False
     context.is_brittle = False
+    context.slow_seconds = 0.0
 
 
 @behave.given("the instance that grants none of the places is silent")
@@ -27,6 +28,11 @@
     context.is_brittle = True  # others are sent without a place then
 
 
+@behave.given("a request of {seconds:g} s has one of the places")
+def occupy(context, seconds):
+    context.slow_seconds = seconds
+
+
 @behave.given("one of the instances was lost")
 def lose_instance(context):
     context.is_silent = True
@@ -58,6 +64,15 @@
             granter = await place_holders.find_granter(
                 holders, context.upstreams
             )
+            if context.slow_seconds:
+                holders[granter].record_brittle()  # the place is kept
+                nursery.start_soon(
+                    holders[granter].send,
+                    context.upstreams,
+                    context.slow_seconds,
+                    OBJECTIVE_SECONDS,
+                    LEFT_SECONDS,
+                )
             if context.is_silent:
                 for name, holder in holders.items():
                     holder.is_silent = name != granter
