Probe upstreams that other instances are in doubt of

Second: an instance that was asked told what it had heard by chance. Class: no evidence taken for evidence.

Change: the links are at fault if half of the upstreams with requests were heard elsewhere, or half of these and the probed ones. An instance that is asked about upstreams that it has not heard for half a second probes two of them. acquire of places is split; what it does is unchanged.

The rows of partitions.feature that need no processes pass.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
@@ -109,6 +109,7 @@
             message: the wire.ReadContacts.
             heard_at: time in seconds by upstream at which bytes last arrived.
         """
+        self.links.note_question(message.upstreams)
         now = self._now()
         ages = {
             name: int((now - heard_at[name]) / SECONDS_PER_MS)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -27,6 +27,7 @@
 MAX_INQUIRY_SECONDS = 2.0  # while all upstreams are down, for example
 MIN_REFUSED = 2  # upstreams that take no new connection, while others answer
 MAX_ASKED = 16  # upstreams about which other instances are asked
+MAX_SUSPECTED = 8  # of these, those to which requests were sent
 PROBES = 2  # upstreams that one inquiry probes
 PROBE_TIMEOUT_SECONDS = 0.4
 HEAL_INTERVAL_SECONDS = 0.5  # between two probes of an instance cut off
@@ -126,6 +127,12 @@
     return 2 * len(_list_heard(suspicion, reports)) >= len(suspicion)
 
 
+def _choose_earliest(suspicion, count):
+    """Return those upstreams of a suspicion that failed first."""
+    earliest = sorted(suspicion, key=suspicion.get)[:count]
+    return {name: suspicion[name] for name in earliest}
+
+
 def _list_heard(suspicion, reports):
     """Return the upstreams that others heard since they are suspected."""
     return [
@@ -211,6 +218,7 @@
         self._probes = 0
         self._unanswered = {}
         self._suspected_at = None
+        self._questioned = []
         self._outage = {}
         self.is_cut_off = False
         self.is_outage = False
@@ -357,6 +365,7 @@
             self._suspected_at = None
             self._forget()
         elif now >= self._inquire_at:
+            self._questioned = []
             if self._suspected_at is None:
                 self._suspected_at = now
                 self._unanswered.clear()
@@ -365,10 +374,36 @@
             self._inquiry_seconds = min(
                 2 * self._inquiry_seconds, MAX_INQUIRY_SECONDS
             )
+        if self._questioned:
+            await self._probe_questioned()
         self._checked_at = self._now()
 
+    def note_question(self, names):
+        """Note that another instance has asked when upstreams were heard.
+
+        Those not heard lately are probed: in a large or quiet fleet others
+        may have no requests at the upstreams in doubt.
+        """
+        if not (self.is_cut_off or self.is_outage):
+            self._questioned = list(names)
+
+    async def _probe_questioned(self):
+        """Probe some upstreams that are in doubt elsewhere."""
+        limit = self._now() - SILENCE_SECONDS
+        names = {
+            name
+            for name in self._questioned
+            if self._pool.heard_at.get(name, -math.inf) < limit
+        }
+        self._questioned = []
+        found = [one for one in self._list_upstreams() if one.name in names]
+        async with trio.open_nursery() as nursery:
+            for upstream in self._take_turns(sorted(found), PROBES):
+                nursery.start_soon(self._probe_one, upstream)
+
     def _forgive(self, now):
         """Count no time in which this process did not run."""
+        self._suspected_at = None
         for link in self._links.values():
             link.failed_at = link.refused_at = -math.inf
             for wait in link.waits:
@@ -384,24 +419,24 @@
 
     async def _inquire(self, suspicion):
         """Ask other instances and probe upstreams; act on what that shows."""
-        suspicion = self._add_probed(suspicion)
-        reports = await self._ask_and_probe(suspicion)
+        suspicion = _choose_earliest(suspicion, MAX_SUSPECTED)
+        doubted = self._add_probed(suspicion)
+        reports = await self._ask_and_probe(doubted)
         if not self._find_suspicion():
             return
-        if is_own_fault(suspicion, reports):
-            self._begin_cut(suspicion, reports)
-        elif self._is_outage(suspicion, reports):
+        if any(is_own_fault(one, reports) for one in (suspicion, doubted)):
+            self._begin_cut(doubted, reports)
+        elif self._is_outage(doubted, reports):
             self._begin_outage(suspicion)
 
     def _add_probed(self, suspicion):
-        """Add upstreams that left a probe unanswered; return the earliest.
+        """Return a suspicion and what left a probe unanswered.
 
         An instance that has just started may have sent to few upstreams, and
         just to such as are down.
         """
-        found = {**self._unanswered, **suspicion}
-        earliest = sorted(found, key=found.get)[:MAX_ASKED]
-        return {name: found[name] for name in earliest}
+        missing = MAX_ASKED - len(suspicion)
+        return _choose_earliest(self._unanswered, missing) | suspicion
 
     async def _ask_and_probe(self, suspicion):
         """Return the Reports of other instances on suspected upstreams."""
@@ -500,12 +535,15 @@
 
     def _choose_probes(self, count):
         """Return some upstreams to probe, others than the last time."""
-        known = sorted(self._list_upstreams())
-        if not known:
+        return self._take_turns(sorted(self._list_upstreams()), count)
+
+    def _take_turns(self, upstreams, count):
+        """Return some upstreams of a list, others than the last time."""
+        if not upstreams:
             return []
-        first = self._probes % len(known)
+        first = self._probes % len(upstreams)
         self._probes += count
-        return (known[first:] + known[:first])[:count]
+        return (upstreams[first:] + upstreams[:first])[:count]
 
     async def _probe_one(self, upstream):
         sent_at = self._now()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -77,6 +77,15 @@
 _NO_HOLDER = NoPlace(NO_HOLDER_SECONDS, False)
 
 
+class _Question(typing.NamedTuple):
+    """What a request needs a place for; see Places.acquire."""
+
+    service: str
+    upstreams: list
+    priority: int
+    left: float
+
+
 class _Waiter:
     """A request that waits for a place."""
 
@@ -151,52 +160,58 @@
             left: seconds until its deadline.
         """
         self._holders.refresh()
-        asked_at = self._now()
+        question = _Question(service, upstreams, priority, left)
         longest = min(WAIT_SHARE * left, WAIT_OBJECTIVES * objective)
+        asked_at = self._now()
         holders = self._list_holders(service)
-        is_brittle = self.pressure.is_brittle(service)
-        # Of a holder that was lost the places would stay empty for seconds.
-        # Only brittle upstreams need that.
-        is_one_missing = len(holders) < len(self._holders.find(service, ""))
+        # While a holder is lost its places stay empty for seconds, which only
+        # brittle upstreams need.
+        must_have_place = self.pressure.is_brittle(service)
+        is_complete = len(holders) == len(self._holders.find(service, ""))
         waits_at = self._choose_waiting(holders)
         denials = {}
         for holder in holders:
-            may_wait = holder == waits_at and (
-                is_brittle or not is_one_missing
-            )
-            found = await self._ask(
-                holder,
-                service,
-                upstreams,
-                priority,
-                FIRST_WAIT_SHARE * longest if may_wait else 0.0,
-                left,
-            )
+            may_wait = must_have_place or is_complete
+            wait = 0.0
+            if holder == waits_at and may_wait:
+                wait = FIRST_WAIT_SHARE * longest
+            found = await self._ask(holder, question, wait)
             if isinstance(found, Place):
                 if denials and self._now() - asked_at > SERVE_INTERVAL_SECONDS:
                     self.pressure.record_full(service)
                 return found
-            is_one_missing |= not found.is_known
+            is_complete &= found.is_known
             if found.is_known and found.seconds < math.inf:
                 denials[holder] = found.seconds
         if not denials:
             return _NO_HOLDER
         self.pressure.record_full(service)
-        if is_one_missing and not is_brittle:
+        if not (must_have_place or is_complete):
             return _NO_HOLDER
-        others = sorted(denials.keys() - {waits_at}, key=denials.get)
-        for holder in others:
-            wait = longest - (self._now() - asked_at)
+        nearest = NoPlace(min(denials.values()))
+        denials.pop(waits_at, None)
+        found = await self._wait_in_turn(question, denials, asked_at + longest)
+        return found or nearest
+
+    async def _wait_in_turn(self, question, denials, until):
+        """Return a Place for which a request had to wait, or None.
+
+        Args:
+            question: the _Question.
+            denials: by holder, the seconds after which it expects a place.
+            until: time in seconds until which the request may wait.
+        """
+        holders = sorted(denials, key=denials.get)
+        for holder in holders:
+            wait = until - self._now()
             if denials[holder] > wait:
                 continue
-            if holder != others[-1]:
+            if holder != holders[-1]:
                 wait *= FIRST_WAIT_SHARE
-            found = await self._ask(
-                holder, service, upstreams, priority, wait, left
-            )
+            found = await self._ask(holder, question, wait)
             if isinstance(found, Place):
                 return found
-        return NoPlace(min(denials.values()))
+        return None
 
     def _choose_waiting(self, holders):
         """Return the holder at which the first question may wait, or "".
@@ -222,17 +237,27 @@
             found = found[1:] + found[:1]
         return found
 
-    async def _ask(self, holder, service, upstreams, priority, wait, left):
-        """Ask a holder; return a Place or a NoPlace."""
+    async def _ask(self, holder, question, wait):
+        """Ask a holder; return a Place or a NoPlace.
+
+        Args:
+            holder: name of the holder.
+            question: the _Question.
+            wait: longest time in seconds to wait for a place.
+        """
         number = next(self._numbers)
+        service = question.service
         message = wire.AcquirePlace(
             self._name,
             number,
             service,
-            [wire.PlaceCandidate(one.name, one.capacity) for one in upstreams],
-            priority,
+            [
+                wire.PlaceCandidate(one.name, one.capacity)
+                for one in question.upstreams
+            ],
+            question.priority,
             int(wait / SECONDS_PER_MS),
-            int((left + LEASE_MARGIN_SECONDS) / SECONDS_PER_MS),
+            int((question.left + LEASE_MARGIN_SECONDS) / SECONDS_PER_MS),
         )
         reply = None
         try:
--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -107,3 +107,9 @@
     And the other instance hears all six
     And 1 seconds have passed
     Then this instance sends by way of others
+
+  Scenario: An instance probes upstreams that others ask about
+    Given requests of an instance to 0 of 6 upstreams fail, but other probes are
+    When 1 seconds have passed
+    And another instance asks about all upstreams 3 times within 1 second
+    Then it has probed 6 different upstreams
--- a/tests/features/steps/partitions.py
+++ b/tests/features/steps/partitions.py
@@ -282,3 +282,18 @@
     }
     state = states.get((found.is_cut_off, found.is_outage))
     assert state == decision, (state, found.is_cut_off, found.is_outage)
+
+
+@behave.when(
+    "another instance asks about all upstreams {times:d} times within "
+    "{seconds:d} second"
+)
+def ask_again(context, times, seconds):
+    for _ in range(times):
+        context.check.steps += [context.check.ask, seconds / times]
+
+
+@behave.then("it has probed {count:d} different upstreams")
+def check_probed(context, count):
+    context.check.run()
+    assert len(set(context.check.probed)) == count, context.check.probed
--- a/tests/harness/link_checks.py
+++ b/tests/harness/link_checks.py
@@ -18,6 +18,8 @@
     Attributes:
         failing: number of upstreams that requests are sent to and fail.
         is_any_answering: the upstreams without requests answer probes.
+        probed: names of the upstreams that were probed, in order.
+        links: the links.Links, while they run.
         heard: numbers of the upstreams that another instance hears.
         steps: functions and seconds to wait, in order.
     """
@@ -27,6 +29,8 @@
         self.is_any_answering = is_any_answering
         self.heard = ()
         self.steps = []
+        self.probed = []
+        self.links = None
         self._upstreams = [
             routers.ScriptedUpstream(number).register()
             for number in range(1, UPSTREAMS + 1)
@@ -38,8 +42,13 @@
             self._run, clock=testing.MockClock(autojump_threshold=0)
         )
 
+    def ask(self):
+        """Ask the instance when it heard each upstream."""
+        self.links.note_question([one.name for one in self._upstreams])
+
     async def _probe(self, upstream, seconds):
         number = self._upstreams.index(upstream)
+        self.probed.append(upstream.name)
         if self.is_any_answering and number >= self.failing:
             return True
         await trio.sleep(seconds)
@@ -54,7 +63,7 @@
 
     async def _run(self):
         pool = types.SimpleNamespace(heard_at={}, close_idle=lambda: None)
-        found = links.Links(
+        self.links = found = links.Links(
             pool,
             lambda: self._upstreams,
             self._probe,
