Find an outage with fewer inquiries

Cause: six upstreams must leave a probe unanswered, two in an inquiry, and probes for other instances took turns with the own ones, so that an instance might need four inquiries, 3.6 s. Class: a bound that depends on which of two users of one counter comes first.

Change: an inquiry probes three upstreams, those first that have not left a probe unanswered.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -28,7 +28,7 @@
 MIN_REFUSED = 2  # upstreams that take no new connection, while others answer
 MAX_ASKED = 16  # upstreams about which other instances are asked
 MAX_SUSPECTED = 8  # of these, those to which requests were sent
-PROBES = 2  # upstreams that one inquiry probes
+PROBES = 3  # upstreams that one inquiry probes
 PROBE_TIMEOUT_SECONDS = 0.4
 HEAL_INTERVAL_SECONDS = 0.5  # between two probes of an instance cut off
 HEAL_ANSWERS = 2  # upstreams that must answer before links are used again
@@ -535,7 +535,9 @@
 
     def _choose_probes(self, count):
         """Return some upstreams to probe, others than the last time."""
-        return self._take_turns(sorted(self._list_upstreams()), count)
+        known = sorted(self._list_upstreams())
+        fresh = [one for one in known if one.name not in self._unanswered]
+        return self._take_turns(fresh or known, count)
 
     def _take_turns(self, upstreams, count):
         """Return some upstreams of a list, others than the last time."""
