--- a/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/links.py
@@ -489,6 +489,7 @@
         )
 
     def _begin_outage(self, suspicion):
+        """Refuse requests until an upstream is heard, here or elsewhere."""
         self.is_outage = True
         self._outage = suspicion
         self._inquire_at = self._now() + HEAL_INTERVAL_SECONDS
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -22,7 +22,7 @@
 SECONDS_PER_MS = 0.001
 REPLY_TIMEOUT_SECONDS = 0.15  # beyond the time that a request may wait
 SILENCE_SECONDS = 0.5  # for which a holder that did not answer is not asked
-HEARD_SECONDS = 0.3  # for which one that answered is taken to be there
+HEARD_SECONDS = 0.3  # after its last answer a holder may have been lost
 NO_HOLDER_SECONDS = 0.3  # until instances agree on the holders again
 RELEASE_TIMEOUT_SECONDS = 0.5  # later, the lease ends by itself
 LEASE_MARGIN_SECONDS = 1.0  # after the deadline of a request
@@ -78,7 +78,14 @@
 
 
 class _Question(typing.NamedTuple):
-    """What a request needs a place for; see Places.acquire."""
+    """What a request needs a place for.
+
+    Attributes:
+        service: name of the service.
+        upstreams: wire.Registrations to choose from, the best first.
+        priority: 0 is the most urgent.
+        left: seconds until the request's deadline.
+    """
 
     service: str
     upstreams: list
