Keep the lead while the only follower's disk stalls

Seen in the simulated group: with one of three replicas down, a follower whose disk wrote nothing for 6 s answered no heartbeat, as these waited behind the entries that it stored. The leader gave up after .6 s, and no other could be elected, since a vote needs the disk as well: no confirmed read of the configuration until the stall was over.

Change: the leader sends heartbeats while a replica stores entries, and a replica answers a heartbeat of the leader in office at once. It says nothing about entries that are still being written.

--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -445,8 +445,7 @@
             self._followers.list_members_to_send(peer, self._now()),
         )
         sent_at = self._now()
-        wait = self._timing.election_ms * SECONDS_PER_MS
-        reply = await self._transport.call(peer, message, wait)
+        reply = await self._call_with_heartbeats(peer, message)
         self._followers.record_members_sent(peer, message.members, sent_at)
         if not await self._check_reply(peer, reply, sent_at):
             return next_index
@@ -456,6 +455,47 @@
             return reply.last_index + 1
         return max(1, min(previous_index, reply.last_index + 1))
 
+    async def _call_with_heartbeats(self, peer, message):
+        """Return the reply to an AppendEntries.
+
+        Heartbeats go out while the replica stores its entries: a disk that
+        stalls would otherwise end the contact with the replica.
+
+        Raises:
+            errors.UnreachableError: the replica did not answer within the
+                election timeout.
+        """
+        wait = self._timing.election_ms * SECONDS_PER_MS
+        if not message.entries:
+            return await self._transport.call(peer, message, wait)
+        reply = failure = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_heartbeats, peer, message)
+            try:
+                reply = await self._transport.call(peer, message, wait)
+            except errors.UnreachableError as error:
+                # A nursery would raise it in a group of exceptions.
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return reply
+
+    async def _send_heartbeats(self, peer, message):
+        """Send an AppendEntries without its entries, until cancelled."""
+        heartbeat = message._replace(entries=[], members=())
+        interval = self._timing.heartbeat_ms * SECONDS_PER_MS
+        wait = self._timing.election_ms * SECONDS_PER_MS
+        while True:
+            await trio.sleep(interval)
+            sent_at = self._now()
+            try:
+                reply = await self._transport.call(peer, heartbeat, wait)
+            except errors.UnreachableError:
+                continue
+            if reply.term == message.term:
+                self._followers.record_reply(peer, reply.identity, sent_at)
+
     async def _check_reply(self, peer, reply, sent_at):
         """Record a reply; return False if its term ends this leadership."""
         if reply.term > self.term:
@@ -624,12 +664,15 @@
     async def handle_append(self, message):
         """Return the AppendEntriesReply to an AppendEntries.
 
-        Entries are synced to disk before it is accepted.
+        Entries are synced to disk before it is accepted. A heartbeat of the
+        known leader is answered at once, also while the disk stalls.
 
         Raises:
             errors.StorageError: the entries can't be stored, or they
                 conflict with committed ones.
         """
+        if self._is_heartbeat(message):
+            return self._accept_stored(message)
         with trio.CancelScope(shield=True):
             async with self._lock:
                 if message.term < self.term:
@@ -641,11 +684,32 @@
                         False, self._find_retry_index(message)
                     )
                 await self._store_entries(message.entries)
-                matched = message.previous_index + len(message.entries)
-                matched = max(matched, self._log.base_index)
-                self._set_commit(min(message.commit, matched))
-                self._confirmed_at = self._now()
-                return self._reply_append(True, matched)
+                return self._accept_stored(message)
+
+    def _is_heartbeat(self, message):
+        """Return whether the leader in office sent an Append without entries.
+
+        The entry before must be stored, so that accepting it says nothing
+        about entries that are still being written.
+        """
+        return (
+            not message.entries
+            and message.term == self.term
+            and message.leader == self.leader
+            and self.role in ("follower", "learner")
+            and self._has_previous_entry(message)
+        )
+
+    def _accept_stored(self, message):
+        """Return the reply to an Append whose entries are all stored."""
+        self._known_members = message.members or self._known_members
+        self._leader_contact_at = self._confirmed_at = self._now()
+        # The entries may have made this replica a voter.
+        self.role = "follower" if self.is_voter else "learner"
+        matched = message.previous_index + len(message.entries)
+        matched = max(matched, self._log.base_index)
+        self._set_commit(min(message.commit, matched))
+        return self._reply_append(True, matched)
 
     def _reply_append(self, accepted, last_index):
         identity = self._journal.identity
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -19,6 +19,10 @@
     When all replicas restart within 0.3 seconds, in 40 runs
     Then the mean time to a leader is under 1.5 shortest election timeouts
 
+  Scenario: A disk that stalls takes no leader away
+    When the only follower's disk writes nothing for 6 seconds
+    Then the leader holds its lease and then applies the change
+
   Scenario: Instances hear of replicas that don't vote
     When a replica r4 that is only a learner is introduced to the leader
     Then every replica reports r4 to instances
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -74,6 +74,19 @@
         assert name in listed, context.listed
 
 
+@behave.when("the only follower's disk writes nothing for {seconds:g} seconds")
+def stall_disk(context, seconds):
+    context.leases, context.is_applied = replicas.run_repeatably(
+        1, replicas.measure_leases, seconds
+    )
+
+
+@behave.then("the leader holds its lease and then applies the change")
+def check_leases(context):
+    assert all(context.leases), context.leases
+    assert context.is_applied
+
+
 @behave.when("{instances:d} instances choose one of {count:d} replicas")
 def choose_replicas(context, instances, count):
     names = [f"10.0.0.{number}" for number in range(count)]
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -43,6 +43,7 @@
         self.vote = journals.Vote(0, "")
         self.checkpoint = checkpoint
         self.stored_entries = []
+        self.stalled_until = float("-inf")
 
     @property
     def entries(self):
@@ -372,6 +373,43 @@
     return waited
 
 
+async def measure_leases(seconds):
+    """Return the lease of a leader whose only follower has a stalled disk.
+
+    Args:
+        seconds: time for which the disk writes nothing.
+
+    Returns:
+        Whether the leader held its lease, by time of observation, and
+        whether a change submitted as the stall began was applied after it.
+    """
+    group = Group(1)
+    group.is_reliable = True
+    held = []
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(RECOVERY_SECONDS)
+        (leader,) = (
+            one for one in group.running.values() if one.role == "leader"
+        )
+        lost, stalled = (name for name in NAMES if name != leader.name)
+        group.crash(lost)
+        until = trio.current_time() + seconds
+        group.disks[stalled].stalled_until = until
+        command = commands.SetCells(
+            "op-1", "upstreams", "row", -1, {"weight": 1}, 0
+        )
+        nursery.start_soon(leader.submit, command)
+        while trio.current_time() < until:
+            await trio.sleep(TIMING.heartbeat_ms / 1000)
+            held.append(leader.holds_lease())
+        await trio.sleep(RECOVERY_SECONDS)
+        is_applied = "row" in leader.state.tables["upstreams"]
+        nursery.cancel_scope.cancel()
+    return held, is_applied
+
+
 async def introduce_learner(name):
     """Introduce a learner; return the members that each replica lists."""
     group = Group(1)
@@ -389,8 +427,14 @@
 
 
 async def _run_inline(function, *arguments):
-    """Call a function without a thread, for a deterministic order."""
+    """Call a function without a thread, for a deterministic order.
+
+    A method of a journal whose disk is stalled is called after the stall.
+    """
     await trio.lowlevel.checkpoint()
+    journal = getattr(function, "__self__", None)
+    if isinstance(journal, MemoryJournal):
+        await trio.sleep_until(max(journal.stalled_until, trio.current_time()))
     return function(*arguments)
 
 
