--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -4,6 +4,7 @@
 import uuid
 
 import msgspec
+import trio
 
 from camphorhook_common import commands
 from camphorhook_common import deltas
@@ -62,6 +63,13 @@
                 step=exchange.method + path,
             )
             status, body = 400, {"error": error.message}
+        except trio.Cancelled:
+            logs.log(
+                "info",
+                "the caller left before the answer",
+                step=exchange.method + path,
+            )
+            raise
         if not isinstance(body, bytes):
             body = msgspec.json.encode(body)
         headers = [("content-type", "application/json")]
@@ -158,8 +166,8 @@
         if method not in ("POST", "DELETE"):
             return 405, {}
         command = commands.SetCells(
-            uuid.uuid4().hex,
-            "failure_domains",
+            f"{self._settings.name}:{uuid.uuid4().hex}",
+            states.DOMAINS_TABLE,
             domain,
             states.ANY_VERSION,
             {"state": OUT if method == "POST" else IN},
@@ -169,6 +177,7 @@
         logs.log(
             "info",
             f"failure domain {domain} is {command.cells['state']}",
+            operation=command.operation,
             step="set failure domain",
             inputs={"index": outcome.index, "code": outcome.code},
         )
