Carry out an order only while its caller waits, and over no newer one

Cause: an order to take the domain back that an operator had given up after a second was still carried out, from a paused replica or a link that held it back, and overtook the newer evacuation. Each copy had an operation id of its own and no condition. Class: a delayed duplicate of a write that is not fenced.

Change: an order carries the version that its row had as it arrived, and every order raises it, so that a copy which comes after a newer order is a conflict (503, as it was never refused). Nothing is done for a caller that has closed its connection, or for an order that came over .5 s after its connection; operators' connections carry one order each. An order has .9 s in all, below the second that operators wait, and leaves the leader's queue with its submitter. It is acknowledged once it is applied at the replica that answers.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -90,6 +90,18 @@
             return False
         return False
 
+    def has_ended(self):
+        """Return whether the peer has closed or reset the connection.
+
+        Unread bytes hide the end that follows them.
+        """
+        try:
+            return not self._raw.recv(1, sockets.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def reset(self):
         """Close the connection so that the peer sees an error, not an end."""
         linger = struct.pack("ii", 1, 0)  # on, without waiting
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from camphorhook_common import clock
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import connection as connections
 from camphorhook_daemon.adapters import header_codec
@@ -77,6 +78,17 @@
         self.has_started = False
         self.has_ended = False
 
+    def measure_age(self):
+        """Return the seconds since the request's connection was accepted.
+
+        They count while the machine is suspended.
+        """
+        return clock.read_boottime() - self._connection.accepted_at
+
+    def has_client_left(self):
+        """Return whether the client has closed the connection by now."""
+        return self._connection.has_ended()
+
     def get_header(self, name, default=""):
         """Return the first value of a request header.
 
@@ -145,6 +157,7 @@
         self._tcp_connection = tcp_connection
         self._listener = listener
         self._event = None
+        self.accepted_at = clock.read_boottime()
         limits = listener.read_limits()
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
@@ -153,6 +166,9 @@
     def is_closing(self):
         return self._listener.is_stopping()
 
+    def has_ended(self):
+        return self._tcp_connection.has_ended()
+
     async def send(self, *events):
         data = b"".join(self.http.send(event) for event in events)
         await self._tcp_connection.send(data)
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -874,7 +874,12 @@
         proposal = _Proposal(command)
         self._queued_proposals.append(proposal)
         self._leader_wakeup.set()
-        await proposal.done.wait()
+        try:
+            await proposal.done.wait()
+        finally:
+            # Nothing is done later for a submitter that has left.
+            if proposal in self._queued_proposals:
+                self._queued_proposals.remove(proposal)
         if proposal.outcome is None:
             return wire.SubmitReply("unknown", self.leader, None)
         return wire.SubmitReply("applied", self._name, proposal.outcome)
@@ -944,6 +949,11 @@
             await self._run_election(transfer=True)
         return wire.TimeoutNowReply(self.term)
 
+    async def wait_applied(self, index):
+        """Return once the entry at an index, and all before, are applied."""
+        while self.state.index < index:
+            await self.applied.wait()
+
     async def confirm_index(self):
         """Return the commit index, or -1 if this replica holds no lease.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -134,6 +134,11 @@
         self.claims[account, key] = record
         heapq.heappush(self._expiries, (record.expires_at, account, key))
 
+    def get_version(self, table, row):
+        """Return the version of a row; 0 if it does not exist."""
+        stored = self.tables[table].get(row)
+        return stored.version if stored else 0
+
     def put_row(self, table, row, cells):
         """Store or remove a row and return its new version.
 
@@ -252,7 +257,7 @@
         return known.outcome
     stored = state.tables[command.table].get(command.row)
     exists = stored is not None
-    version = version_before = stored.version if exists else 0
+    version = version_before = state.get_version(command.table, command.row)
     if command.expected_version not in (ANY_VERSION, version):
         detail = f"row {command.row} is at version {version}"
         outcome = commands.Outcome("conflict", state.index, version, detail)
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -18,7 +18,11 @@
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
-SUBMIT_TIMEOUT_SECONDS = 2.5  # below the time that operators wait
+SUBMIT_TIMEOUT_SECONDS = 2.5  # a late document is harmless by its version
+# Operators go to another replica after a second. An order that a link held
+# back may then be older than one that another replica has acknowledged.
+MAX_ORDER_AGE_SECONDS = 0.5
+ORDER_SECONDS = 0.9
 RETRY_AFTER_SECONDS = "0.3"
 OUT, IN = "out", "in"
 
@@ -73,6 +77,10 @@
         if not isinstance(body, bytes):
             body = msgspec.json.encode(body)
         headers = [("content-type", "application/json")]
+        if not path.startswith(INSTANCES_PREFIX):
+            # An operator's connection carries one order, so that the age of
+            # the connection bounds that of the order.
+            headers.append(("connection", "close"))
         if status == 503:
             headers.append(("retry-after", RETRY_AFTER_SECONDS))
         await exchange.send_answer(status, headers, body)
@@ -98,7 +106,7 @@
             return await self._get_document()
         if path.startswith(EVACUATIONS_PREFIX):
             domain = path[len(EVACUATIONS_PREFIX) :]
-            return await self._set_domain(method, domain)
+            return await self._set_domain(exchange, domain)
         return 404, {}
 
     async def _put_document(self, body):
@@ -160,20 +168,35 @@
             )
         return 200, last.raw
 
-    async def _set_domain(self, method, domain):
+    async def _set_domain(self, exchange, domain):
+        """Take a failure domain out or back, and return (status, body).
+
+        Raises:
+            errors.UnreachableError: the order is too old, its caller has
+                left, or another order came first.
+        """
         if domain not in self._settings.failure_domains:
             return 404, {}
-        if method not in ("POST", "DELETE"):
+        if exchange.method not in ("POST", "DELETE"):
             return 405, {}
         command = commands.SetCells(
             f"{self._settings.name}:{uuid.uuid4().hex}",
             states.DOMAINS_TABLE,
             domain,
-            states.ANY_VERSION,
-            {"state": OUT if method == "POST" else IN},
+            # Read before anything is awaited: an order that is acknowledged
+            # after this one arrived raises the version.
+            self._replica.state.get_version(states.DOMAINS_TABLE, domain),
+            {"state": OUT if exchange.method == "POST" else IN},
             time.time(),
         )
-        outcome = await self._submitter.submit(command, SUBMIT_TIMEOUT_SECONDS)
+        _check_caller(exchange, domain)
+        outcome = await self._submit_order(exchange, command)
+        if outcome.code != "done":
+            raise errors.UnreachableError(
+                f"another order for failure domain {domain} came first: "
+                f"{outcome.detail}, not {command.expected_version}",
+                step="set failure domain",
+            )
         logs.log(
             "info",
             f"failure domain {domain} is {command.cells['state']}",
@@ -183,6 +206,46 @@
         )
         return 200, {}
 
+    async def _submit_order(self, exchange, command):
+        """Return the Outcome of an order, once it is applied here as well.
+
+        The operator's next order may come to this replica.
+
+        Raises:
+            errors.UnreachableError: there is no outcome while the caller
+                waits.
+        """
+        left = ORDER_SECONDS - exchange.measure_age()
+        with trio.move_on_after(left):
+            outcome = await self._submitter.submit(command, left)
+            await self._replica.wait_applied(outcome.index)
+            return outcome
+        raise errors.UnreachableError(
+            f"order for failure domain {command.row} has no outcome after "
+            f"{ORDER_SECONDS:g} s",
+            step="set failure domain",
+        )
+
+
+def _check_caller(exchange, domain):
+    """Check that the caller of an order still waits for its answer.
+
+    Raises:
+        errors.UnreachableError: it has probably gone to another replica.
+    """
+    age = exchange.measure_age()
+    if age > MAX_ORDER_AGE_SECONDS:
+        raise errors.UnreachableError(
+            f"order for failure domain {domain} came {age:.2f} s after its "
+            f"connection; {MAX_ORDER_AGE_SECONDS:g} s are allowed",
+            step="set failure domain",
+        )
+    if exchange.has_client_left():
+        raise errors.UnreachableError(
+            f"the caller of an order for failure domain {domain} has left",
+            step="set failure domain",
+        )
+
 
 def _make_whole_import(version, body):
     return commands.ImportDocument(version, deltas.pack(body), time.time())
