Say when peers fall silent, why replicas stand, vote and step down

A record of replicas without a leader showed nothing of why: elections, votes and links had no line. A replica now logs, at each change of state only: a peer that stops answering (for how long, which message, when last heard) and one that answers again; pre-votes and votes that it asked for, with the term, the leader's silence and each voter's answer; those that it granted or denied, with the reason; whom it follows; how long each voter has been silent as it loses the quorum; its own process or disk standing still for over 0.5 s.

--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -21,6 +21,7 @@
 _CONNECTING_KINDS = (zmq.DEALER, zmq.SUB)  # sockets of other types are bound
 _CONNECT_POLL_INTERVAL_SECONDS = 0.02
 _CONNECT_TIMEOUT_MS = 1500  # allows for a lost SYN, retransmitted in 1 s
+_SILENCE_SECONDS = 0.25  # without an answer, before a line says so
 
 
 class TrioSocket:
@@ -73,6 +74,49 @@
         self.connect_deadline = (
             trio.current_time() + _CONNECT_TIMEOUT_MS / 1000
         )
+        self._answered_at = trio.current_time()
+        self._unanswered_since = None
+        self._is_silent = False
+
+    def record_answer(self, peer):
+        """Record a reply; log it if the peer had stopped answering."""
+        now = trio.current_time()
+        if self._is_silent:
+            seconds = round(now - self._answered_at, 3)
+            logs.log(
+                "info",
+                f"answers again, after {seconds:g} s",
+                step="receive",
+                peer=peer,
+            )
+        self._answered_at, self._unanswered_since = now, None
+        self._is_silent = False
+
+    def record_failure(self, peer, step, sent_at, reason):
+        """Record a message without a reply; log it if the peer is silent.
+
+        Args:
+            peer: name of the instance.
+            step: kind of the message.
+            sent_at: when it was sent.
+            reason: why there was no reply.
+        """
+        if self._answered_at > sent_at:
+            return
+        if self._unanswered_since is None:
+            self._unanswered_since = sent_at
+        now = trio.current_time()
+        waited = now - self._unanswered_since
+        if self._is_silent or waited < _SILENCE_SECONDS:
+            return
+        self._is_silent = True
+        logs.log(
+            "info",
+            f"no answer for {waited:.3f} s: {reason}; last heard "
+            f"{now - self._answered_at:.3f} s ago",
+            step=step,
+            peer=peer,
+        )
 
 
 class NullSecurity:
@@ -289,6 +333,7 @@
             except (errors.ProtocolError, struct.error) as error:
                 logs.log("warning", str(error), step="receive", peer=name)
                 continue
+            link.record_answer(name)
             sender = link.pending_calls.pop(number, None)
             if sender is not None:
                 sender.send_nowait(reply)
@@ -308,12 +353,17 @@
         """
         step = type(message).__name__
         reply = None
+        sent_at = trio.current_time()
         with trio.move_on_after(timeout):
             if peer == self._name:
                 reply = await self._handle_message(message)
             else:
                 reply = await self._exchange(peer, message, step)
         if reply is None:
+            if peer in self._links:
+                self._links[peer].record_failure(
+                    peer, step, sent_at, "no reply"
+                )
             raise errors.UnreachableError("no reply", step=step, peer=peer)
         if isinstance(reply, wire.ErrorReply):
             raise errors.UnreachableError(reply.detail, step=step, peer=peer)
@@ -331,10 +381,12 @@
         link.next_number = number % 0xFFFFFFFF + 1
         sender, receiver = trio.open_memory_channel(1)
         link.pending_calls[number] = sender
+        sent_at = trio.current_time()
         try:
             await self._send(link, self._pack(message, number))
             return await receiver.receive()
         except zmq.ZMQError as error:
+            link.record_failure(peer, step, sent_at, "not connected")
             raise errors.UnreachableError(
                 "not connected", step=step, peer=peer
             ) from error
--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -138,6 +138,23 @@
             times.append(progress.acked_at if progress else float("-inf"))
         return _find_quorum_value(times)
 
+    def describe_silence(self, voters, now):
+        """Return how long each other voter has been silent, as text.
+
+        Args:
+            voters: identity by name.
+            now: seconds.
+        """
+        found = []
+        for voter in sorted(voters):
+            progress = self._find_voter(voter, voters)
+            if progress is not None:
+                silent = now - progress.acked_at
+                found.append(f"{voter} silent for {silent:.3f} s")
+            elif voter != self._name:
+                found.append(f"{voter} has another data folder or is unknown")
+        return ", ".join(found)
+
     def find_most_advanced(self, voters):
         """Return the voter with the highest match index; empty if none."""
         known = [
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -27,6 +27,7 @@
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 ADMISSION_INTERVAL_SECONDS = 1.0
 SECONDS_PER_MS = 0.001
+PAUSE_SECONDS = 0.5  # of this process or its disk, above which a line says so
 
 
 class _Proposal:
@@ -119,6 +120,8 @@
         self._confirmed_at = float("-inf")
         self._snapshot_data = b""
         self._received_snapshot = b""
+        self._last_election = None
+        self._last_votes = {}
         self._replication_due = trio.Event()
         self._commit_advanced = trio.Event()
         self._leader_wakeup = trio.Event()
@@ -210,7 +213,9 @@
         while True:
             min_timeout = self._timing.election_ms * SECONDS_PER_MS
             wait = min_timeout * (1 + self._rng.random())
+            began_at = self._now()
             await trio.sleep(wait / 4)
+            self._note_pause("this process", self._now() - began_at - wait / 4)
             silent = self._now() - self._leader_contact_at
             if self.role == "leader":
                 await self._check_quorum()
@@ -219,11 +224,31 @@
             elif not self.is_voter:
                 self.role = "learner"
 
+    def _note_pause(self, what, seconds):
+        if seconds > PAUSE_SECONDS:
+            logs.log(
+                "warning",
+                f"{what} stood still for {seconds:.3f} s",
+                step="replicate",
+                inputs={"role": self.role, "term": self.term},
+            )
+
+    async def _write(self, function, *arguments):
+        """Call a function of the journal in a thread.
+
+        Raises:
+            errors.StorageError: the contents may not be durable.
+        """
+        began_at = self._now()
+        await trio.to_thread.run_sync(function, *arguments)
+        self._note_pause("the disk", self._now() - began_at)
+
     async def _check_quorum(self):
         silence = self._now() - self._find_quorum_contact()
         if silence > self._timing.election_ms * SECONDS_PER_MS:
+            silent = self._followers.describe_silence(self.voters, self._now())
             async with self._lock:
-                self._step_down("lost the quorum")
+                self._step_down(f"lost the quorum; {silent}")
 
     async def _run_election(self, transfer=False):
         self.role = "candidate"
@@ -262,6 +287,8 @@
         )
         voters = dict(self.voters)
         granted = {self._name}
+        answers = dict.fromkeys(voters, "no answer")
+        answers[self._name] = "itself"
         won = trio.Event()
 
         async def ask(peer):
@@ -278,8 +305,11 @@
                 # voter's, no pre-vote would ever succeed.
                 async with self._lock:
                     await self._adopt_term(reply.term)
+            answers[peer] = "granted" if reply.granted else "denied"
             if reply.granted and reply.identity == voters[peer]:
                 granted.add(peer)
+            elif reply.granted:
+                answers[peer] = "another data folder"
             if len(granted) > len(voters) // 2:
                 won.set()
 
@@ -292,8 +322,34 @@
                         nursery.start_soon(ask, peer)
                 await won.wait()
                 nursery.cancel_scope.cancel()
+        self._log_election(request, won.is_set(), answers)
         return won.is_set()
 
+    def _log_election(self, request, won, answers):
+        """Log how voters answered, if they answered differently before.
+
+        Args:
+            request: the wire.VoteRequest.
+            won: whether a majority granted it.
+            answers: text by voter.
+        """
+        election = (request.is_pre_vote, won, answers)
+        if election == self._last_election:
+            return
+        self._last_election = election
+        reason = "the leader handed over"
+        if not request.is_transfer:
+            silent = self._now() - self._leader_contact_at
+            reason = f"no leader for {silent:.3f} s"
+        votes = "pre-votes" if request.is_pre_vote else "votes"
+        listed = ", ".join(f"{one}: {answers[one]}" for one in sorted(answers))
+        logs.log(
+            "info",
+            f"asked for {votes} in term {request.term}, {reason}; "
+            f"{'won' if won else 'not won'}; {listed}",
+            step="elect",
+        )
+
     def _become_leader(self):
         self.role = "leader"
         self.leader = self._name
@@ -334,7 +390,7 @@
         self.term = term
         self._voted_for = voted_for
         vote = journals.Vote(term, voted_for)
-        await trio.to_thread.run_sync(self._journal.save_vote, vote)
+        await self._write(self._journal.save_vote, vote)
 
     async def _adopt_term(self, term):
         """Become a follower in a higher term; ignore a lower one.
@@ -395,7 +451,7 @@
                     self._log.append(entry)
                     self._proposals[index] = proposal
                 self._wake_replication()
-                await trio.to_thread.run_sync(self._journal.append, written)
+                await self._write(self._journal.append, written)
                 self._stored_index = written[-1].index
                 self._advance_commit()
 
@@ -601,25 +657,54 @@
     async def handle_vote(self, request):
         """Return the VoteReply to a VoteRequest."""
         async with self._lock:
-            granted = await self._decide_vote(request)
+            objection = await self._decide_vote(request)
+        self._log_vote(request, objection)
+        granted = not objection
         return wire.VoteReply(self.term, granted, self._journal.identity)
 
     async def _decide_vote(self, request):
+        """Return why a vote is denied; empty if it is granted."""
         if self._has_recent_leader() and not request.is_transfer:
-            return False
+            return "recent leader"
         theirs = (request.last_term, request.last_index)
         if theirs < (self._log.last_term, self.last_index):
-            return False
+            return "older log"
         if request.is_pre_vote:
-            return request.term > self.term
+            return "" if request.term > self.term else "lower term"
         if request.term < self.term:
-            return False
+            return "lower term"
         await self._adopt_term(request.term)
         if self._voted_for not in ("", request.candidate):
-            return False
+            return f"voted for {self._voted_for} already"
         if not self._voted_for:
             await self._save_vote(request.term, request.candidate)
-        return True
+        return ""
+
+    def _log_vote(self, request, objection):
+        """Log a decision that differs from the last one on a candidate."""
+        decision = (request.is_pre_vote, request.term, objection)
+        if self._last_votes.get(request.candidate) == decision:
+            return
+        self._last_votes[request.candidate] = decision
+        vote = "pre-vote" if request.is_pre_vote else "vote"
+        decided = f"denied a {vote}: {objection}"
+        if not objection:
+            decided = f"granted a {vote}"
+        logs.log(
+            "info",
+            f"{decided}; candidate at term {request.term}, "
+            f"index {request.last_index}",
+            step="elect",
+            peer=request.candidate,
+            inputs={
+                "term": self.term,
+                "index": self.last_index,
+                "leader": self.leader,
+                "leader_silent": round(
+                    self._now() - self._leader_contact_at, 3
+                ),
+            },
+        )
 
     async def handle_append(self, message):
         """Return the AppendEntriesReply to an AppendEntries.
@@ -657,8 +742,12 @@
         await self._adopt_term(term)
         self._leader_contact_at = self._now()
         self.role = "follower" if self.is_voter else "learner"
+        self._last_election = None
         if self.leader != leader:
             self.leader = leader
+            logs.log(
+                "info", f"follows in term {term}", step="follow", peer=leader
+            )
             self._recorder.record("log.follows", peer=leader)
 
     def _has_previous_entry(self, message):
@@ -697,7 +786,7 @@
                 step="store entries",
                 peer=self._name,
             )
-        await trio.to_thread.run_sync(self._journal.append, new_entries)
+        await self._write(self._journal.append, new_entries)
         self._log.replace_from(new_entries)
         self._stored_index = self.last_index
 
