--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -1,9 +1,23 @@
 """A leader's record of the replication progress of the other replicas."""
 
+import typing
+
 MEMBERS_RESEND_SECONDS = 3.0  # a follower that restarted has lost them
 VOTER_SILENCE_SECONDS = 4.0  # after it, a learner may replace the voter
 
 
+class Change(typing.NamedTuple):
+    """A change of the voters that a leader plans.
+
+    Attributes:
+        members: identity by name of the voters after the change.
+        reason: why it is made, for the log.
+    """
+
+    members: dict[str, str]
+    reason: str
+
+
 class _Progress:
     """Replication progress of one other replica."""
 
@@ -148,7 +162,7 @@
         return max(known, default=(0, ""))[1]
 
     def plan_admission(self, voters, commit_index, now, max_voters=None):
-        """Return the next set of voters, or None if no change is needed.
+        """Return the next Change of the voters, or None if none is needed.
 
         A replica whose identity has changed is first removed as a voter and
         then added with the new identity, so that the majorities before and
@@ -170,20 +184,27 @@
             if voters.get(peer) == progress.identity:
                 continue
             if peer in voters:
-                return _remove_voter(voters, peer)
+                reason = f"{peer} is back with another disk"
+                return Change(_remove_voter(voters, peer), reason)
             if max_voters is None or len(voters) < max_voters:
-                return {**voters, peer: progress.identity}
+                members = {**voters, peer: progress.identity}
+                return Change(members, f"{peer} has caught up")
             removed = self._find_silent_voter(voters, now)
             if removed is not None:
-                return _remove_voter(voters, removed)
+                silent = now - self._progress[removed].acked_at
+                reason = (
+                    f"{removed} has been silent for {silent:.1f} s, "
+                    f"{peer} takes its place"
+                )
+                return Change(_remove_voter(voters, removed), reason)
         return None
 
     def _find_silent_voter(self, voters, now):
         """Return a voter that has been silent for too long, or None."""
         for voter in voters:
-            progress = self._find_voter(voter, voters)
             if voter == self._name:
                 continue
+            progress = self._find_voter(voter, voters)
             if (
                 progress is None
                 or now - progress.acked_at > VOTER_SILENCE_SECONDS
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -48,6 +48,21 @@
         self.done.set()
 
 
+def _log_voters(voters, index):
+    """Log the voters in force from an index on.
+
+    Args:
+        voters: identity by name.
+        index: of the entry or the snapshot that sets them.
+    """
+    logs.log(
+        "info",
+        f"the voters are {', '.join(sorted(voters))}",
+        step="change voters",
+        inputs={"index": index, "identities": voters},
+    )
+
+
 class Replica:
     """A Raft server: votes, stores log entries and applies them.
 
@@ -567,13 +582,19 @@
                 or not self.holds_lease()
             ):
                 continue
-            members = self._followers.plan_admission(
+            change = self._followers.plan_admission(
                 self.voters, self.commit_index, self._now(), self._max_voters
             )
-            if members is not None:
-                names = ", ".join(sorted(members))
+            if change is not None:
+                names = ", ".join(sorted(change.members))
                 self._recorder.record("log.voters", detail=names)
-                command = commands.SetVoters(members, time.time())
+                logs.log(
+                    "info",
+                    f"proposes the voters {names}: {change.reason}",
+                    step="change voters",
+                    inputs={"index": self.last_index + 1, "term": term},
+                )
+                command = commands.SetVoters(change.members, time.time())
                 await self._append_batch([_Proposal(command)], term)
 
     def introduce(self, peer, identity):
@@ -740,6 +761,7 @@
         self.state.load(checkpoint.data)
         self._set_commit(checkpoint.index)
         self._notify_applied()
+        _log_voters(checkpoint.voters, checkpoint.index)
         detail = f"index {checkpoint.index}"
         self._recorder.record("log.snapshot_installed", detail=detail)
 
@@ -765,6 +787,8 @@
         index = self.state.index + 1
         entry = self._log.get(index)
         outcome = self.state.apply(entry)
+        if entry.kind == "voters":
+            _log_voters(commands.decode(entry.kind, entry.data).members, index)
         proposal = self._proposals.pop(index, None)
         if proposal is not None:
             proposal.finish(outcome)
