Give a replica's vote to its successor before the replica ends

Callers saw no configuration for ever ("no leader confirms the state") when a replica was replaced and one more disk was lost: a replica told to stop kept its vote until it had been silent for 4 s; then it was removed and the successor added, one change a second.

A replica that stops now hands over the lead, asks the leader to leave (wire.Leave; older builds drop it, then it keeps its vote after .6 s, or 3 s with a successor in sight, and says so) and votes until it is told that it is no voter any more, at most for the time of a graceful stop. The leader adds the learner and removes the one that leaves at once, and only while all other voters are in contact. A voter that is silent for 2.5 s or lost its disk is removed first, its successor follows at once. Surplus voters that a change cut short left behind are removed by the next leader. A plain restart keeps its vote and is not delayed. A new leader counts the silence of the one before from its last message.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -125,6 +125,35 @@
     identity: str
 
 
+class Leave(typing.NamedTuple):
+    """Asks the leader to replace the sender as a voter, as it stops.
+
+    Older builds don't answer it.
+
+    Attributes:
+        name: name of the sender.
+        identity: identity of the sender's data folder.
+    """
+
+    name: str
+    identity: str
+
+
+class LeaveReply(typing.NamedTuple):
+    """Answers Leave.
+
+    Attributes:
+        code: left: the sender is no voter; pending: ask again; kept: no
+            replica can take its place; or not_leader.
+        leader: name of the leader; empty if unknown.
+        detail: what a pending change waits for, or why there is none.
+    """
+
+    code: str
+    leader: str
+    detail: str
+
+
 # --- messages between any instances -------------------------------------
 
 
@@ -1044,6 +1073,8 @@
     "wy": WatchReply,
     "ci": ConfirmIndex,
     "cy": IndexReply,
+    "lv": Leave,
+    "ly": LeaveReply,
     "in": Introduce,
     "iy": IntroduceReply,
     "wu": WatchUpstreams,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -75,6 +75,10 @@
         own.introduce(message.name, message.identity)
         return wire.IntroduceReply(own.leader, list(own.list_members()))
 
+    @handle.register
+    async def _(self, message: wire.Leave):
+        return await self._get_replica().handle_leave(message)
+
     @handle.register
     async def _(self, message: wire.WatchUpstreams):
         self._get_replica()
--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -1,21 +1,9 @@
 """A leader's record of the replication progress of the other replicas."""
 
-import typing
+from camphorhook_daemon.domain import voter_changes
 
 MEMBERS_RESEND_SECONDS = 3.0  # a follower that restarted has lost them
-VOTER_SILENCE_SECONDS = 4.0  # after it, a learner may replace the voter
-
-
-class Change(typing.NamedTuple):
-    """A change of the voters that a leader plans.
-
-    Attributes:
-        members: identity by name of the voters after the change.
-        reason: why it is made, for the log.
-    """
-
-    members: dict[str, str]
-    reason: str
+LEAVING_SECONDS = 2.0  # a replica that leaves asks several times in it
 
 
 class _Progress:
@@ -25,6 +13,8 @@
         self.identity = identity
         self.match_index = 0
         self.acked_at = acked_at
+        self.heard_at = acked_at
+        self.asked_to_leave_at = float("-inf")
         self.members = ()
         self.members_sent_at = float("-inf")
 
@@ -52,10 +42,29 @@
             now: seconds; the election counts as contact with all of them.
         """
         self._name = name
+        self._voters_changed_at = now
         self._progress = {
             peer: _Progress(voters.get(peer, ""), now) for peer in peers
         }
 
+    def record_heard(self, peer, at, now):
+        """Record when a replica was last heard before the election.
+
+        Its silence counts from then on, but it is given the time to answer.
+
+        Args:
+            peer: its name.
+            at: seconds.
+            now: seconds.
+        """
+        if peer in self._progress:
+            earliest = (
+                now
+                + voter_changes.ANSWER_SECONDS
+                - voter_changes.VOTER_SILENCE_SECONDS
+            )
+            self._progress[peer].heard_at = max(at, earliest)
+
     def add(self, peer, identity):
         """Add a replica; return False if it was already known."""
         if peer in self._progress or peer == self._name:
@@ -105,6 +114,7 @@
             progress.identity = identity
             progress.match_index = 0
         progress.acked_at = max(progress.acked_at, sent_at)
+        progress.heard_at = max(progress.heard_at, sent_at)
 
     def record_match(self, peer, index):
         """Record the highest index at which a replica's log matches."""
@@ -113,7 +123,7 @@
     def _find_voter(self, voter, voters):
         """Return a voter's _Progress, or None if its identity differs."""
         progress = self._progress.get(voter)
-        if progress is None or progress.identity != voters[voter]:
+        if progress is None or progress.identity != voters.get(voter):
             return None
         return progress
 
@@ -152,74 +162,60 @@
             times.append(progress.acked_at if progress else float("-inf"))
         return _find_quorum_value(times)
 
-    def find_most_advanced(self, voters):
-        """Return the voter with the highest match index; empty if none."""
+    def find_most_advanced(self, voters, now):
+        """Return the voter with the highest match index; empty if none.
+
+        One that leaves is returned only if all do.
+        """
         known = [
-            (self._progress[voter].match_index, voter)
-            for voter in voters
-            if self._find_voter(voter, voters)
+            (not standing.leaves, standing.match_index, standing.name)
+            for standing in self._list_standings(now)
+            if self._find_voter(standing.name, voters)
+        ]
+        return max(known, default=(False, 0, ""))[2]
+
+    def record_leaving(self, peer, now):
+        """Record that a replica has asked to leave as a voter."""
+        if peer in self._progress:
+            self._progress[peer].asked_to_leave_at = now
+
+    def forget_leaving(self, peer):
+        """Record that a replica stays a voter."""
+        if peer in self._progress:
+            self._progress[peer].asked_to_leave_at = float("-inf")
+
+    def record_change(self, now):
+        """Record that the voters were changed."""
+        self._voters_changed_at = now
+
+    def _list_standings(self, now):
+        return [
+            voter_changes.Standing(
+                peer,
+                progress.identity,
+                progress.match_index,
+                now - progress.heard_at,
+                now - progress.asked_to_leave_at < LEAVING_SECONDS,
+            )
+            for peer, progress in self._progress.items()
         ]
-        return max(known, default=(0, ""))[1]
-
-    def plan_admission(self, voters, commit_index, now, max_voters=None):
-        """Return the next Change of the voters, or None if none is needed.
 
-        A replica whose identity has changed is first removed as a voter and
-        then added with the new identity, so that the majorities before and
-        after each change share a voter. Once the maximum number of voters
-        is reached, a voter that has been silent for too long is removed in
-        favour of a learner that is up to date.
+    def view_voters(self, voters, commit_index, now, max_voters, contact):
+        """Return the voter_changes.View by which voters are changed.
 
         Args:
             voters: identity by name.
-            commit_index: index that a learner must have reached.
+            commit_index: highest committed index.
             now: seconds.
             max_voters: maximum number of voters; None for no limit.
+            contact: seconds of silence up to which a replica is in contact.
         """
-        for peer, progress in self._progress.items():
-            if not progress.identity or progress.match_index < commit_index:
-                continue
-            if now - progress.acked_at > VOTER_SILENCE_SECONDS:
-                continue
-            if voters.get(peer) == progress.identity:
-                continue
-            if peer in voters:
-                reason = f"{peer} is back with another disk"
-                return Change(_remove_voter(voters, peer), reason)
-            if max_voters is None or len(voters) < max_voters:
-                members = {**voters, peer: progress.identity}
-                return Change(members, f"{peer} has caught up")
-            removed = self._find_silent_voter(voters, now)
-            if removed is not None:
-                silent = now - self._progress[removed].acked_at
-                reason = (
-                    f"{removed} has been silent for {silent:.1f} s, "
-                    f"{peer} takes its place"
-                )
-                return Change(_remove_voter(voters, removed), reason)
-        return None
-
-    def _find_silent_voter(self, voters, now):
-        """Return a voter that has been silent for too long, or None."""
-        for voter in voters:
-            if voter == self._name:
-                continue
-            progress = self._find_voter(voter, voters)
-            if (
-                progress is None
-                or now - progress.acked_at > VOTER_SILENCE_SECONDS
-            ):
-                return voter
-        return None
-
-
-def _remove_voter(voters, removed):
-    """Return the voters without one of them.
-
-    Args:
-        voters: identity by name.
-        removed: name of the voter to leave out.
-    """
-    return {
-        name: identity for name, identity in voters.items() if name != removed
-    }
+        return voter_changes.View(
+            self._name,
+            voters,
+            max_voters,
+            {one.name: one for one in self._list_standings(now)},
+            commit_index,
+            contact,
+            now - self._voters_changed_at,
+        )
--- a/packages/daemon/src/camphorhook_daemon/domain/joining.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/joining.py
@@ -1,5 +1,7 @@
 """Introduces a replica to the others, so that the leader replicates to it."""
 
+import itertools
+
 import trio
 
 from camphorhook_common import errors
@@ -27,8 +29,8 @@
     known = {*settings.list_replicas()}
     message = wire.Introduce(settings.name, identity)
     was_voter = None
-    while True:
-        await trio.sleep(INTERVAL_SECONDS)
+    for delay in itertools.chain((0,), itertools.repeat(INTERVAL_SECONDS)):
+        await trio.sleep(delay)
         if replica.is_voter != was_voter:
             was_voter = replica.is_voter
             text = (
--- /dev/null
+++ b/packages/daemon/src/camphorhook_daemon/domain/leaving.py
@@ -0,0 +1,82 @@
+"""Lets a replica that stops leave as a voter once it has a successor."""
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import logs
+from camphorhook_common import wire
+
+CALL_TIMEOUT_SECONDS = 0.6
+INTERVAL_SECONDS = 0.1
+ELECTION_WAIT_SECONDS = 1.5  # longer than an election takes
+LEADER_WAIT_SECONDS = 3.0  # with a successor in sight
+_NO_ANSWER = wire.LeaveReply("no answer", "", "no leader answers")
+_NO_LEADER = wire.LeaveReply("not_leader", "", "no leader is known")
+
+
+async def leave(replica, identity, transport, now=trio.current_time):
+    """Ask the leader to replace this voter, until it has or nobody can.
+
+    Hands over the leadership first. This replica goes on to vote until a
+    leader has said that it is no voter any more. It keeps its vote if there
+    is no other replica to take it over, and if no leader answers for too
+    long, as older builds don't. The caller limits the time by cancelling;
+    that it ran out is logged as well.
+
+    Args:
+        replica: this instance's Replica.
+        identity: of its data folder.
+        transport: a Transport.
+        now: returns seconds.
+    """
+    if not replica.is_voter:
+        return
+    reply = _NO_LEADER
+    is_pending = False
+    began_at = now()
+    try:
+        while reply.code not in ("left", "kept"):
+            may_be_replaced = is_pending or replica.may_be_replaced()
+            led = replica.role == "leader"
+            if not replica.is_repairing_voters():
+                await replica.transfer_leadership()
+            if led and not may_be_replaced:
+                reply = wire.LeaveReply("kept", "", "no other replica runs")
+                break
+            reply = await _ask(replica, identity, transport)
+            is_pending = is_pending or reply.code == "pending"
+            waited = now() - began_at
+            if not is_pending and _gives_up(reply, may_be_replaced, waited):
+                break
+            await trio.sleep(INTERVAL_SECONDS)
+    except trio.Cancelled:
+        _log_kept(f"time is up: {reply.detail}")
+        raise
+    if reply.code == "left":
+        logs.log("info", "is no voter any more", step="leave")
+    else:
+        _log_kept(reply.detail)
+
+
+def _gives_up(reply, may_be_replaced, waited):
+    """Return whether to stop without an answer, after `waited` seconds."""
+    if may_be_replaced:
+        return waited > LEADER_WAIT_SECONDS
+    return reply.code == "no answer" or waited > ELECTION_WAIT_SECONDS
+
+
+def _log_kept(reason):
+    logs.log("warning", f"stops and keeps its vote: {reason}", step="leave")
+
+
+async def _ask(replica, identity, transport):
+    """Return the leader's LeaveReply, or one that says why there is none."""
+    leader = replica.leader
+    if not leader or leader == replica.name:
+        return _NO_LEADER
+    message = wire.Leave(replica.name, identity)
+    try:
+        return await transport.call(leader, message, CALL_TIMEOUT_SECONDS)
+    except errors.UnreachableError as error:
+        logs.log("info", error.format(), step="leave", peer=leader)
+        return _NO_ANSWER
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -6,7 +6,8 @@
 name and the identity of its data folder. A replica that lost its disk comes
 back with another identity: it receives entries as a learner and counts
 toward no quorum until the leader has replaced the old identity by two
-membership changes, one that removes it and one that adds the new one.
+membership changes, one that removes it and one that adds the new one. Which
+change is due is decided by `voter_changes`.
 """
 
 import time
@@ -20,12 +21,14 @@
 from camphorhook_daemon.domain import entries
 from camphorhook_daemon.domain import followers
 from camphorhook_daemon.domain import state as states
+from camphorhook_daemon.domain import voter_changes
 from camphorhook_daemon.ports import journal as journals
 
 SNAPSHOT_ENTRIES = 4000
 BATCH_ENTRIES = 512
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
-ADMISSION_INTERVAL_SECONDS = 1.0
+VOTERS_CHECK_SECONDS = 0.2  # below the time to detect a silent voter
+LEAVE_WAIT_SECONDS = 0.3  # half of the time that the sender waits
 SECONDS_PER_MS = 0.001
 
 
@@ -130,6 +133,7 @@
         self._followers = None
         self._known_members = ()
         self._lead_scope = None
+        self._last_leader = ""
         self._leader_contact_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._snapshot_data = b""
@@ -137,6 +141,7 @@
         self._replication_due = trio.Event()
         self._commit_advanced = trio.Event()
         self._leader_wakeup = trio.Event()
+        self._voters_due = trio.Event()
         self.applied = trio.Event()
         self._load_journal()
 
@@ -321,6 +326,10 @@
         self._followers = followers.Followers(
             self._name, peers, self.voters, self._now()
         )
+        self._followers.record_heard(
+            self._last_leader, self._leader_contact_at, self._now()
+        )
+        self._last_leader = ""
         self._queued_proposals = []
         self._recorder.record("log.leader", detail=f"term {self.term}")
         logs.log("info", f"leads the log in term {self.term}", step="elect")
@@ -330,6 +339,7 @@
         if self.role == "leader":
             self._recorder.record("log.stepped_down", detail=reason)
             logs.log("info", f"stepped down as leader: {reason}", step="lead")
+            self._known_members = self.list_members()
             self.leader = ""
         if self.role != "learner":
             self.role = "follower"
@@ -377,7 +387,7 @@
             self._lead_nursery = nursery
             for peer in self._followers.list_peers():
                 nursery.start_soon(self._replicate, peer, term)
-            nursery.start_soon(self._admit_learners, term)
+            nursery.start_soon(self._change_voters, term)
             begin = commands.BeginTerm(self._name, time.time())
             await self._append_batch([_Proposal(begin)], term)
             while self.role == "leader" and self.term == term:
@@ -568,34 +578,100 @@
             return 0
         return self._log.get_term(self.commit_index)
 
-    async def _admit_learners(self, term):
-        """Change the set of voters by one voter at a time.
+    def _view_voters(self):
+        return self._followers.view_voters(
+            self.voters,
+            self.commit_index,
+            self._now(),
+            self._max_voters,
+            self._timing.election_ms * SECONDS_PER_MS,
+        )
+
+    def _is_changing_voters(self):
+        return self._log.voters_index > self.commit_index
+
+    async def _change_voters(self, term):
+        """Make each change of the voters that is due, one after the other.
 
-        Admits learners that are up to date, and replaces the identity of a
-        replica that came back with a new disk. A change starts only after
-        the last one is committed.
+        A change starts as soon as the last one is committed.
         """
         while self.role == "leader" and self.term == term:
-            await trio.sleep(ADMISSION_INTERVAL_SECONDS)
-            if (
-                self._log.voters_index > self.commit_index
-                or not self.holds_lease()
-            ):
+            if self._is_changing_voters():
+                await self._commit_advanced.wait()
                 continue
-            change = self._followers.plan_admission(
-                self.voters, self.commit_index, self._now(), self._max_voters
-            )
+            change = None
+            if self.holds_lease():
+                change = voter_changes.plan(self._view_voters())
             if change is not None:
-                names = ", ".join(sorted(change.members))
-                self._recorder.record("log.voters", detail=names)
-                logs.log(
-                    "info",
-                    f"proposes the voters {names}: {change.reason}",
-                    step="change voters",
-                    inputs={"index": self.last_index + 1, "term": term},
-                )
-                command = commands.SetVoters(change.members, time.time())
-                await self._append_batch([_Proposal(command)], term)
+                await self._propose_voters(change, term)
+                continue
+            self._voters_due = trio.Event()
+            with trio.move_on_after(VOTERS_CHECK_SECONDS):
+                await self._voters_due.wait()
+
+    async def _propose_voters(self, change, term):
+        names = ", ".join(sorted(change.members))
+        self._recorder.record("log.voters", detail=names)
+        logs.log(
+            "info",
+            f"proposes the voters {names}: {change.reason}",
+            step="change voters",
+            inputs={"index": self.last_index + 1, "term": term},
+        )
+        self._followers.record_change(self._now())
+        command = commands.SetVoters(change.members, time.time())
+        await self._append_batch([_Proposal(command)], term)
+
+    async def handle_leave(self, message):
+        """Return the LeaveReply to a Leave, when it is known or after a wait.
+
+        A voter that asks is replaced by a learner, as long as it asks again
+        and again.
+        """
+        reply = self._answer_leave(message)
+        with trio.move_on_after(LEAVE_WAIT_SECONDS):
+            while reply.code == "pending":
+                await self._commit_advanced.wait()
+                reply = self._answer_leave(message)
+        return reply
+
+    def _answer_leave(self, message):
+        if not self.holds_lease():
+            detail = f"{self._name} holds no lease"
+            return wire.LeaveReply("not_leader", self.leader, detail)
+        if self._is_changing_voters():
+            return wire.LeaveReply("pending", self._name, "voters change")
+        if self.voters.get(message.name) != message.identity:
+            return wire.LeaveReply("left", self._name, "")
+        obstacle = voter_changes.find_obstacle(
+            self._view_voters(), message.name
+        )
+        if not obstacle:
+            self._followers.forget_leaving(message.name)
+            detail = "no other replica can take its place"
+            return wire.LeaveReply("kept", self._name, detail)
+        self._followers.record_leaving(message.name, self._now())
+        self._voters_due.set()
+        return wire.LeaveReply("pending", self._name, obstacle)
+
+    def is_repairing_voters(self):
+        """Return whether it leads more voters than the maximum, not all up.
+
+        Then its vote may be needed to remove the one that is lost.
+        """
+        return self.role == "leader" and voter_changes.is_repairing(
+            self._view_voters()
+        )
+
+    def may_be_replaced(self):
+        """Return whether a replica may exist that can take over the vote.
+
+        It may be one that the leader named and that has ended since.
+        """
+        if self._max_voters is None:
+            return False
+        has_surplus = len(self.voters) > self._max_voters
+        return has_surplus or not self.voters.keys() >= {*self.list_members()}
 
     def introduce(self, peer, identity):
         """Start to replicate to a replica that introduced itself.
@@ -677,6 +753,7 @@
     async def _accept_leader(self, term, leader):
         await self._adopt_term(term)
         self._leader_contact_at = self._now()
+        self._last_leader = leader
         self.role = "follower" if self.is_voter else "learner"
         if self.leader != leader:
             self.leader = leader
@@ -873,7 +950,7 @@
         """
         if self.role != "leader":
             return
-        best = self._followers.find_most_advanced(self.voters)
+        best = self._followers.find_most_advanced(self.voters, self._now())
         async with self._lock:
             self._step_down("handed over")
             self._leader_contact_at = self._now()
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -24,6 +24,7 @@
 from camphorhook_daemon.domain import configuration
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import joining
+from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import cache_index
@@ -649,15 +650,24 @@
 
 
 async def _stop(components):
-    """Withdraw readiness, hand over leadership, drain and close."""
+    """Withdraw readiness, hand over leadership and vote, and drain."""
     logs.log("info", "received SIGTERM", step="stop")
     components.is_stopping = True
-    if components.replica is not None:
-        await components.replica.transfer_leadership()
-    if components.forwarder is None:
-        return
     with trio.move_on_after(components.settings.stop_seconds):
-        await trio.sleep(SHUTDOWN_DELAY_SECONDS)
-        # From now on, clients that send another request must reach another
-        # instance; otherwise this one might never become idle.
-        await listeners.drain(components.listeners)
+        async with trio.open_nursery() as nursery:
+            if components.replica is not None:
+                nursery.start_soon(
+                    leaving.leave,
+                    components.replica,
+                    components.journal.identity,
+                    components.transport,
+                )
+            if components.forwarder is not None:
+                nursery.start_soon(_drain, components)
+
+
+async def _drain(components):
+    await trio.sleep(SHUTDOWN_DELAY_SECONDS)
+    # From now on, clients that send another request must reach another
+    # instance; otherwise this one might never become idle.
+    await listeners.drain(components.listeners)
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -11,6 +11,14 @@
       | 7     | 12   |
       | 21    | 22   |
 
+  Scenario Outline: Replacements of replicas, with a loss at any moment
+    When replicas are replaced for 60 seconds of a mock clock with seeds <first> to <last>
+    Then they agreed and lost no acknowledged change
+
+    Examples:
+      | first | last |
+      | 1     | 6    |
+
   Scenario: A follower answers reads of what was just acknowledged
     When 20 changes are acknowledged by a group without faults
     Then every replica applied each of them before the next heartbeat
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -20,6 +20,19 @@
         context.counts.append(replicas.run_seed(seed, seconds))
 
 
+@behave.when(
+    "replicas are replaced for {seconds:d} seconds of a mock clock with seeds "
+    "{first:d} to {last:d}"
+)
+def run_replacements(context, seconds, first, last):
+    context.counts = []
+    for seed in range(first, last + 1):
+        print(f"seed {seed}")
+        context.counts.append(
+            replicas.run_seed(seed, seconds, replicas.run_replacements)
+        )
+
+
 @behave.then("they agreed and lost no acknowledged change")
 def check_counts(context):
     for counts in context.counts:
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -58,6 +58,10 @@
     def stop(self, seconds=30.0):
         """Send SIGTERM, wait up to `seconds` and return the exit code."""
         self.send_signal(signal.SIGTERM)
+        return self.wait_exit(seconds)
+
+    def wait_exit(self, seconds):
+        """Wait up to `seconds` for the exit, and return the exit code."""
         code = self._process.wait(seconds)
         self._log.close()
         return code
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -20,6 +20,8 @@
 from camphorhook_common import settings
 from camphorhook_common import timeline
 from camphorhook_common import wire
+from camphorhook_daemon.domain import joining
+from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain import state
 from camphorhook_daemon.ports import journal as journals
@@ -33,6 +35,11 @@
 RECOVERY_SECONDS = 12.0
 SUBMIT_TIMEOUT_SECONDS = 1.5
 SUBMITTERS = 4
+CATCH_UP_SECONDS = 4.0
+AHEAD_SECONDS = (2.0, 6.0)  # of a successor before its replica stops
+STOP_SECONDS = 7.2
+LOSS_DELAY_SECONDS = 0.3  # on average, after a replica was told to stop
+POLL_SECONDS = 0.02
 
 
 class MemoryJournal:
@@ -105,9 +112,12 @@
 
 
 class Group:
-    """Three replicas with their disks and the network between them."""
+    """Replicas with their disks and the network between them.
 
-    def __init__(self, seed):
+    The first three found the log.
+    """
+
+    def __init__(self, seed, max_voters=None):
         self.rng = random.Random(seed)
         self.applied_entries = {}
         self.leaders = {}
@@ -117,6 +127,7 @@
         self.is_reliable = False
         self.acknowledged = {}
         self.counts = collections.Counter()
+        self._max_voters = max_voters
         self._scopes = {}
         voters = {name: f"{name}#0" for name in NAMES}
         empty = state.State().dump()
@@ -125,11 +136,11 @@
             self.disks[name] = MemoryJournal(voters[name], checkpoint)
 
     def _make_settings(self, name):
-        others = [other for other in NAMES if other != name]
+        others = {*(NAMES if self._max_voters is None else self.disks)}
         return types.SimpleNamespace(
             name=name,
             timing=TIMING,
-            list_replicas=lambda: sorted([name, *others]),
+            list_replicas=lambda: sorted({name, *others}),
         )
 
     async def start(self, name, nursery):
@@ -141,6 +152,7 @@
             Network(self, name),
             LeaderRecorder(name, self.leaders),
             random.Random(self.rng.random()),
+            max_voters=self._max_voters,
         )
         self.running[name] = one
         nursery.start_soon(self._run, name, one)
@@ -148,7 +160,16 @@
     async def _run(self, name, one):
         with trio.CancelScope() as scope:
             self._scopes[name] = scope
-            await one.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.run)
+                if self._max_voters is not None:
+                    nursery.start_soon(
+                        joining.join,
+                        one,
+                        self.disks[name].identity,
+                        self._make_settings(name),
+                        Network(self, name),
+                    )
 
     def crash(self, name):
         """Stop a replica abruptly; its disk is kept."""
@@ -214,6 +235,11 @@
             return await target.handle_append(message)
         case wire.InstallSnapshot():
             return await target.handle_snapshot(message)
+        case wire.Leave():
+            return await target.handle_leave(message)
+        case wire.Introduce():
+            target.introduce(message.name, message.identity)
+            return wire.IntroduceReply(target.leader, target.list_members())
     raise TypeError(type(message))
 
 
@@ -311,6 +337,129 @@
             ), f"{row}, acknowledged at index {index}, is lost"
 
 
+class Replacements:
+    """Replaces replicas of a group, with a loss at some moment of each.
+
+    At the loss, all replicas that don't stop lose power, and one its disk.
+    Messages are lost only as long as no replica is.
+    """
+
+    def __init__(self, group, nursery):
+        self._group = group
+        self._nursery = nursery
+        self._next = len(NAMES) + 1
+
+    async def run(self, until):
+        """Replace replicas until `until`; check for a leader after each."""
+        kinds = (self._replace_planned, self._replace_lost, self._lose_disk)
+        self._group.is_reliable = True
+        await self._wait_settled()
+        while trio.current_time() < until:
+            await self._group.rng.choice(kinds)()
+            await self._wait_settled()
+
+    async def _start_successor(self):
+        name = f"r{self._next}"
+        self._next += 1
+        self._group.lose_disk(name)
+        await self._group.start(name, self._nursery)
+        self._group.counts["replaced"] += 1
+
+    async def _replace_planned(self):
+        group = self._group
+        old = group.rng.choice(sorted(group.running))
+        await self._start_successor()
+        await trio.sleep(group.rng.uniform(*AHEAD_SECONDS))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._leave, old)
+            await trio.sleep(group.rng.expovariate(1 / LOSS_DELAY_SECONDS))
+            await self._lose_power(old)
+
+    async def _leave(self, old):
+        group = self._group
+        one, identity = group.running[old], group.disks[old].identity
+        with trio.move_on_after(STOP_SECONDS):
+            await leaving.leave(one, identity, Network(group, old))
+            group.counts["left"] += not one.is_voter
+        group.crash(old)
+        del group.disks[old]
+
+    async def _replace_lost(self):
+        group = self._group
+        old = group.rng.choice(sorted(group.running))
+        group.crash(old)
+        del group.disks[old]
+        await self._start_successor()
+        await self._catch_up()
+        await self._lose_power("")
+
+    async def _lose_disk(self):
+        group = self._group
+        name = group.rng.choice(sorted(group.running))
+        group.crash(name)
+        group.lose_disk(name)
+        await group.start(name, self._nursery)
+        await self._catch_up()
+        await self._lose_power("")
+
+    async def _catch_up(self):
+        """Wait until another replica may be lost; no message is, as well."""
+        self._group.is_reliable = True
+        await trio.sleep(CATCH_UP_SECONDS)
+
+    async def _lose_power(self, stopping):
+        group = self._group
+        group.is_reliable = True
+        names = sorted(group.running.keys() - {stopping})
+        for name in names:
+            group.crash(name)
+        group.lose_disk(group.rng.choice(names))
+        for name in names:
+            await trio.sleep(group.rng.random() * MAX_DELAY_SECONDS)
+            await group.start(name, self._nursery)
+
+    async def _wait_settled(self):
+        """Wait until the running replicas are the voters of a leader."""
+        group = self._group
+        wanted = {name: group.disks[name].identity for name in group.running}
+        with trio.fail_after(RECOVERY_SECONDS):
+            while not any(
+                one.holds_lease() and one.voters == wanted
+                for one in group.running.values()
+            ):
+                await trio.sleep(POLL_SECONDS)
+        group.is_reliable = False
+
+
+async def run_replacements(seed, seconds):
+    """Replace replicas of a group under losses, and check its state.
+
+    Args:
+        seed: seed of the random faults.
+        seconds: duration of the replacements in simulated seconds.
+
+    Returns:
+        Numbers of replacements, lost disks and acknowledged changes.
+    """
+    group = Group(seed, max_voters=len(NAMES))
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            await group.start(name, nursery)
+        until = trio.current_time() + seconds
+        async with trio.open_nursery() as fault_nursery:
+            fault_nursery.start_soon(Replacements(group, nursery).run, until)
+            for submitter in range(SUBMITTERS):
+                fault_nursery.start_soon(
+                    _submit_changes, group, submitter, until
+                )
+        group.is_reliable = True
+        await trio.sleep(RECOVERY_SECONDS)
+        _check(group)
+        nursery.cancel_scope.cancel()
+    group.counts["acknowledged"] = len(group.acknowledged)
+    return group.counts
+
+
 async def measure_replication(changes):
     """Return the replication delay of each change in seconds.
 
@@ -394,9 +543,9 @@
     return function(*arguments)
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, run=run_group):
     """Run a group with a mock clock and return its counts."""
-    return run_repeatably(seed, run_group, seed, seconds)
+    return run_repeatably(seed, run, seed, seconds)
 
 
 def run_repeatably(seed, function, *arguments):
