Elect a leader where disks are slow

Callers saw no leader for as long as disks were slow: two running voters that could reach each other went from term to term. A voter wrote its vote twice (the term, then the vote), a candidate waited for half an election timeout, so a vote that took longer never counted; and a voter that had just granted one stood itself, which ended the term it had voted for.

A vote is one write. A candidate waits for a vote four times as long as for a pre-vote, unless one is denied. A voter that granted one waits a whole election timeout before it stands, and does not stand where it granted one while it asked for pre-votes. After an election that failed the next one begins after a random time that grows, so that two slow candidates part. An election ends when all voters have answered.

--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -27,6 +27,8 @@
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 ADMISSION_INTERVAL_SECONDS = 1.0
 SECONDS_PER_MS = 0.001
+MAX_ELECTION_BACKOFF = 4  # election timeouts, after as many failures
+VOTE_PATIENCE = 4  # times that of a pre-vote, as a vote is synced to disk
 PAUSE_SECONDS = 0.5  # of this process or its disk, above which a line says so
 
 
@@ -120,6 +122,9 @@
         self._confirmed_at = float("-inf")
         self._snapshot_data = b""
         self._received_snapshot = b""
+        self._voted_at = float("-inf")
+        self._failed_elections = 0
+        self._stands_after = float("-inf")
         self._last_election = None
         self._last_votes = {}
         self._replication_due = trio.Event()
@@ -216,14 +221,19 @@
             began_at = self._now()
             await trio.sleep(wait / 4)
             self._note_pause("this process", self._now() - began_at - wait / 4)
-            silent = self._now() - self._leader_contact_at
             if self.role == "leader":
                 await self._check_quorum()
-            elif silent > wait and self.is_voter:
+            elif self.is_voter and self._is_election_due(wait):
                 await self._run_election()
             elif not self.is_voter:
                 self.role = "learner"
 
+    def _is_election_due(self, wait):
+        """Return whether nobody was heard of or voted for in `wait` s."""
+        now = self._now()
+        heard_at = max(self._leader_contact_at, self._voted_at)
+        return now - heard_at > wait and now >= self._stands_after
+
     def _note_pause(self, what, seconds):
         if seconds > PAUSE_SECONDS:
             logs.log(
@@ -253,20 +263,35 @@
     async def _run_election(self, transfer=False):
         self.role = "candidate"
         self.leader = ""
+        began_at = self._now()
         if not transfer:
             if not await self._collect_votes(self.term + 1, pre_vote=True):
                 return
         async with self._lock:
-            if self._has_recent_leader() and not transfer:
+            has_voted = self._voted_at >= began_at
+            if (self._has_recent_leader() or has_voted) and not transfer:
                 return
             await self._save_vote(self.term + 1, self._name)
-        term = self.term
+            term = self.term
         self._recorder.record("log.candidate", detail=f"term {term}")
         if not await self._collect_votes(term, False, transfer):
+            if not transfer:
+                self._postpone_election()
             return
         if self.term == term and self.role == "candidate":
             self._become_leader()
 
+    def _postpone_election(self):
+        """Stand again only after a random time, so that candidates part.
+
+        It grows with each election that failed, as two candidates whose
+        disks are slow take long to see each other's votes.
+        """
+        self._failed_elections += 1
+        most = min(self._failed_elections, MAX_ELECTION_BACKOFF)
+        seconds = most * self._timing.election_ms * SECONDS_PER_MS
+        self._stands_after = self._now() + seconds * self._rng.random()
+
     async def _collect_votes(self, term, pre_vote, transfer=False):
         """Request votes; return whether a majority of voters granted one.
 
@@ -289,15 +314,14 @@
         granted = {self._name}
         answers = dict.fromkeys(voters, "no answer")
         answers[self._name] = "itself"
-        won = trio.Event()
+        majority = len(voters) // 2 + 1
+        wait = self._timing.election_ms * SECONDS_PER_MS / 2
+        longest = wait if pre_vote else wait * VOTE_PATIENCE
+        began_at = trio.current_time()
 
-        async def ask(peer):
+        async def ask(peer, scope):
             try:
-                reply = await self._transport.call(
-                    peer,
-                    request,
-                    self._timing.election_ms * SECONDS_PER_MS / 2,
-                )
+                reply = await self._transport.call(peer, request, longest)
             except errors.UnreachableError:
                 return
             if reply.term > self.term:
@@ -310,20 +334,20 @@
                 granted.add(peer)
             elif reply.granted:
                 answers[peer] = "another data folder"
-            if len(granted) > len(voters) // 2:
-                won.set()
-
-        if len(granted) > len(voters) // 2:
-            return True
-        with trio.move_on_after(self._timing.election_ms * SECONDS_PER_MS / 2):
-            async with trio.open_nursery() as nursery:
-                for peer in voters:
-                    if peer != self._name:
-                        nursery.start_soon(ask, peer)
-                await won.wait()
-                nursery.cancel_scope.cancel()
-        self._log_election(request, won.is_set(), answers)
-        return won.is_set()
+            else:
+                scope.deadline = min(scope.deadline, began_at + wait)
+            if len(granted) >= majority:
+                scope.cancel()
+
+        if len(granted) < majority:
+            with trio.move_on_after(longest) as scope:
+                async with trio.open_nursery() as nursery:
+                    for peer in voters:
+                        if peer != self._name:
+                            nursery.start_soon(ask, peer, scope)
+        won = len(granted) >= majority
+        self._log_election(request, won, answers)
+        return won
 
     def _log_election(self, request, won, answers):
         """Log how voters answered, if they answered differently before.
@@ -352,6 +376,7 @@
 
     def _become_leader(self):
         self.role = "leader"
+        self._failed_elections = 0
         self.leader = self._name
         known = {
             **dict.fromkeys(self._settings.list_replicas()),
@@ -397,9 +422,15 @@
 
         The caller holds the lock.
         """
+        if self._end_term(term):
+            await self._save_vote(term, "")
+
+    def _end_term(self, term):
+        """Step down for a higher term; return whether it is higher."""
         if term > self.term:
             self._step_down(f"term {term}")
-            await self._save_vote(term, "")
+            return True
+        return False
 
     # --- leading ---------------------------------------------------------
 
@@ -673,11 +704,13 @@
             return "" if request.term > self.term else "lower term"
         if request.term < self.term:
             return "lower term"
-        await self._adopt_term(request.term)
-        if self._voted_for not in ("", request.candidate):
-            return f"voted for {self._voted_for} already"
-        if not self._voted_for:
+        voted_for = self._voted_for if request.term == self.term else ""
+        if voted_for not in ("", request.candidate):
+            return f"voted for {voted_for} already"
+        if not voted_for:
+            self._end_term(request.term)
             await self._save_vote(request.term, request.candidate)
+        self._voted_at = self._now()
         return ""
 
     def _log_vote(self, request, objection):
@@ -743,6 +776,8 @@
         self._leader_contact_at = self._now()
         self.role = "follower" if self.is_voter else "learner"
         self._last_election = None
+        self._failed_elections = 0
+        self._stands_after = float("-inf")
         if self.leader != leader:
             self.leader = leader
             logs.log(
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -19,6 +19,17 @@
     When all replicas restart within 0.3 seconds, in 40 runs
     Then the mean time to a leader is under 1.5 shortest election timeouts
 
+  Scenario Outline: Slow disks don't keep two replicas from a leader
+    When the leader crashes as each change of a disk takes <ms> ms, in 20 runs
+    Then there was another leader within 3 seconds in each run
+
+    Examples:
+      | ms  |
+      | 50  |
+      | 100 |
+      | 200 |
+      | 300 |
+
   Scenario: Instances hear of replicas that don't vote
     When a replica r4 that is only a learner is introduced to the leader
     Then every replica reports r4 to instances
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -59,6 +59,25 @@
     assert mean < factor * timeout, (mean, timeout)
 
 
+@behave.when(
+    "the leader crashes as each change of a disk takes {ms:d} ms, in "
+    "{runs:d} runs"
+)
+def crash_with_slow_disks(context, ms, runs):
+    context.waits = [
+        replicas.run_repeatably(
+            seed, replicas.measure_slow_disks, seed, ms / 1000
+        )
+        for seed in range(runs)
+    ]
+
+
+@behave.then("there was another leader within {seconds:d} seconds in each run")
+def check_leader(context, seconds):
+    print(f"longest {max(context.waits):.3f} s")
+    assert max(context.waits) < seconds, sorted(context.waits)
+
+
 @behave.when(
     "a replica {name} that is only a learner is introduced to the leader"
 )
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -33,12 +33,20 @@
 RECOVERY_SECONDS = 12.0
 SUBMIT_TIMEOUT_SECONDS = 1.5
 SUBMITTERS = 4
+MEASURE_SECONDS = 20.0
 
 
 class MemoryJournal:
-    """A Journal in memory that survives restarts of its replica."""
+    """A Journal in memory that survives restarts of its replica.
+
+    Attributes:
+        sync_seconds: time that each change of it takes.
+        hangs_until: time before which no change of it ends.
+    """
 
     def __init__(self, identity, checkpoint=None):
+        self.sync_seconds = 0.0
+        self.hangs_until = float("-inf")
         self.identity = identity
         self.vote = journals.Vote(0, "")
         self.checkpoint = checkpoint
@@ -150,6 +158,13 @@
             self._scopes[name] = scope
             await one.run()
 
+    def find_leader(self):
+        """Return the name of the replica with the lease, or None."""
+        for name, one in self.running.items():
+            if one.holds_lease():
+                return name
+        return None
+
     def crash(self, name):
         """Stop a replica abruptly; its disk is kept."""
         self._scopes[name].cancel()
@@ -372,6 +387,59 @@
     return waited
 
 
+async def measure_slow_disks(seed, seconds):
+    """Return the seconds without a leader after a crash, with slow disks.
+
+    Args:
+        seed: seed of the elections.
+        seconds: time that each change of a disk takes.
+    """
+    group = Group(seed)
+    group.is_reliable = True
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(RECOVERY_SECONDS)
+        for disk in group.disks.values():
+            disk.sync_seconds = seconds
+        group.crash(group.find_leader())
+        since = trio.current_time()
+        with trio.move_on_after(MEASURE_SECONDS):
+            while group.find_leader() is None:
+                await trio.sleep(0.001)
+        waited = trio.current_time() - since
+        nursery.cancel_scope.cancel()
+    return waited
+
+
+async def measure_hung_disk(seed, seconds):
+    """Return how long no change is acknowledged as the leader's disk hangs.
+
+    Args:
+        seed: seed of the elections.
+        seconds: how long the disk hangs.
+    """
+    group = Group(seed)
+    group.is_reliable = True
+    async with trio.open_nursery() as nursery:
+        for name in NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(RECOVERY_SECONDS)
+        since = trio.current_time()
+        group.disks[group.find_leader()].hangs_until = since + seconds
+        async with trio.open_nursery() as submitters:
+            for number in range(SUBMITTERS):
+                submitters.start_soon(
+                    _submit_changes, group, number, since + MEASURE_SECONDS
+                )
+            while not group.acknowledged:
+                await trio.sleep(0.001)
+            submitters.cancel_scope.cancel()
+        waited = trio.current_time() - since
+        nursery.cancel_scope.cancel()
+    return waited
+
+
 async def introduce_learner(name):
     """Introduce a learner; return the members that each replica lists."""
     group = Group(1)
@@ -391,6 +459,10 @@
 async def _run_inline(function, *arguments):
     """Call a function without a thread, for a deterministic order."""
     await trio.lowlevel.checkpoint()
+    disk = getattr(function, "__self__", None)
+    if isinstance(disk, MemoryJournal):
+        await trio.sleep(disk.sync_seconds)
+        await trio.sleep_until(max(trio.current_time(), disk.hangs_until))
     return function(*arguments)
 
 
