Hand over the lead while the leader's disk hangs

Callers saw no order acknowledged and no state confirmed for as long as the leader's disk hung, though two sound voters ran: the leader went on sending heartbeats, so nobody stood, and its check of the quorum waited for the lock that the write held. The check also decided before it had the lock, so a leader stepped down after the write though its quorum was back.

A leader whose write takes over two election timeouts hands over. The check of the quorum decides and acts at once. A hung disk no longer holds up the handover of a replica that stops. Of two voters with the same index, the one that answered last is asked to lead.

--- a/packages/daemon/src/camphorhook_daemon/domain/followers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/followers.py
@@ -156,13 +156,16 @@
         return ", ".join(found)
 
     def find_most_advanced(self, voters):
-        """Return the voter with the highest match index; empty if none."""
+        """Return the voter with the highest match index; empty if none.
+
+        Of several with the same index, the one that answered last.
+        """
         known = [
-            (self._progress[voter].match_index, voter)
+            (progress.match_index, progress.acked_at, voter)
             for voter in voters
-            if self._find_voter(voter, voters)
+            if (progress := self._find_voter(voter, voters))
         ]
-        return max(known, default=(0, ""))[1]
+        return max(known, default=(0, 0, ""))[-1]
 
     def plan_admission(self, voters, commit_index, now, max_voters=None):
         """Return the next set of voters, or None if no change is needed.
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -28,6 +28,7 @@
 ADMISSION_INTERVAL_SECONDS = 1.0
 SECONDS_PER_MS = 0.001
 MAX_ELECTION_BACKOFF = 4  # election timeouts, after as many failures
+DISK_PATIENCE = 2  # election timeouts, then the leader hands over
 VOTE_PATIENCE = 4  # times that of a pre-vote, as a vote is synced to disk
 PAUSE_SECONDS = 0.5  # of this process or its disk, above which a line says so
 
@@ -122,6 +123,7 @@
         self._confirmed_at = float("-inf")
         self._snapshot_data = b""
         self._received_snapshot = b""
+        self._write_began_at = None
         self._voted_at = float("-inf")
         self._failed_elections = 0
         self._stands_after = float("-inf")
@@ -222,7 +224,7 @@
             await trio.sleep(wait / 4)
             self._note_pause("this process", self._now() - began_at - wait / 4)
             if self.role == "leader":
-                await self._check_quorum()
+                await self._check_leadership()
             elif self.is_voter and self._is_election_due(wait):
                 await self._run_election()
             elif not self.is_voter:
@@ -249,16 +251,37 @@
         Raises:
             errors.StorageError: the contents may not be durable.
         """
-        began_at = self._now()
-        await trio.to_thread.run_sync(function, *arguments)
+        began_at = self._write_began_at = self._now()
+        try:
+            await trio.to_thread.run_sync(function, *arguments)
+        finally:
+            self._write_began_at = None
         self._note_pause("the disk", self._now() - began_at)
 
-    async def _check_quorum(self):
+    def _check_quorum(self):
         silence = self._now() - self._find_quorum_contact()
         if silence > self._timing.election_ms * SECONDS_PER_MS:
             silent = self._followers.describe_silence(self.voters, self._now())
-            async with self._lock:
-                self._step_down(f"lost the quorum; {silent}")
+            self._step_down(f"lost the quorum; {silent}")
+
+    def _measure_write(self):
+        """Return for how many seconds a write to the disk has been running."""
+        if self._write_began_at is None:
+            return 0.0
+        return self._now() - self._write_began_at
+
+    async def _check_leadership(self):
+        """Step down without a quorum; hand over while the disk hangs.
+
+        Followers hear of a leader whose disk hangs, so that none would
+        stand. The lock is not needed, and held by the write.
+        """
+        seconds = self._measure_write()
+        patience = DISK_PATIENCE * self._timing.election_ms * SECONDS_PER_MS
+        if seconds > patience:
+            await self._hand_over(f"the disk has hung for {seconds:.3f} s")
+        else:
+            self._check_quorum()
 
     async def _run_election(self, transfer=False):
         self.role = "candidate"
@@ -484,7 +507,8 @@
                 self._wake_replication()
                 await self._write(self._journal.append, written)
                 self._stored_index = written[-1].index
-                self._advance_commit()
+                if self.role == "leader":
+                    self._advance_commit()
 
     def _wake_replication(self):
         self._replication_due.set()
@@ -855,9 +879,7 @@
         self._received_snapshot = b""
         if checkpoint.index <= self.commit_index:
             return
-        await trio.to_thread.run_sync(
-            self._journal.save_checkpoint, checkpoint, []
-        )
+        await self._write(self._journal.save_checkpoint, checkpoint, [])
         self._log.reset(checkpoint)
         self._snapshot_data = checkpoint.data
         self._stored_index = checkpoint.index
@@ -901,7 +923,7 @@
                 checkpoint, remaining = self._log.plan_compaction(
                     index, self.state.dump()
                 )
-                await trio.to_thread.run_sync(
+                await self._write(
                     self._journal.save_checkpoint, checkpoint, remaining
                 )
                 self._log.compact(checkpoint, remaining)
@@ -973,10 +995,17 @@
         """
         if self.role != "leader":
             return
+        wait = self._timing.election_ms * SECONDS_PER_MS
+        with trio.move_on_after(wait):
+            async with self._lock:
+                pass  # the batch that is being written may be committed
+        if self.role == "leader":
+            await self._hand_over("handed over")
+
+    async def _hand_over(self, reason):
         best = self._followers.find_most_advanced(self.voters)
-        async with self._lock:
-            self._step_down("handed over")
-            self._leader_contact_at = self._now()
+        self._step_down(reason)
+        self._leader_contact_at = self._now()
         if best:
             message = wire.TimeoutNow(self.term)
             wait = self._timing.election_ms * SECONDS_PER_MS
--- a/tests/features/log_safety.feature
+++ b/tests/features/log_safety.feature
@@ -30,6 +30,16 @@
       | 200 |
       | 300 |
 
+  Scenario Outline: A leader whose disk hangs doesn't hold up changes
+    When the disk of the leader hangs for <seconds> seconds, in 20 runs
+    Then a change was acknowledged within 3 seconds in each run
+
+    Examples:
+      | seconds |
+      | 1       |
+      | 6       |
+      | 15      |
+
   Scenario: Instances hear of replicas that don't vote
     When a replica r4 that is only a learner is introduced to the leader
     Then every replica reports r4 to instances
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -72,6 +72,21 @@
     ]
 
 
+@behave.when(
+    "the disk of the leader hangs for {seconds:d} seconds, in {runs:d} runs"
+)
+def hang_disk(context, seconds, runs):
+    context.waits = [
+        replicas.run_repeatably(
+            seed, replicas.measure_hung_disk, seed, seconds
+        )
+        for seed in range(runs)
+    ]
+
+
+@behave.then(
+    "a change was acknowledged within {seconds:d} seconds in each run"
+)
 @behave.then("there was another leader within {seconds:d} seconds in each run")
 def check_leader(context, seconds):
     print(f"longest {max(context.waits):.3f} s")
