Log where a change of a failure domain takes effect

Every replica now logs each change of a failure domain as the entry is applied (index, version before, expected version, new state, operation), every entry instance logs the index from which it obeys and which failure domains are out, and a handler that is cancelled as its caller left says so.

--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -742,6 +742,15 @@
         self._notify_applied()
         detail = f"index {checkpoint.index}"
         self._recorder.record("log.snapshot_installed", detail=detail)
+        logs.log(
+            "info",
+            "installed a snapshot",
+            step="install snapshot",
+            inputs={
+                "index": checkpoint.index,
+                "domains_out": self.state.list_domains_out(),
+            },
+        )
 
     # --- applying --------------------------------------------------------
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
@@ -100,11 +100,23 @@
 
     def _apply_changes(self):
         rows = self._configuration.list_rows("failure_domains")
-        self._excluded_domains = frozenset(
+        excluded = frozenset(
             name
             for name, (_, cells) in rows.items()
             if cells["state"] == "out"
         )
+        if excluded != self._excluded_domains:
+            self._excluded_domains = excluded
+            logs.log(
+                "info",
+                "obeys a change of failure domains",
+                step="take up failure domains",
+                inputs={
+                    "index": self._configuration.index,
+                    "out": sorted(excluded),
+                    "age_ms": self.measure_age_ms(),
+                },
+            )
         document = self._configuration.get_document()
         if document is None or document[0] == self.get_version():
             return
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -13,6 +13,7 @@
 
 from camphorhook_common import commands
 from camphorhook_common import deltas
+from camphorhook_common import logs
 from camphorhook_common import tables
 from camphorhook_common import wire
 from camphorhook_daemon.domain import documents
@@ -23,6 +24,7 @@
 ABANDONED_CLAIM_RETENTION_SECONDS = 3600.0
 ANY_VERSION = -1
 DOCUMENTS_TABLE = "documents"
+DOMAINS_TABLE = "failure_domains"
 ROUTING_DOCUMENT_ROW = "routing"
 
 
@@ -192,6 +194,14 @@
         newer.reverse()
         return False, newer
 
+    def list_domains_out(self):
+        """Return the failure domains that are out, sorted."""
+        return sorted(
+            name
+            for name, row in self.tables[DOMAINS_TABLE].items()
+            if row.cells.get("state") == "out"
+        )
+
     def dump(self):
         """Return the state as the bytes of a snapshot."""
         claims = [
@@ -242,7 +252,7 @@
         return known.outcome
     stored = state.tables[command.table].get(command.row)
     exists = stored is not None
-    version = stored.version if exists else 0
+    version = version_before = stored.version if exists else 0
     if command.expected_version not in (ANY_VERSION, version):
         detail = f"row {command.row} is at version {version}"
         outcome = commands.Outcome("conflict", state.index, version, detail)
@@ -255,9 +265,32 @@
         version = state.put_row(command.table, command.row, cells)
         outcome = commands.Outcome("done", state.index, version)
     state.store_outcome(command.operation, outcome)
+    if command.table == DOMAINS_TABLE:
+        _log_domain_change(command, cells, version_before, outcome)
     return outcome
 
 
+def _log_domain_change(command, cells, version_before, outcome):
+    """Log what a change of a failure domain did on this replica."""
+    if outcome.code == "done":
+        text = f"failure domain {command.row} is set"
+    else:
+        text = f"failure domain {command.row} stays: {outcome.detail}"
+    logs.log(
+        "info",
+        text,
+        operation=command.operation,
+        step="apply change",
+        inputs={
+            "index": outcome.index,
+            "version_before": version_before,
+            "expected": command.expected_version,
+            "code": outcome.code,
+            "state": cells.get("state") if cells else "removed",
+        },
+    )
+
+
 @_apply_command.register
 def _(command: commands.SetCells, state):
     return _change_row(command, state, command.cells)
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -4,6 +4,7 @@
 import uuid
 
 import msgspec
+import trio
 
 from camphorhook_common import commands
 from camphorhook_common import deltas
@@ -62,6 +63,14 @@
                 step=exchange.method + path,
             )
             status, body = 400, {"error": error.message}
+        except trio.Cancelled:
+            logs.log(
+                "info",
+                "the caller left before the answer",
+                step=exchange.method + path,
+                inputs={"ms": _measure_age_ms(exchange)},
+            )
+            raise
         if not isinstance(body, bytes):
             body = msgspec.json.encode(body)
         headers = [("content-type", "application/json")]
@@ -158,8 +167,8 @@
         if method not in ("POST", "DELETE"):
             return 405, {}
         command = commands.SetCells(
-            uuid.uuid4().hex,
-            "failure_domains",
+            f"{self._settings.name}/{uuid.uuid4().hex}",
+            states.DOMAINS_TABLE,
             domain,
             states.ANY_VERSION,
             {"state": OUT if method == "POST" else IN},
@@ -169,11 +178,17 @@
         logs.log(
             "info",
             f"failure domain {domain} is {command.cells['state']}",
+            operation=command.operation,
             step="set failure domain",
             inputs={"index": outcome.index, "code": outcome.code},
         )
         return 200, {}
 
 
+def _measure_age_ms(exchange):
+    """Return the milliseconds since a request's head was complete."""
+    return int((trio.current_time() - exchange.received_at) * 1000)
+
+
 def _make_whole_import(version, body):
     return commands.ImportDocument(version, deltas.pack(body), time.time())
