Let no order for a failure domain undo a newer one

An order that a frozen replica found in its socket as it ran on, whose caller had long left, or that a link held back, was committed after the newer order: each copy had a new operation id and expected any version.

An order now carries the version of the row as its replica knew it when the order arrived, and is applied only over that version; each order that is applied raises it. A conflict is answered 503, as are an order that comes 0.5 s or more after its connection was accepted, and one without an outcome 0.85 s after that. Nothing is sent for a caller that has closed its connection, and the leader drops a queued command whose submitter has left. Operators' connections are closed after each answer, so the age of a connection is that of the order. An order is acknowledged once the state of its replica has it, or at the end of that time.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import select
 import socket as sockets
 import struct
 
@@ -90,6 +91,16 @@
             return False
         return False
 
+    def has_ended(self):
+        """Return whether the peer has closed or reset the connection.
+
+        Unlike `receive`, this tells it without a switch of tasks, and also
+        while bytes are unread.
+        """
+        poll = select.poll()
+        poll.register(self._raw, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def reset(self):
         """Close the connection so that the peer sees an error, not an end."""
         linger = struct.pack("ii", 1, 0)  # on, without waiting
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -63,6 +63,7 @@
         body: the complete body.
         received_at: when the request's head was complete, in seconds on
             trio's clock.
+        accepted_at: when the connection was accepted, on the same clock.
         has_started: whether the answer's head was sent.
         has_ended: whether the complete answer was sent.
     """
@@ -74,6 +75,7 @@
         self.headers = header_codec.decode_headers(event.headers)
         self.body = b""
         self.received_at = trio.current_time()
+        self.accepted_at = connection.accepted_at
         self.has_started = False
         self.has_ended = False
 
@@ -89,6 +91,14 @@
                 return value
         return default
 
+    def has_client_left(self):
+        """Return whether the client has closed the connection."""
+        return self._connection.has_ended()
+
+    def close_after_answer(self):
+        """Have the connection closed after the answer to this request."""
+        self._connection.is_last = True
+
     async def start(self, status, headers, length=None):
         """Send the answer's head.
 
@@ -144,6 +154,8 @@
     def __init__(self, tcp_connection, listener):
         self._tcp_connection = tcp_connection
         self._listener = listener
+        self.accepted_at = trio.current_time()
+        self.is_last = False
         self._event = None
         limits = listener.read_limits()
         self.http = h11.Connection(
@@ -151,7 +163,10 @@
         )
 
     def is_closing(self):
-        return self._listener.is_stopping()
+        return self.is_last or self._listener.is_stopping()
+
+    def has_ended(self):
+        return self._tcp_connection.has_ended()
 
     async def send(self, *events):
         data = b"".join(self.http.send(event) for event in events)
--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -232,8 +232,7 @@
         if index < 0:
             return False
         with trio.move_on_after(1.0):
-            while self._replica.state.index < index:
-                await self._replica.applied.wait()
+            await self._replica.wait_until_applied(index)
         return self._replica.state.index >= index
 
     async def _fetch_confirmed_index(self):
@@ -395,7 +394,7 @@
         ]
         return known + more
 
-    async def submit(self, command, timeout):
+    async def submit(self, command, timeout, is_wanted=lambda: True):
         """Submit a command and return its Outcome.
 
         The command must be idempotent: it is sent again, within the
@@ -404,10 +403,12 @@
         Args:
             command: one of the types in `commands`.
             timeout: seconds.
+            is_wanted: function that returns whether anyone still waits for
+                the outcome; asked before each time the command is sent.
 
         Raises:
-            errors.UnreachableError: no outcome arrived in time; the command
-                may still be committed.
+            errors.UnreachableError: no outcome arrived in time, or it is no
+                longer wanted; the command may still be committed.
         """
         kind, data = commands.encode(command)
         message = wire.Submit(kind, data)
@@ -415,6 +416,11 @@
         with trio.move_on_after(timeout):
             while True:
                 for replica in candidates:
+                    if not is_wanted():
+                        raise errors.UnreachableError(
+                            "nobody waits for the outcome any more",
+                            step="submit",
+                        )
                     outcome = await self._submit_to(
                         replica, message, timeout / 2
                     )
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -758,6 +758,11 @@
         self.applied.set()
         self.applied = trio.Event()
 
+    async def wait_until_applied(self, index):
+        """Wait until this replica has applied the log up to an index."""
+        while self.state.index < index:
+            await self.applied.wait()
+
     async def _apply_committed(self):
         while True:
             commit_advanced = self._commit_advanced
@@ -810,7 +815,12 @@
         proposal = _Proposal(command)
         self._queued_proposals.append(proposal)
         self._leader_wakeup.set()
-        await proposal.done.wait()
+        try:
+            await proposal.done.wait()
+        finally:
+            # Not appended yet, and the submitter has given up.
+            if proposal in self._queued_proposals:
+                self._queued_proposals.remove(proposal)
         if proposal.outcome is None:
             return wire.SubmitReply("unknown", self.leader, None)
         return wire.SubmitReply("applied", self._name, proposal.outcome)
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -194,6 +194,11 @@
         newer.reverse()
         return False, newer
 
+    def get_version(self, table, row):
+        """Return the version of a row; 0 if there is no such row."""
+        stored = self.tables[table].get(row)
+        return stored.version if stored else 0
+
     def list_domains_out(self):
         """Return the failure domains that are out, sorted."""
         return sorted(
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -18,7 +18,10 @@
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
-SUBMIT_TIMEOUT_SECONDS = 2.5  # below the time that operators wait
+SUBMIT_TIMEOUT_SECONDS = 2.5  # operators wait longer for large documents
+# From the acceptance of the connection; operators wait a second.
+ORDER_TIMEOUT_SECONDS = 0.85
+MAX_ORDER_DELAY_SECONDS = 0.5  # from the acceptance to a complete order
 RETRY_AFTER_SECONDS = "0.3"
 OUT, IN = "out", "in"
 
@@ -48,6 +51,9 @@
     async def handle(self, exchange):
         """Answer one request."""
         path, _, query = exchange.target.partition("?")
+        if path == CONFIG_TARGET or path.startswith(EVACUATIONS_PREFIX):
+            # The age of a connection then tells the age of an order.
+            exchange.close_after_answer()
         try:
             if path == document_import.TARGET:
                 status, body = await self._imports.answer(exchange, query)
@@ -99,7 +105,7 @@
             return await self._get_document()
         if path.startswith(EVACUATIONS_PREFIX):
             domain = path[len(EVACUATIONS_PREFIX) :]
-            return await self._set_domain(method, domain)
+            return await self._set_domain(exchange, domain)
         return 404, {}
 
     async def _put_document(self, body):
@@ -161,20 +167,47 @@
             )
         return 200, last.raw
 
-    async def _set_domain(self, method, domain):
+    async def _set_domain(self, exchange, domain):
+        """Take a failure domain out of service, or back.
+
+        An order takes effect only over the state as it was when it arrived,
+        so that none that comes late undoes one that was acknowledged since.
+
+        Raises:
+            errors.UnreachableError: the order came late or is overtaken, its
+                caller has left, or there was no outcome in time.
+        """
         if domain not in self._settings.failure_domains:
             return 404, {}
-        if method not in ("POST", "DELETE"):
+        if exchange.method not in ("POST", "DELETE"):
             return 405, {}
         command = commands.SetCells(
             f"{self._settings.name}/{uuid.uuid4().hex}",
             states.DOMAINS_TABLE,
             domain,
-            states.ANY_VERSION,
-            {"state": OUT if method == "POST" else IN},
+            self._replica.state.get_version(states.DOMAINS_TABLE, domain),
+            {"state": OUT if exchange.method == "POST" else IN},
             time.time(),
         )
-        outcome = await self._submitter.submit(command, SUBMIT_TIMEOUT_SECONDS)
+        delay = exchange.received_at - exchange.accepted_at
+        if delay > MAX_ORDER_DELAY_SECONDS:
+            raise errors.UnreachableError(
+                f"the order came {delay:.3f} s after its connection",
+                step="set failure domain",
+            )
+        end = exchange.accepted_at + ORDER_TIMEOUT_SECONDS
+        outcome = await self._submitter.submit(
+            command,
+            max(0.0, end - trio.current_time()),
+            lambda: (
+                trio.current_time() < end and not exchange.has_client_left()
+            ),
+        )
+        if outcome.code != "done":
+            raise errors.UnreachableError(
+                f"another order came first: {outcome.detail}",
+                step="set failure domain",
+            )
         logs.log(
             "info",
             f"failure domain {domain} is {command.cells['state']}",
@@ -182,6 +215,9 @@
             step="set failure domain",
             inputs={"index": outcome.index, "code": outcome.code},
         )
+        # Otherwise the operator's next order here would be overtaken.
+        with trio.move_on_after(max(0.0, end - trio.current_time())):
+            await self._replica.wait_until_applied(outcome.index)
         return 200, {}
 
 
--- a/tests/features/steps/late_orders.py
+++ b/tests/features/steps/late_orders.py
@@ -1,12 +1,130 @@
 """Step definitions for operators' orders that come late."""
 
+import itertools
+import time
+
 import behave
 
+from tests.features.steps import platform as platform_steps
 from tests.harness import late_orders
+from tests.harness import platforms
 from tests.harness import processes
 
 ENTRIES = ("entry-1", "entry-2")
 REPLICAS = ("replica-1", "replica-2", "replica-3")
+SETTLE_SECONDS = 0.4  # for a late order to be taken up where it can be
+REQUESTS = 6  # at each entry instance, to see where they go
+
+
+def is_last_in_force(context, last, domain):
+    """Return whether all entry instances obey the last order."""
+    platform = context.platform
+    is_out = last == "evacuate"
+    for entry in ENTRIES:
+        if (domain in late_orders.list_out(platform, entry)) != is_out:
+            return False
+    server = f"server-{platforms.DOMAINS.index(domain) + 1} ".encode()
+    answers = [
+        platform.request(entry, "/safe/late", platform_steps.KEY)
+        for entry in ENTRIES
+        for _ in range(REQUESTS)
+    ]
+    return not is_out or not any(
+        one.body.startswith(server) for one in answers
+    )
+
+
+def play_all(context, hold, release):
+    """Hold each order for each domain back while it is resent and undone.
+
+    Args:
+        context: the scenario's context, which gets the `failures` and the
+            `late_statuses`.
+        hold: function of (order, domain) that sends an order that is held
+            back; it returns the replica and what `release` takes.
+        release: function that lets the order arrive, and returns the status
+            of its answer.
+    """
+    context.failures, context.late_statuses = [], []
+    platform = context.platform
+    for domain, late in itertools.product(
+        platforms.DOMAINS, late_orders.METHODS
+    ):
+        last = late_orders.OTHER[late]
+        late_orders.insist(platform, REPLICAS, last, domain)
+        held_by, handle = hold(late, domain)
+        first, second = (name for name in REPLICAS if name != held_by)
+        late_orders.insist(platform, (first, second), late, domain)
+        late_orders.insist(platform, (second, first), last, domain)
+        context.late_statuses.append(release(handle))
+        time.sleep(SETTLE_SECONDS)
+        if not is_last_in_force(context, last, domain):
+            context.failures.append(f"{last} {domain} was undone")
+        late_orders.insist(platform, REPLICAS, "take back", domain)
+
+
+def freeze_and_play(context, choose):
+    platform = context.platform
+
+    def hold(order, domain):
+        name = choose(platform_steps.find_leader(context))
+        platform.pause(name)
+        late_orders.send(platform, name, order, domain)
+        return name, name
+
+    def release(name):
+        platform.resume(name)
+        return 0
+
+    play_all(context, hold, release)
+
+
+@behave.when(
+    "each order for each failure domain is left at a frozen follower, resent "
+    "and undone"
+)
+def freeze_follower(context):
+    freeze_and_play(
+        context,
+        lambda leader: next(one for one in REPLICAS if one != leader),
+    )
+
+
+@behave.when(
+    "each order for each failure domain is left at the frozen leader, resent "
+    "and undone"
+)
+def freeze_leader(context):
+    freeze_and_play(context, lambda leader: leader)
+
+
+@behave.when(
+    "each order for each failure domain arrives {seconds:f} seconds late, "
+    "resent and undone before"
+)
+def hold_on_link(context, seconds):
+    def hold(order, domain):
+        link = late_orders.connect(context.platform, "replica-1")
+        time.sleep(seconds)
+        return "replica-1", (link, order, domain)
+
+    def release(held):
+        link, order, domain = held
+        with link:
+            link.sendall(late_orders.make_order(order, domain))
+            return int(link.recv(65536).split()[1])
+
+    play_all(context, hold, release)
+
+
+@behave.then("after each the last acknowledged order is in force everywhere")
+def check_in_force(context):
+    assert not context.failures, context.failures
+
+
+@behave.then("each late order is answered {status:d}")
+def check_late(context, status):
+    assert set(context.late_statuses) == {status}, context.late_statuses
 
 
 @behave.when("{domain} is taken out by way of {replica}")
