--- a/tests/features/steps/withdrawals.py
+++ b/tests/features/steps/withdrawals.py
@@ -238,6 +238,8 @@
         chosen, context.other = router.upstreams
         router.cache_index.record_placement(*PART, chosen.name, now)
         context.chosen = chosen
+        chosen.failure_domain = "zone-b"
+        router.register()
         context.clients = [routers.Client()]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(router.send, context.clients[0], PART)
@@ -246,6 +248,8 @@
                 router.withdrawals.record_departure(chosen.register())
             elif "pause" in event:
                 router.withdrawals.record_pause(chosen.register(), 30.0)
+            elif "taken out" in event:
+                router.rules.list_excluded_domains = lambda: {"zone-b"}
             else:
                 table = router.table
                 router.table = tables.RoutingTable(
--- a/tests/features/withdrawals.feature
+++ b/tests/features/withdrawals.feature
@@ -78,6 +78,7 @@
       | event            |
       | leaves           |
       | wants a pause    |
+      | is taken out     |
 
   Scenario: A key that is revoked while its request waits is not used
     Given 2 upstreams of a service that has engines
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -59,11 +59,13 @@
         is_reset_only: it resets the connection there and runs on.
         capacity: number of requests that it says it runs at once.
         run_seconds: time until it answers.
+        failure_domain: its failure domain.
     """
 
     def __init__(self, number):
         self.capacity = 64
         self.run_seconds = 0.0
+        self.failure_domain = "zone-a"
         self.name = f"upstream-{number}"
         self.incarnation = 1
         self.requests = []
@@ -119,7 +121,7 @@
         return wire.Registration(
             self.name,
             SERVICE,
-            "zone-a",
+            self.failure_domain,
             "127.0.0.1",
             self.port,
             self.incarnation,
