Test orders that the link to the leader held back

late_orders.feature, "An order that the link to the leader held back", in one process on simulated time: a follower's message to the leader is held back until the order, sent again elsewhere, was acknowledged and undone; with the same leader and with one that was restarted, both orders.

--- a/tests/features/late_orders.feature
+++ b/tests/features/late_orders.feature
@@ -1,23 +1,35 @@
 @no_fleet
 Feature: An order that comes late does not undo a newer one
 
-  Background:
-    Given a platform with 3 replicas, 2 entry instances and 5 servers
-
   Scenario: A replica that is frozen as an order arrives
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
     When each order for each failure domain is left at a frozen follower, resent and undone
     Then after each the last acknowledged order is in force everywhere
 
   Scenario: A leader that is frozen as an order arrives
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
     When each order for each failure domain is left at the frozen leader, resent and undone
     Then after each the last acknowledged order is in force everywhere
 
   Scenario: An order that its link to the replica held back
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
     When each order for each failure domain arrives 1.5 seconds late, resent and undone before
     Then after each the last acknowledged order is in force everywhere
     And each late order is answered 503
 
   Scenario: A change of a failure domain can be traced
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
     When zone-b is taken out by way of replica-2
     Then every replica logs who asked, and the version before
     And every entry instance logs that it obeys
+
+  Scenario Outline: An order that the link to the leader held back
+    When an order to <order> a failure domain, which was undone, reaches the <leader> leader late
+    Then the last acknowledged order is in force at every replica
+
+    Examples:
+      | order     | leader |
+      | evacuate  | same   |
+      | take back | same   |
+      | evacuate  | next   |
+      | take back | next   |
--- a/tests/features/steps/late_orders.py
+++ b/tests/features/steps/late_orders.py
@@ -6,9 +6,11 @@
 import behave
 
 from tests.features.steps import platform as platform_steps
+from tests.harness import held_submits
 from tests.harness import late_orders
 from tests.harness import platforms
 from tests.harness import processes
+from tests.harness import replicas
 
 ENTRIES = ("entry-1", "entry-2")
 REPLICAS = ("replica-1", "replica-2", "replica-3")
@@ -159,3 +161,21 @@
         )
         assert line["inputs"]["out"] == ["zone-b"], line
         assert line["inputs"]["index"] >= context.index, line
+
+
+@behave.when(
+    "an order to {order} a failure domain, which was undone, reaches the "
+    "{leader:w} leader late"
+)
+def hold_submit(context, order, leader):
+    context.held, context.states = replicas.run_repeatably(
+        held_submits.SEED, held_submits.play, order, leader == "next"
+    )
+    context.late = order
+
+
+@behave.then("the last acknowledged order is in force at every replica")
+def check_states(context):
+    assert context.held, "no message was held back"
+    last = "in" if context.late == "evacuate" else "out"
+    assert context.states == [last] * 3, context.states
--- /dev/null
+++ b/tests/harness/held_submits.py
@@ -0,0 +1,135 @@
+"""Orders that the link between two replicas holds back, on mock time."""
+
+import types
+
+import trio
+
+from camphorhook_common import errors
+from camphorhook_common import wire
+from camphorhook_daemon.domain import configuration
+from camphorhook_daemon.platform import control
+from tests.harness import late_orders
+from tests.harness import replicas
+
+DOMAIN = "zone-a"
+SEED = 1
+
+
+class _Exchange:
+    """A request of an operator, and the status of its answer."""
+
+    def __init__(self, method):
+        self.method = method
+        self.target = control.EVACUATIONS_PREFIX + DOMAIN
+        self.body = b""
+        self.accepted_at = self.received_at = trio.current_time()
+        self.status = 0
+
+    def has_client_left(self):
+        return False
+
+    def close_after_answer(self):
+        """Do nothing, as there is no connection."""
+
+    async def send_answer(self, status, _headers, _body):
+        self.status = status
+
+
+class _Link:
+    """The Transport of a Submitter, which may hold each Submit back."""
+
+    def __init__(self, group, nursery):
+        self._group = group
+        self._nursery = nursery
+        self.is_held = False
+        self.released = trio.Event()
+        self.held = 0
+
+    async def call(self, peer, message, timeout):
+        assert isinstance(message, wire.Submit), message
+        if self.is_held:
+            self.held += 1
+        replies = []
+        done = trio.Event()
+
+        async def deliver():
+            if self.is_held:
+                await self.released.wait()
+            command = control.commands.decode(message.kind, message.data)
+            replies.append(await self._group.running[peer].submit(command))
+            done.set()
+
+        self._nursery.start_soon(deliver)
+        with trio.move_on_after(timeout):
+            await done.wait()
+        if not replies:
+            raise errors.UnreachableError("no reply", step="call", peer=peer)
+        return replies[0]
+
+
+def _make_app(group, name, link):
+    settings = types.SimpleNamespace(
+        name=name,
+        failure_domains=(DOMAIN,),
+        list_replicas=lambda: list(replicas.NAMES),
+    )
+    view = types.SimpleNamespace(leader="", replicas=replicas.NAMES)
+    submitter = configuration.Submitter(settings, view, link)
+    return control.ControlApp(
+        settings, None, group.running[name], submitter, None
+    )
+
+
+async def _send(app, order):
+    """Send an order once; return the status, 0 without an answer in 1 s."""
+    exchange = _Exchange(late_orders.METHODS[order])
+    with trio.move_on_after(late_orders.OPERATOR_WAIT_SECONDS):
+        await app.handle(exchange)
+    return exchange.status
+
+
+async def _insist(app, order):
+    while await _send(app, order) != 200:
+        await trio.sleep(late_orders.PAUSE_SECONDS)
+
+
+async def play(late, has_new_leader):
+    """Hold an order back on its way to the leader, while it is undone.
+
+    Args:
+        late: the order that comes late.
+        has_new_leader: whether the leader is killed while it is held back.
+
+    Returns:
+        The number of messages held back, and the state of the failure
+        domain at each replica after all of them have arrived.
+    """
+    group = replicas.Group(SEED)
+    group.is_reliable = True
+    last = late_orders.OTHER[late]
+    async with trio.open_nursery() as nursery:
+        for name in replicas.NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(replicas.RECOVERY_SECONDS)
+        (leader,) = (
+            name for name, one in group.running.items() if one.role == "leader"
+        )
+        first, second = (name for name in replicas.NAMES if name != leader)
+        link, slow_link = _Link(group, nursery), _Link(group, nursery)
+        app = _make_app(group, first, link)
+        await _insist(app, last)
+        slow_link.is_held = True
+        await _send(_make_app(group, second, slow_link), late)
+        if has_new_leader:
+            group.crash(leader)
+            await group.start(leader, nursery)
+        await _insist(app, late)
+        await _insist(app, last)
+        slow_link.released.set()
+        await trio.sleep(1.0)
+        states = [
+            one.state.tables["failure_domains"][DOMAIN].cells["state"]
+            for one in group.running.values()
+        ]
+        nursery.cancel_scope.cancel()
+    return slow_link.held, states
