Test late copies of documents, rows, claims and settlements

late_orders.feature, "A copy of another write that comes late changes nothing": five writes, each after a newer one.

--- a/tests/features/late_orders.feature
+++ b/tests/features/late_orders.feature
@@ -33,3 +33,15 @@
       | take back | same   |
       | evacuate  | next   |
       | take back | next   |
+
+  Scenario Outline: A copy of another write that comes late changes nothing
+    When a late copy of <write> is applied
+    Then rows, claims and documents stay as they are
+
+    Examples:
+      | write                             |
+      | a document after a newer one      |
+      | a row change after a newer one    |
+      | a new row after its removal       |
+      | a claim after its abandonment     |
+      | a settlement after a later one    |
--- a/tests/features/steps/late_orders.py
+++ b/tests/features/steps/late_orders.py
@@ -5,6 +5,9 @@
 
 import behave
 
+from camphorhook_common import commands
+from camphorhook_common import deltas
+from camphorhook_daemon.domain import state as states
 from tests.features.steps import platform as platform_steps
 from tests.harness import held_submits
 from tests.harness import late_orders
@@ -179,3 +182,66 @@
     assert context.held, "no message was held back"
     last = "in" if context.late == "evacuate" else "out"
     assert context.states == [last] * 3, context.states
+
+
+def make_document(version):
+    body = platforms.make_document(version)
+    return commands.ImportDocument(version, deltas.pack(body), 1.0)
+
+
+def set_weight(operation, expected, weight):
+    return commands.SetCells(
+        operation, "upstreams", "row", expected, {"weight": weight}, 1.0
+    )
+
+
+def settle(state):
+    return commands.SettleAttempt("a", "key", "t", state, 200, "", b"x", 1.0)
+
+
+CLAIM = commands.ClaimAttempt("a", "key", "d", "t", "entry-1", 3600, 10, 1.0)
+LATE_WRITES = {
+    "a document after a newer one": [
+        make_document(1),
+        make_document(2),
+        make_document(1),
+    ],
+    "a row change after a newer one": [
+        set_weight("op-1", states.ANY_VERSION, 1),
+        set_weight("op-2", states.ANY_VERSION, 2),
+        set_weight("op-1", states.ANY_VERSION, 1),
+    ],
+    "a new row after its removal": [
+        set_weight("op-1", 0, 1),
+        commands.RemoveRow("op-2", "upstreams", "row", 1, 1.0),
+        set_weight("op-1", 0, 1),
+    ],
+    "a claim after its abandonment": [settle("abandoned"), CLAIM],
+    "a settlement after a later one": [
+        CLAIM,
+        settle("finished"),
+        settle("unknown"),
+    ],
+}
+
+
+@behave.when("a late copy of {write} is applied")
+def apply_late(context, write):
+    state = states.State()
+    context.contents = []
+    for index, command in enumerate(LATE_WRITES[write], 1):
+        state.apply(commands.Entry(index, 1, *commands.encode(command)))
+        context.contents.append(
+            (
+                {name: dict(rows) for name, rows in state.tables.items()},
+                dict(state.claims),
+                state.documents.get_latest(),
+            )
+        )
+
+
+@behave.then("rows, claims and documents stay as they are")
+def check_unchanged(context):
+    first, before, after = [None, *context.contents][-3:]
+    assert after == before, (before, after)
+    assert before != first, "the write before the copy had no effect"
