Take no answer without a request id on a reused connection

Callers saw a request that may not be repeated run at two upstreams, or were told that it had not run though it had, and got the body of another request's answer, when an upstream wrote an earlier answer once more on a kept-alive connection without its request id.

The pool took any answer without an id for the one that it waited for. Such an answer on a reused connection is now discarded like one with another id, and the answer with the request's own id counts; if none follows, the request may have run. The first answer on a connection needs no id, as no other can come before it, and a call without an id gets a connection of its own. Connections between instances are exempt: refusals of older builds have no id.

Test: connections.feature, "An answer written once more says nothing of another request", 18 rows of 200 or 600 requests.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -85,12 +85,23 @@
 class ConnectionPool:
     """Sends requests to upstreams on kept-alive connections.
 
+    A call without a request id gets a new connection, since its answer could
+    not be told from a late one to an earlier request.
+
     Attributes:
         opened: number of connections opened so far.
         heard_at: time in seconds by upstream at which bytes last arrived.
     """
 
-    def __init__(self):
+    def __init__(self, requires_id=True):
+        """Create a pool without connections.
+
+        Args:
+            requires_id: whether an answer on a reused connection belongs to
+                the request only if it repeats the request's id; otherwise
+                one without any id does too.
+        """
+        self._requires_id = requires_id
         self._idle = {}
         self._open = {}
         self.opened = 0
@@ -194,7 +205,7 @@
             ports.SendWithheld: the call's `find_obstacle` named a reason
                 not to send it.
         """
-        if call.uses_new_connection:
+        if call.uses_new_connection or not call.request_id:
             pooled = await self._connect(target)
         else:
             pooled = await self._acquire(target)
@@ -204,7 +215,7 @@
             raise ports.SendWithheld(
                 obstacle, step="send request", peer=target.name
             )
-        answer = AnswerReader(pooled, target, self.heard_at)
+        answer = AnswerReader(pooled, target, self.heard_at, self._requires_id)
         can_reuse = False
         try:
             await answer.start(call)
@@ -250,9 +261,11 @@
         is_first_use: whether no answer came on the connection before.
     """
 
-    def __init__(self, pooled, target, heard_at):
+    def __init__(self, pooled, target, heard_at, requires_id):
         self._heard_at = heard_at
         self.is_first_use = pooled.is_first_use
+        # No other answer can arrive before the first one on a connection.
+        self._requires_id = requires_id and not pooled.is_first_use
         self.upstream = target.name
         self._pooled = pooled
         self._target = target
@@ -326,7 +339,8 @@
     async def _read_head(self, request_id):
         """Return the Head of the answer to this request.
 
-        A late second answer to an earlier request is read and discarded.
+        A late second answer to an earlier request is read and discarded. It
+        has another id, or none if the upstream wrote it wrongly.
 
         Raises:
             ports.AttemptError: the answer's head is not complete.
@@ -342,9 +356,12 @@
             headers = header_codec.decode_headers(event.headers)
             head = Head(event.status_code, headers)
             echoed = head.get("x-request-id")
-            if not request_id or not echoed or echoed == request_id:
+            if not request_id or echoed == request_id:
+                return head
+            if not echoed and not self._requires_id:
                 return head
             await self._skip_answer()
+            self._requires_id = True
 
     async def _skip_answer(self):
         """Discard an answer to another request; reset the state of HTTP.
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -280,7 +280,8 @@
             self.gateways.ask,
             trio.current_time,
         )
-        self.gateway_pool = connection_pool.ConnectionPool()
+        # Refusals of older instances don't repeat the request's id.
+        self.gateway_pool = connection_pool.ConnectionPool(requires_id=False)
         self.forwarder = forwarding.Forwarder(
             self.selector,
             self.origins,
--- a/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
@@ -52,8 +52,9 @@
         uses_new_connection: whether this request gets a connection of
             its own. When a kept-alive connection breaks, it can be unknown
             whether the upstream received the request.
-        request_id: id of the client's request, which shows that a
-            late answer belongs to an earlier one; empty to accept any.
+        request_id: id of the client's request, which shows whether an
+            answer belongs to it; empty for a request without one, which
+            gets a connection of its own.
         find_obstacle: function called just before the first byte is sent;
             it returns why the request may no longer be sent, or "".
     """
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -23,6 +23,32 @@
       | an answer before the body      | complete | complete | 2           |
       | a Connection: close header     | complete | complete | 2           |
 
+  Scenario Outline: An answer written once more says nothing of another request
+    Given upstreams that write a <answer> <identity> once more <moment>
+    When <count> <kind> requests are sent on kept connections
+    Then none runs twice or is refused after its run, or gets another's
+
+    Examples: by moment
+      | answer  | identity    | moment            | kind       | count |
+      | refusal | without id  | at once           | single     | 200   |
+      | refusal | without id  | later             | single     | 600   |
+      | refusal | without id  | while one is sent | single     | 200   |
+      | refusal | without id  | while one runs    | single     | 200   |
+      | refusal | without id  | later             | repeatable | 600   |
+      | refusal | without id  | while one runs    | repeatable | 200   |
+      | success | without id  | at once           | single     | 200   |
+      | success | without id  | later             | single     | 600   |
+      | success | without id  | while one is sent | single     | 200   |
+      | success | without id  | while one runs    | single     | 200   |
+      | success | without id  | later             | repeatable | 600   |
+      | success | without id  | while one runs    | repeatable | 200   |
+      | refusal | with its id | at once           | single     | 200   |
+      | refusal | with its id | later             | single     | 600   |
+      | refusal | with its id | while one is sent | single     | 200   |
+      | refusal | with its id | while one runs    | single     | 200   |
+      | success | with its id | later             | single     | 600   |
+      | success | with its id | while one runs    | repeatable | 200   |
+
   Scenario Outline: What a client sends wrong gets an exact answer
     Given a server that accepts heads of 1000 bytes and bodies of 100 bytes
     When the client sends the raw bytes of: <bytes>
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -370,6 +370,10 @@
         """Give the catalog the present registration of each upstream."""
         self._apply_changes([one.register() for one in self.upstreams])
 
+    def predict_id(self):
+        """Return the id of the next request that `send` sends."""
+        return f"request-{self._sent + 1}"
+
     async def send(
         self, client=None, part=None, target="/", parts=(), body=None
     ):
