Refuse JSON that is nested too deeply or has numbers too large

Callers that sent a document or a row nested deeply got no answer, and the connection ended with an unexpected error: msgspec raises RecursionError, which no decoder caught. A document with the version 2**64 could not be encoded for the log.

All JSON from outside is now decoded in one place, which raises one error. Whole numbers of documents are limited to 64 bits, decimals to 1e15.

--- a/packages/client/src/camphorhook/api_client.py
+++ b/packages/client/src/camphorhook/api_client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_TIMEOUT_SECONDS = 12.0
@@ -113,8 +114,8 @@
             extensions={"timeout": timeout},
         )
         try:
-            return response.status, msgspec.json.decode(response.content)
-        except msgspec.DecodeError as error:
+            return response.status, jsontext.decode(response.content)
+        except jsontext.DecodeError as error:
             raise errors.ProtocolError(
                 f"answered status {response.status} without JSON; check "
                 "that the address is an operators' port",
--- a/packages/common/src/camphorhook_common/codec.py
+++ b/packages/common/src/camphorhook_common/codec.py
@@ -32,7 +32,7 @@
         """
         try:
             return self._get_decoder(kind).decode(body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise errors.ProtocolError(str(error), step="decode") from error
 
     def _get_decoder(self, kind):
--- a/packages/daemon/src/camphorhook_daemon/adapters/operators.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -9,6 +9,7 @@
 from camphorhook_common import checks
 from camphorhook_common import commands
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 from camphorhook_common import secrets
 from camphorhook_common import tables
 from camphorhook_common import wire
@@ -176,8 +177,8 @@
         """
         table, row = names
         try:
-            fields = msgspec.json.decode(body, type=_RowChange)
-        except msgspec.MsgspecError as error:
+            fields = jsontext.decode(body, _RowChange)
+        except jsontext.DecodeError as error:
             text = f"the body is invalid: {error}"
             return wire.RequestFailure(400, "invalid_body", text, "not-run")
         if not 0 < len(fields.operation) <= MAX_OPERATION_CHARACTERS:
--- a/packages/daemon/src/camphorhook_daemon/domain/answers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from camphorhook_common import jsontext
 from camphorhook_common import wire
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.ports import upstreams as ports
@@ -30,8 +31,8 @@
     if answer.status != 200:
         return
     try:
-        msgspec.json.decode(answer.body, type=dict)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        jsontext.decode(answer.body, dict)
+    except jsontext.DecodeError as error:
         raise ports.AttemptError(
             "the answer is no complete JSON object, "
             f"got {len(answer.body)} bytes: {error}",
@@ -138,10 +139,10 @@
             self._process_end()
             return
         try:
-            chunk = msgspec.json.decode(event.data)
-        except msgspec.DecodeError as error:
+            chunk = jsontext.decode(event.data, dict)
+        except jsontext.DecodeError as error:
             raise self._make_error(
-                f"an event is not valid JSON: {error}"
+                f"an event is no JSON object: {error}"
             ) from error
         self._process_chunk(chunk)
 
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from camphorhook_common import jsontext
 from camphorhook_common import logs
 from camphorhook_common import wire
 from camphorhook_daemon.domain import answers
@@ -459,11 +460,11 @@
     tokens = 0
     body = answer.body
     try:
-        fields = msgspec.json.decode(body)
+        fields = jsontext.decode(body)
         fields["id"] = response_id
         tokens = (fields.get("usage") or {}).get("total_tokens", 0)
         body = msgspec.json.encode(fields)
-    except (msgspec.DecodeError, TypeError, AttributeError):
+    except (jsontext.DecodeError, TypeError, AttributeError):
         pass
     return answer._replace(body=body), None, tokens
 
--- a/packages/daemon/src/camphorhook_daemon/domain/membership.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 from camphorhook_common import wire
 
 SECONDS_PER_MS = 0.001
@@ -113,11 +114,11 @@
             another failure domain, or its ttl_ms is out of range.
     """
     try:
-        fields = msgspec.json.decode(body, type=dict)
+        fields = jsontext.decode(body, dict)
         announcement = msgspec.convert(
             _order_fields(fields), Announcement, strict=True
         )
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (jsontext.DecodeError, msgspec.MsgspecError, KeyError) as error:
         raise errors.ProtocolError(
             f"malformed announcement: {error}", step="announce"
         ) from error
--- a/packages/daemon/src/camphorhook_daemon/domain/requests.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/requests.py
@@ -5,6 +5,7 @@
 import expression
 import msgspec
 
+from camphorhook_common import jsontext
 from camphorhook_common import secrets
 from camphorhook_common import wire
 from camphorhook_daemon.domain import request_traits
@@ -101,8 +102,8 @@
         chat_id: id of the chat that the client gave; may be empty.
     """
     try:
-        fields = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        fields = jsontext.decode(body)
+    except jsontext.DecodeError as error:
         return _refuse(f"the body is not JSON: {error}")
     fault = _find_fault(fields)
     if fault:
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -1,18 +1,27 @@
 """Reads the operators' routing document into a RoutingTable."""
 
+import typing
+
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 from camphorhook_daemon.domain.routing import table
 
 SECONDS_PER_MS = 0.001
 BYTES_PER_MBIT = 125_000
+MAX_WHOLE = 2**63 - 1  # larger ones don't fit into messages
+MAX_DECIMAL = 1e15  # sums and products of these are finite
+_Whole = typing.Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+_Decimal = typing.Annotated[
+    float, msgspec.Meta(ge=-MAX_DECIMAL, le=MAX_DECIMAL)
+]
 SAFE, UNSAFE, STREAMING = "safe", "unsafe", "streaming"
 
 
 class _Share(msgspec.Struct, rename="pascal"):
     service: str
-    weight: float
+    weight: _Decimal
 
 
 class _Route(msgspec.Struct, rename="pascal"):
@@ -20,48 +29,48 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000
-    priority: int = 0
+    timeout_ms: _Decimal
+    target_latency_ms: _Decimal = 1000
+    priority: _Whole = 0
     service: str | None = None
     traffic_split: list[_Share] | None = None
-    attempts: int = 1
+    attempts: _Whole = 1
     public: bool = False
     sticky: bool = False
     resumable: bool = False
 
 
 class _Engine(msgspec.Struct, rename="pascal"):
-    slots: int = 0
-    kv_capacity_tokens: int = 0
-    kv_token_bytes: float = 0.0
+    slots: _Whole = 0
+    kv_capacity_tokens: _Whole = 0
+    kv_token_bytes: _Decimal = 0.0
     # The rate of the links between engines, not of their machines' links.
-    link_mbps: float = 0.0
+    link_mbps: _Decimal = 0.0
 
 
 class _Service(msgspec.Struct, rename="pascal"):
     name: str
     health_path: str = "/health"
-    max_connections: int = 100
-    cold_per_s: float = 0.0
+    max_connections: _Whole = 100
+    cold_per_s: _Decimal = 0.0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: _Whole = 16384
+    max_body_bytes: _Whole = 4194304
+    header_timeout_ms: _Decimal = 3000
+    idle_timeout_ms: _Decimal = 15000
 
 
 class _Tenant(msgspec.Struct, rename="pascal"):
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: _Whole | None = None
 
 
 class _Document(msgspec.Struct, rename="pascal"):
-    version: int
+    version: _Whole
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -110,16 +119,16 @@
         DocumentError: the document is not a JSON object.
     """
     try:
-        fields = msgspec.json.decode(body, type=dict)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        fields = jsontext.decode(body, dict)
+    except jsontext.DecodeError as error:
         raise _make_error(str(error)) from error
     return msgspec.json.encode({**fields, "Version": version})
 
 
 def _decode(body):
     try:
-        return msgspec.json.decode(body, type=_Document)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return jsontext.decode(body, _Document)
+    except jsontext.DecodeError as error:
         raise _make_error(str(error)) from error
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from camphorhook_common import jsontext
 from camphorhook_common import logs
 from camphorhook_common import numerals
 from camphorhook_daemon.adapters import header_codec
@@ -146,8 +147,8 @@
 def read_held_parts(body):
     """Return (part, tokens) pairs of an engine's list; none if invalid."""
     try:
-        found = msgspec.json.decode(body, type=_HeldParts)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        found = jsontext.decode(body, _HeldParts)
+    except jsontext.DecodeError as error:
         logs.log("warning", f"bad list of parts: {error}", step="take stock")
         return []
     return [(part, tokens) for _, part, tokens, _ in found.held]
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 from camphorhook_common import logs
 from camphorhook_common import settings as settings_module
 
@@ -179,7 +180,7 @@
         errors.SettingsError: the file can't be read or is invalid.
     """
     try:
-        file = msgspec.json.decode(pathlib.Path(path).read_bytes(), type=_File)
+        file = jsontext.decode(pathlib.Path(path).read_bytes(), _File)
         return _make_settings(file)
     except (OSError, ValueError) as error:
         raise errors.SettingsError(
