Refuse registrations that name no upstream to use

Registrations with an empty or very long failure domain, control characters in a service or version, 0 places or 2**53 places were acknowledged and sent to all entry instances. A version or service goes into headers between instances. An entry instance that could not read a document, which a replica of an older build had taken, ended.

Texts must now be printable Latin-1 of 1 to 255 characters (the version may be empty), places 1 to 65535. An unknown failure domain is still taken, since the settings of replicas change at different times. Entry instances apply the same check to what an older replica sends, keep the registration before it, and keep their document if they can't read the next.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/catalog.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/catalog.py
@@ -93,6 +93,8 @@
         if reply.watchers is not None:
             view.update_watchers(reply)
         for registration in reply.changed:
+            if self._is_unusable(replica, registration):
+                continue
             view.registrations[registration.name] = registration
             self._record_cold_time(registration)
             self.versions.record(registration)
@@ -101,6 +103,20 @@
         if reply.changed or reply.removed or reply.is_full or has_completed:
             self._merge()
 
+    def _is_unusable(self, replica, registration):
+        """Return whether an older replica took an invalid registration."""
+        if registration.state == registry.GONE:
+            return False
+        fault = registry.find_fault(registration)
+        if fault:
+            logs.log(
+                "warning",
+                f"ignored an upstream: {fault}",
+                step="watch upstreams",
+                peer=replica,
+            )
+        return bool(fault)
+
     def _record_cold_time(self, registration):
         until = self._now() + registration.cold_ms * SECONDS_PER_MS
         if registration.cold_ms > 0:
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -22,12 +22,36 @@
 LEAVING = "leaving"
 GONE = "gone"
 _RANK = {LIVE: 0, LEAVING: 1, GONE: 2}
+MAX_TEXT_CHARACTERS = 255
+LAST_LATIN_1 = "\xff"
+MAX_CAPACITY = 65535  # each request takes a connection to one port
 TOMBSTONE_SECONDS = 60.0  # longer than a registration can be delayed
 WATCHER_TTL_SECONDS = 5.0  # watchers and replicas silent for longer are lost
 MISSED_HEARTBEATS = 3.4  # heartbeat intervals until a silent upstream is lost
 BATCH_SECONDS_PER_WATCHER = 0.0005  # time to answer one watcher
 
 
+def find_fault(registration):
+    """Return why a registration names no upstream to use, or "".
+
+    Its texts are sent in headers and written to logs; the capacity divides
+    loads.
+    """
+    for field in ("name", "service", "failure_domain", "version"):
+        text = getattr(registration, field)
+        if len(text) > MAX_TEXT_CHARACTERS:
+            return f"{field} has {len(text)} characters"
+        if not text.isprintable() or text != text.strip():
+            return f"{field} has characters that no header can hold"
+        if not text and field != "version":
+            return f"{field} is empty"
+        if any(one > LAST_LATIN_1 for one in text):
+            return f"{field} has characters beyond Latin-1"
+    if not 1 <= registration.capacity <= MAX_CAPACITY:
+        return f"{registration.capacity} places are not 1 to {MAX_CAPACITY}"
+    return ""
+
+
 def is_newer(one, other):
     """Return whether a registration replaces another of the same name.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rules.py
@@ -1,5 +1,6 @@
 """Routing configuration in force on an instance, and its freshness."""
 
+from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_daemon.domain import hashing
 from camphorhook_daemon.domain.routing import budgets
@@ -108,7 +109,17 @@
         document = self._configuration.get_document()
         if document is None or document[0] == self.get_version():
             return
-        self._table = self._read_document(document[1])
+        try:
+            self._table = self._read_document(document[1])
+        except errors.CamphorhookError as error:
+            # A replica of an older build took it.
+            logs.log(
+                "error",
+                f"can't take up document {document[0]}: {error.message}",
+                step="take up document",
+                inputs={"held": self.get_version()},
+            )
+            return
         logs.log(
             "info",
             f"document {self._table.version} is in force",
--- a/packages/daemon/src/camphorhook_daemon/platform/registrations.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/registrations.py
@@ -5,15 +5,16 @@
 import msgspec
 
 from camphorhook_common import errors
+from camphorhook_common import jsontext
 from camphorhook_common import numerals
 from camphorhook_common import wire
 from camphorhook_daemon.domain.routing import registry
 
 _STATES = {"ready": registry.LIVE, "draining": registry.LEAVING}
+MAX_QUOTED = 80  # characters of an invalid value in an error
 MAX_COLD_MS = 3_600_000  # an hour; a longer cold time is an error
 # JSON numbers are exact up to this; larger ones would not fit into messages.
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-_Version = typing.Annotated[str, msgspec.Meta(max_length=255)]
 _ColdMs = typing.Annotated[float, msgspec.Meta(le=MAX_COLD_MS)]
 
 
@@ -23,7 +24,7 @@
     zone: str
     state: str
     sequence: _Count
-    version: _Version = ""
+    version: str = ""
     slots: _Count = 1
     cold_remaining_ms: _ColdMs = 0
     born: _Count = msgspec.field(name="born", default=0)
@@ -52,17 +53,16 @@
         RegistrationError: the registration is invalid.
     """
     try:
-        registration = msgspec.json.decode(body, type=_Registration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        registration = jsontext.decode(body, _Registration)
+    except jsontext.DecodeError as error:
         raise _make_error(str(error)) from error
     endpoint = numerals.parse_endpoint(registration.address)
     if endpoint is None:
-        raise _make_error(
-            f"{registration.address!r} is no IPv4 address and port"
-        )
+        address = registration.address[:MAX_QUOTED]
+        raise _make_error(f"{address!r} is no IPv4 address and port")
     if registration.state not in _STATES:
-        raise _make_error(f"unknown state {registration.state!r}")
-    return wire.Registration(
+        raise _make_error(f"unknown state {registration.state[:MAX_QUOTED]!r}")
+    found = wire.Registration(
         name,
         registration.service,
         registration.zone,
@@ -74,6 +74,10 @@
         max(0, int(registration.cold_remaining_ms)),
         registration.version,
     )
+    fault = registry.find_fault(found)
+    if fault:
+        raise _make_error(fault)
+    return found
 
 
 def read_deregistration(body):
@@ -83,8 +87,6 @@
         RegistrationError: the body is neither empty nor valid.
     """
     try:
-        return (
-            msgspec.json.decode(body, type=_Deregistration).born if body else 0
-        )
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return jsontext.decode(body, _Deregistration).born if body else 0
+    except jsontext.DecodeError as error:
         raise _make_error(str(error)) from error
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -23,6 +23,14 @@
     When a document with a fault is sent
     Then it is refused with 400 and each replica reads back document 20
 
+  Scenario: Entries that can't be read or used are refused, the others hold
+    When registrations that name no server to use reach each replica
+    Then each is answered with a 4xx
+    And no process ended, and both entry instances serve on
+    When documents that can't be read in full reach each replica
+    Then each is answered with a 4xx
+    And no process ended, and both entry instances serve on
+
   Scenario: An operator looks at a document before importing it
     When a dry run of document 20 with a new service and one key less is made
     Then it lists the service, the routes and the key, and changes nothing
--- a/tests/features/registrations.feature
+++ b/tests/features/registrations.feature
@@ -88,6 +88,12 @@
       | {"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"sleeping","Sequence":1} |
       | {"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Sequence":"1"}  |
 
+  Scenario: An entry instance ignores an odd registration of an older replica
+    Then an odd registration taken by an older replica is not used
+
+  Scenario: An entry instance keeps its document if it can't read the next
+    Then a document that only an older replica can read changes nothing
+
   Scenario Outline: Documents that can't take effect are refused
     Then a document with <fault> is refused
 
