Soak: orders as the operator sends them, replicas replaced, documents read

A proxy loses or holds back orders and answers; another one cuts a replica off from all instances. Replicas are replaced, planned and unplanned; then all may lose power and one its disk.

check_evacuations is stricter: a reload is no excuse any more, a fault before the request's last 3 s neither, and requests that were sent before the order held count as well, unless their server had a fault. New: check_domains, check_orders, check_readings, check_added; each is shown on a history that breaks its promise. Versions at the end must be read within the recovery time of all replicas together.

--- a/tests/features/soak.feature
+++ b/tests/features/soak.feature
@@ -26,6 +26,15 @@
       | brittle servers fell over together         | check_falls       |
       | an instance that was cut off served nothing | check_partitions |
       | a failure domain that is out got a request | check_evacuations |
+      | a request waited until the failure domain was out | check_evacuations |
+      | a late order took a failure domain back    | check_evacuations |
+      | a failure domain that is in got no request | check_domains     |
+      | a valid order was refused                  | check_orders      |
+      | an invalid document was acknowledged       | check_orders      |
+      | an invalid document is in force            | check_documents   |
+      | a replica returned an old document         | check_readings    |
+      | a replica returned what was not sent       | check_readings    |
+      | routes that were added are not served      | check_added       |
       | a cold server got too much                 | check_cold        |
       | too many requests were sent again          | check_retries     |
       | a request kept crashing servers            | check_crashes     |
--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -226,6 +226,92 @@
     return _add(history, make_answer("d", "/safe/d", START_SECONDS + 16))
 
 
+def wait_for_evacuated_domain(history):
+    reach_evacuated_domain(history)
+    answer = history.answers.pop()
+    history.effects.pop()
+    answer = answer._replace(sent_at=START_SECONDS + 14.5)
+    history.answers.append(answer)
+    history.effects.append(make_effect("d", START_SECONDS + 16))
+    return history
+
+
+def take_back_late(history):
+    """Evacuate, return and evacuate again; a reload is no excuse."""
+    orders = ("evacuate", 10), ("return", 11), ("evacuate", 12), ("return", 20)
+    for kind, at in orders:
+        at += START_SECONDS
+        history.operator_requests.append(
+            histories.OperatorRequest(kind, "zone-a", at, at)
+        )
+    history.fault_periods.append(
+        histories.FaultPeriod(
+            "entry-1", "reload", START_SECONDS + 17, START_SECONDS + 17
+        )
+    )
+    _add(history, make_answer("e", "/safe/e", START_SECONDS + 11.5))
+    _add(history, make_answer("f", "/safe/f", START_SECONDS + 21))
+    return _add(history, make_answer("d", "/safe/d", START_SECONDS + 18))
+
+
+def leave_domain_out(history):
+    final_state = history.final_state._replace(
+        observed_from=START_SECONDS + 30
+    )
+    for number, domain in enumerate(("zone-a", "zone-b")):
+        answer = make_answer(f"d{number}", "/safe/d", START_SECONDS + 31)
+        _add(history, answer, zone=domain)
+    at = START_SECONDS + 20
+    history.operator_requests.append(
+        histories.OperatorRequest("return", "zone-c", at, at)
+    )
+    return history._replace(final_state=final_state)
+
+
+def _order(history, kind, acknowledged_at, status):
+    history.operator_requests.append(
+        histories.OperatorRequest(
+            kind, 3, START_SECONDS + 10, acknowledged_at, None, status
+        )
+    )
+    return history
+
+
+def refuse_order(history):
+    return _order(history, "document", None, 409)
+
+
+def accept_invalid(history):
+    return _order(history, "invalid document", START_SECONDS + 10, 200)
+
+
+def serve_invalid(history):
+    _order(history, "invalid document", None, 400)
+    return _add(history, make_answer("d", "/v3/d", START_SECONDS + 12))
+
+
+def _read(history, at, version, is_sent):
+    reading = histories.Reading(
+        "replica-1", START_SECONDS + at, version, is_sent
+    )
+    return history._replace(readings=[reading])
+
+
+def read_old_document(history):
+    return _read(history, 6, 1, True)
+
+
+def read_other_document(history):
+    return _read(history, 6, 2, False)
+
+
+def miss_added_routes(history):
+    for number in range(20):
+        answer = make_answer(f"d{number}", "/v2/d", START_SECONDS + 10)
+        history.answers.append(answer._replace(status=503))
+    return history
+
+
 def overload_cold_server(history):
     for number in range(30):
         answer = make_answer(
@@ -302,6 +388,17 @@
     "brittle servers fell over together": fall_over,
     "an instance that was cut off served nothing": serve_nothing_while_cut_off,
     "a failure domain that is out got a request": reach_evacuated_domain,
+    "a request waited until the failure domain was out": (
+        wait_for_evacuated_domain
+    ),
+    "a late order took a failure domain back": take_back_late,
+    "a failure domain that is in got no request": leave_domain_out,
+    "a valid order was refused": refuse_order,
+    "an invalid document was acknowledged": accept_invalid,
+    "an invalid document is in force": serve_invalid,
+    "a replica returned an old document": read_old_document,
+    "a replica returned what was not sent": read_other_document,
+    "routes that were added are not served": miss_added_routes,
     "a cold server got too much": overload_cold_server,
     "too many requests were sent again": retry_too_often,
     "a request kept crashing servers": crash_by_request,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -38,12 +38,14 @@
 from tests.soak import histories
 from tests.soak import injector as injectors
 from tests.soak import load as loads
+from tests.soak import operators
 from tests.soak import schedules
 from tests.soak import world as worlds
 
 FIRST_SLOT = 40  # above the slots of the feature tests
 REGRESSIONS = pathlib.Path("tests/soak/regressions")
 RECOVERY_TIMEOUT_SECONDS = 20.0  # tells a late recovery from none
+OBSERVE_SECONDS = 1.5  # for requests to each failure domain that is in
 
 
 def play(faults, folder, slot, seed, program=None):
@@ -60,39 +62,51 @@
     folder.mkdir(parents=True)
     schedules.save(faults, folder / "schedule.jsonl")
     world = worlds.World(folder, slot, seed, program)
-    injector = injectors.Injector(world)
+    injector = injectors.Injector(world, seed)
+    reader = operators.Reader(world.list_replicas, injector.find_body)
     load = loads.Load(world, seed, injector.find_version)
     try:
         world.start()
         load.start()
+        reader.start()
         try:
             injector.play(faults, load)
-            recovered = world.wait_recovered(RECOVERY_TIMEOUT_SECONDS)
-            final_state = histories.FinalState(
-                recovered,
-                tuple(world.wait_version(one) for one in schedules.REPLICAS),
-            )
+            final_state = _observe_end(world, injector.last_order_at)
         finally:
             load.stop()
+            reader.stop()
     finally:
         world.close()
     return histories.History(
         load.answers,
-        injector.operator_requests,
+        injector.operator.requests,
         injector.fault_periods,
         world.platform.list_effects(),
         world.platform.list_departures(),
         world.platform.list_notices(),
         world.platform.list_falls(),
         final_state,
+        reader.readings,
     )
 
 
+def _observe_end(world, last_order_at):
+    """Return the FinalState; requests then show which domains are in."""
+    started_at = time.monotonic()
+    recovered = world.wait_recovered(RECOVERY_TIMEOUT_SECONDS)
+    versions = world.wait_versions(started_at)
+    settled_at = last_order_at + checkers.EVACUATE_SECONDS
+    time.sleep(max(0.0, settled_at - time.time()))
+    observed_from = time.time()
+    time.sleep(OBSERVE_SECONDS)
+    return histories.FinalState(recovered, versions, observed_from)
+
+
 def run(faults, folder, slot, seed, program=None):
     """Inject faults, check the history and return (violations, counts)."""
     try:
         history = play(faults, folder, slot, seed, program)
-    except TimeoutError as error:
+    except (TimeoutError, injectors.InjectorError) as error:
         violations = {"start": [str(error)]}
         return violations, collections.Counter(start=1)
     violations = checkers.check(history)
@@ -102,6 +116,8 @@
     counts["acknowledged"] = sum(
         one.acknowledged_at is not None for one in history.operator_requests
     )
+    counts["orders"] = len(history.operator_requests)
+    counts["readings"] = len(history.readings)
     if violations:
         (folder / "found.json").write_text(json.dumps(violations, indent=1))
     else:
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -205,4 +205,5 @@
 if __name__ == "__main__":
     BREAKS[sys.argv.pop(1)]()
     bound_daemon.bind_connections()
+    bound_daemon.bind_peers()
     runpy.run_module("camphorhook_daemon.main", run_name="__main__")
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -22,6 +22,8 @@
 MOST_FAILED = 4  # first tries, and one in 50
 LONGEST_SECONDS = 1.5  # that a sound answer takes
 EVACUATE_SECONDS = 5.0  # until an evacuated failure domain gets no more
+RETRIED_STATUSES = (408, 429)  # no word on an order
+LEAST_ADDED, LEAST_ADDED_SHARE = 20, 0.25
 RECOVER_SECONDS = 12.0  # until requests are served again
 SLACK_SECONDS = 0.25
 RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_SECONDS = 0.2, 50, 10.0
@@ -144,10 +146,16 @@
 
     The document of version N has the route /vN/ and none of another version.
     An instance must use an acknowledged document within APPLY_SECONDS, unless
-    it had a fault. No instance may return to an older document.
+    it had a fault. No instance may return to an older document, or use an
+    invalid one.
     """
     violations = []
     newest = collections.defaultdict(int)
+    invalid = {
+        one.subject
+        for one in history.operator_requests
+        if one.kind == "invalid document"
+    }
     for answer in sorted(history.answers, key=lambda answer: answer.sent_at):
         if not answer.target.startswith("/v") or answer.status not in (
             200,
@@ -165,7 +173,11 @@
             answer.ended_at,
         )
         sent = _find_sent_version(history, answer.ended_at)
-        if answer.status == 200:
+        if answer.status == 200 and version in invalid:
+            violations.append(
+                f"{answer.entry} serves the invalid version {version}"
+            )
+        elif answer.status == 200:
             if version < newest[answer.entry]:
                 violations.append(
                     f"{answer.entry} returned to version {version} from "
@@ -480,38 +492,179 @@
     return violations
 
 
+def _find_return(history, evacuation):
+    """Return when a failure domain was next told to return, or infinity."""
+    return min(
+        (
+            one.sent_at
+            for one in history.operator_requests
+            if one.kind == "return"
+            and one.subject == evacuation.subject
+            and one.sent_at > evacuation.sent_at
+        ),
+        default=float("inf"),
+    )
+
+
+def _is_in_touch(history, answer, until):
+    """Return whether an instance had no fault; a reload is none."""
+    periods = [one for one in history.fault_periods if one.kind != "reload"]
+    return not _overlaps_fault(
+        history._replace(fault_periods=periods),
+        answer.entry,
+        answer.sent_at,
+        until,
+    )
+
+
 def check_evacuations(history):
-    """Check that an evacuated failure domain gets no more requests."""
+    """Check that an evacuated failure domain gets no more requests.
+
+    An acknowledged order holds from EVACUATE_SECONDS on until a return is
+    sent. Not counted are requests at an instance that had a fault of its own
+    since RECONNECT_SECONDS before they were sent, as it may not have known;
+    and those sent before the order held to a server that had one, as it may
+    have received them in time.
+    """
     answers_by_id = {one.request_id: one for one in history.answers}
     violations = []
     for evacuation in history.operator_requests:
         if evacuation.kind != "evacuate" or evacuation.acknowledged_at is None:
             continue
-        ends = [
-            one.sent_at
-            for one in history.operator_requests
-            if one.kind == "return"
-            and one.subject == evacuation.subject
-            and one.sent_at > evacuation.sent_at
-        ]
-        until = min(ends, default=float("inf"))
+        until = _find_return(history, evacuation)
         since = evacuation.acknowledged_at + EVACUATE_SECONDS + SLACK_SECONDS
         for effect in history.effects:
             if effect["zone"] != evacuation.subject:
                 continue
             answer = answers_by_id.get(effect["request"])
-            if answer is None or not since < answer.sent_at:
+            if answer is None or not since < effect["at"] < until:
                 continue
-            if effect["at"] < until and not _overlaps_fault(
-                history, answer.entry, evacuation.acknowledged_at, effect["at"]
+            is_old = answer.sent_at <= since
+            if is_old and _overlaps_fault(
+                history, effect["server"], answer.sent_at, effect["at"]
             ):
+                continue
+            if _is_in_touch(history, answer, effect["at"]):
                 violations.append(
-                    f"{answer.request_id} reached "
-                    f"evacuated {evacuation.subject}"
+                    f"{answer.request_id} reached evacuated "
+                    f"{evacuation.subject} by {answer.entry} "
+                    f"{effect['at'] - evacuation.acknowledged_at:.2f} s after "
+                    f"the acknowledgement at {evacuation.acknowledged_at:.3f}"
                 )
     return violations
 
 
+def check_domains(history):
+    """Check at the end that failure domains that are in get requests.
+
+    One is in if no order named it, or if the last one was a return and was
+    acknowledged.
+    """
+    observed_from = history.final_state.observed_from
+    if observed_from is None:
+        return []
+    last = dict.fromkeys(schedules.DOMAINS)
+    for order in history.operator_requests:
+        if order.kind in ("evacuate", "return"):
+            last[order.subject] = order
+    used = {
+        effect["zone"]
+        for effect in history.effects
+        if effect["at"] >= observed_from
+    }
+    return [
+        f"{domain} is in and gets no requests"
+        for domain, order in last.items()
+        if domain not in used
+        and (
+            order is None
+            or order.kind == "return"
+            and order.acknowledged_at is not None
+        )
+    ]
+
+
+def check_orders(history):
+    """Check that valid orders are not refused, nor invalid ones accepted."""
+    violations = []
+    for order in history.operator_requests:
+        is_accepted = order.acknowledged_at is not None
+        is_refused = 400 <= order.status < 500
+        if order.kind == "invalid document" and is_accepted:
+            violations.append(
+                f"invalid document {order.subject} was acknowledged"
+            )
+        elif order.kind != "invalid document" and (
+            is_refused and order.status not in RETRIED_STATUSES
+        ):
+            violations.append(
+                f"{order.kind} {order.subject} was refused: {order.status}"
+            )
+    return violations
+
+
+def check_readings(history):
+    """Check that no replica returns an old document, or one never sent.
+
+    This applies to any replica, whether it has a fault or not.
+    """
+    violations = []
+    for reading in history.readings:
+        acknowledged = _find_acknowledged_version(
+            history, reading.sent_at - APPLY_SECONDS - SLACK_SECONDS
+        )
+        if reading.version < acknowledged:
+            violations.append(
+                f"{reading.replica} returned version {reading.version} at "
+                f"{reading.sent_at:.3f}, {acknowledged} is acknowledged"
+            )
+        if not reading.is_sent:
+            violations.append(
+                f"{reading.replica} returned at {reading.sent_at:.3f} what "
+                f"was not sent as version {reading.version}"
+            )
+    return violations
+
+
+def _is_version_due(history, answer, version):
+    """Return whether a version is acknowledged and no newer one was sent."""
+    acknowledged = _find_acknowledged_version(
+        history, answer.sent_at - APPLY_SECONDS - SLACK_SECONDS
+    )
+    sent = _find_sent_version(history, answer.ended_at)
+    return version == acknowledged == sent
+
+
+def check_added(history):
+    """Check that routes that were added are served like the first ones."""
+    added, first = [], []
+    for answer in history.answers:
+        is_first = answer.target.startswith("/safe/")
+        if _find_cause(answer.target) or _overlaps_fault(
+            history,
+            answer.entry,
+            answer.sent_at - APPLY_SECONDS,
+            answer.ended_at,
+        ):
+            continue
+        is_served = answer.status == 200 and answer.is_whole
+        if is_first and answer.key == "key-1":
+            first.append(is_served)
+        elif answer.target.startswith("/v"):
+            version = int(answer.target.split("/")[1][1:])
+            if _is_version_due(history, answer, version):
+                added.append(is_served)
+    if len(added) < LEAST_ADDED or not first:
+        return []
+    share, usual = sum(added) / len(added), sum(first) / len(first)
+    if share >= usual * LEAST_ADDED_SHARE:
+        return []
+    return [
+        f"added routes were served {sum(added)} of {len(added)} times, the "
+        f"first ones {sum(first)} of {len(first)}"
+    ]
+
+
 def check_cold(history):
     """Check that no cold server gets too many requests per second."""
     max_arrivals = COLD_RATE * COLD_RATE_TOLERANCE + COLD_SLACK
@@ -680,6 +833,10 @@
     check_falls,
     check_partitions,
     check_evacuations,
+    check_domains,
+    check_orders,
+    check_readings,
+    check_added,
     check_cold,
     check_retries,
     check_crashes,
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -38,17 +38,39 @@
     """A request of the operator to the control API.
 
     Attributes:
-        kind: `document`, `evacuate` or `return`.
+        kind: `document`, `evacuate` or `return`; `invalid document`, or
+            `other document` with other content under a version sent before.
         subject: version of the document, or name of the failure domain.
         sent_at: time of the first attempt, in Unix seconds.
         acknowledged_at: time of the acknowledgement, in Unix seconds;
             None if there was none.
+        ended_at: time when the operator sent it no more, in Unix seconds;
+            None while it does.
+        status: status of the last answer; 0 for none.
     """
 
     kind: str
     subject: object
     sent_at: float
     acknowledged_at: float | None
+    ended_at: float | None = None
+    status: int = 200
+
+
+class Reading(typing.NamedTuple):
+    """A document that was read back at a replica.
+
+    Attributes:
+        replica: name of the replica.
+        sent_at: time of the question, in Unix seconds.
+        version: version of the document that was returned.
+        is_sent: whether it is what was sent under its version.
+    """
+
+    replica: str
+    sent_at: float
+    version: int
+    is_sent: bool
 
 
 class FaultPeriod(typing.NamedTuple):
@@ -73,11 +95,15 @@
     Attributes:
         recovery_seconds: seconds until every entry instance served requests
             again; None if that did not happen.
-        versions: document version that each replica returned; 0 for none.
+        versions: document version that each replica returned in the time
+            that a recovery may take; 0 for none.
+        observed_from: time from which requests show which failure domains
+            are in, in Unix seconds; None if they were not observed.
     """
 
     recovery_seconds: float | None
     versions: tuple[int, ...]
+    observed_from: float | None = None
 
 
 class History(typing.NamedTuple):
@@ -95,6 +121,7 @@
             request, at, pause, limit; or that had no room.
         falls: brittle servers that fell over: server, fell.
         final_state: state at the end.
+        readings: the Reading of each document read back during the run.
     """
 
     answers: list[Answer]
@@ -105,3 +132,4 @@
     notices: list[dict]
     falls: list[dict]
     final_state: FinalState
+    readings: typing.Sequence[Reading] = ()
--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -3,36 +3,50 @@
 import collections
 import contextlib
 import functools
+import itertools
 import signal
+import subprocess
 import threading
 import time
 
 from tests.soak import histories
+from tests.soak import operators
 from tests.soak import schedules
 from tests.soak import world as worlds
 
-OPERATOR_RETRY_SECONDS = 12.0  # during which a request is retried
+GRACE_SECONDS = 8.0  # after which a process that was told to stop is killed
+MOST_OUT = 2  # failure domains that are out at once
 CRASH_POLL_SECONDS = 0.1
 CRASH_RESTART_SECONDS = 1.0
 EXIT_SECONDS = 1.0  # in which a process that could not write exits
 
 
+class InjectorError(Exception):
+    """A fault of the schedule could not be injected."""
+
+
 class Injector:
     """Injects faults into a World and records them.
 
     Attributes:
-        operator_requests: list of histories.OperatorRequest.
+        operator: the operators.Operator, which records what it sends.
         fault_periods: list of histories.FaultPeriod,
             each up to the time at which the fault was undone.
+        last_order_at: end of the last order to a failure domain.
     """
 
-    def __init__(self, world):
-        self.operator_requests = []
+    def __init__(self, world, seed):
+        self.operator = operators.Operator(seed, world.list_controls)
         self.fault_periods = []
+        self.last_order_at = 0.0
         self._world = world
         self._lock = threading.Lock()
+        self._number = 1
         self._version = 1
+        self._bodies = {1: worlds.make_document(1)}
         self._evacuated = set()
+        self._leavers = []
+        self._errors = []
         # A process has one fault at a time, even if a fault takes longer
         # than scheduled.
         self._process_locks = collections.defaultdict(threading.Lock)
@@ -40,15 +54,22 @@
         self._load = None
 
     def find_version(self):
-        """Return the highest document version that was sent."""
+        """Return the highest version of a valid document that was sent."""
         return self._version
 
+    def find_body(self, version):
+        """Return the valid document that was sent under a version, or None."""
+        return self._bodies.get(version)
+
     def play(self, faults, load):
         """Inject all faults and wait until they are undone.
 
         Args:
             faults: list of schedules.Fault in order of time.
             load: the load.Load, which sends requests that crash servers.
+
+        Raises:
+            InjectorError: the injection of a fault failed.
         """
         self._load = load
         watchers = [
@@ -61,8 +82,10 @@
             self._play_all(faults)
         finally:
             self._stop_requested.set()
-            for watcher in watchers:
-                watcher.join()
+            for thread in (*watchers, *self._leavers):
+                thread.join()
+        if self._errors:
+            raise InjectorError("; ".join(self._errors))
 
     def _play_all(self, faults):
         started_at = time.monotonic()
@@ -70,15 +93,23 @@
         for fault in faults:
             time.sleep(max(0.0, started_at + fault.at - time.monotonic()))
             threads.append(
-                threading.Thread(target=self._inject, args=(fault,))
+                threading.Thread(target=self._try_inject, args=(fault,))
             )
             threads[-1].start()
         for thread in threads:
             thread.join()
 
+    def _try_inject(self, fault):
+        try:
+            self._inject(fault)
+        except Exception as error:  # noqa: B902 - the run must fail
+            self._errors.append(f"{fault}: {error!r}")
+
     def _inject(self, fault):
         inject = _ACTIONS[fault.kind]
-        if fault.target in (*schedules.DOMAINS, ""):
+        if fault.target == schedules.LEADER:
+            fault = fault._replace(target=self._world.find_leader())
+        if fault.target in _FREE_TARGETS or fault.kind == "power and disk":
             inject(self, fault)
             return
         with self._process_locks[fault.target]:
@@ -166,7 +197,7 @@
 
     def lose_disk(self, fault):
         """Restart a replica with an empty disk."""
-        self.restart(fault, between=self._world.platform.lose_disk)
+        self.restart(fault, between=self._world.lose_disk)
 
     def tear_journal(self, fault):
         """Restart a replica with a torn record at the end of its journal."""
@@ -177,7 +208,9 @@
         self._world.set_disk_full(fault.target, True)
         time.sleep(fault.seconds)
         self._world.set_disk_full(fault.target, False)
-        process = self._world.platform.running[fault.target]
+        process = self._world.platform.running[
+            self._world.find_process(fault.target)
+        ]
         until = time.monotonic() + EXIT_SECONDS
         while process.is_running() and time.monotonic() < until:
             time.sleep(CRASH_POLL_SECONDS)
@@ -185,8 +218,48 @@
             self._world.stop(fault.target, signal.SIGKILL)
             self._world.restart(fault.target)
 
-    def restart_all(self, _fault):
-        """Kill all instances at the same time and restart them."""
+    def cut_off_replica(self, fault):
+        """Inject a fault at a replica's links to all other instances."""
+        self._world.set_peer_links(fault.target, fault.detail)
+        time.sleep(fault.seconds)
+        self._world.set_peer_links(fault.target, "none")
+
+    def disturb_operator(self, fault):
+        """Inject a fault at the operator's link to a replica."""
+        self._world.set_operator_link(fault.target, fault.detail)
+        time.sleep(fault.seconds)
+        self._world.set_operator_link(fault.target, "none")
+
+    def replace(self, fault):
+        """Start a new replica, and stop the one at its place for good."""
+        successor = self._world.add_replica(fault.target)
+        if successor is None:
+            return
+        time.sleep(fault.seconds)
+        process = self._world.let_replica_go(fault.target, successor)
+        leaver = threading.Thread(target=_stop, args=(process,))
+        self._leavers.append(leaver)
+        leaver.start()
+
+    def lose_replica(self, fault):
+        """Kill a replica for good, and start a new one later."""
+        process = self._world.platform.running[
+            self._world.find_process(fault.target)
+        ]
+        process.kill()
+        time.sleep(fault.seconds)
+        successor = self._world.add_replica(fault.target)
+        if successor is None:
+            self._world.stop(fault.target, signal.SIGKILL)
+            self._world.restart(fault.target)
+        else:
+            self._world.let_replica_go(fault.target, successor)
+
+    def restart_all(self, fault):
+        """Kill all instances at the same time and restart them.
+
+        A target is the replica that loses its disk meanwhile.
+        """
         names = (*schedules.REPLICAS, *schedules.ENTRIES)
         with contextlib.ExitStack() as stack:
             for name in names:
@@ -196,6 +269,9 @@
                 self._world.send_signal(name, signal.SIGKILL)
             for name in names:
                 self._world.stop(name, signal.SIGKILL)
+                if name == fault.target:
+                    self._world.lose_disk(name)
+            for name in names:
                 self._world.restart(name)
             end = time.time()
         self.fault_periods.append(
@@ -207,11 +283,10 @@
     def put_document(self, _fault):
         """Send the next document version until it is acknowledged."""
         with self._lock:
-            self._version += 1
-            version = self._version
-        self._send_operator_request(
-            "document", version, "PUT", "/-/config", version
-        )
+            self._number += 1
+            version = self._version = self._number
+            body = self._bodies[version] = worlds.make_document(version)
+        self._put("document", version, body)
 
     def put_two_documents(self, fault):
         """Send two documents concurrently."""
@@ -220,36 +295,79 @@
         self.put_document(fault)
         other.join()
 
-    def evacuate(self, fault):
-        """Evacuate a failure domain, unless one is evacuated already."""
-        path = f"/-/evacuations/{fault.target}"
+    def put_invalid_document(self, fault):
+        """Send an invalid document under the next version."""
         with self._lock:
-            if self._evacuated:
-                return
-            self._evacuated.add(fault.target)
-        self._send_operator_request("evacuate", fault.target, "POST", path)
+            self._number += 1
+            version = self._number
+        body = worlds.make_invalid_document(version, fault.detail)
+        self._put("invalid document", version, body)
+
+    def put_document_again(self, _fault):
+        """Send other content under the highest acknowledged version."""
+        version = self._find_acknowledged()
+        if version:
+            body = worlds.make_other_document(version)
+            self._put("other document", version, body)
+
+    def _find_acknowledged(self):
+        return max(
+            (
+                one.subject
+                for one in self.operator.requests
+                if one.kind == "document" and one.acknowledged_at is not None
+            ),
+            default=0,
+        )
+
+    def _put(self, kind, version, body):
+        self.operator.send(kind, version, "PUT", operators.CONFIG_PATH, body)
+
+    def evacuate(self, fault):
+        """Evacuate a failure domain, unless MOST_OUT are out already."""
+        if not self._claim_domain(fault.target):
+            return
+        self._order("evacuate", fault.target)
+        if fault.kind == "evacuate for good":
+            return
         time.sleep(fault.seconds)
-        self._send_operator_request("return", fault.target, "DELETE", path)
+        self._order("return", fault.target)
         self._evacuated.discard(fault.target)
 
-    def _send_operator_request(
-        self, kind, subject, method, path, version=None
-    ):
-        body = None
-        if version is not None:
-            body = worlds.make_document(version)
-        sent_at = time.time()
-        acknowledged_at = None
-        while time.time() < sent_at + OPERATOR_RETRY_SECONDS:
-            if self._world.call_control(method, path, body):
-                acknowledged_at = time.time()
-                break
-            time.sleep(0.1)
-        self.operator_requests.append(
-            histories.OperatorRequest(kind, subject, sent_at, acknowledged_at)
-        )
+    def evacuate_again(self, fault):
+        """Evacuate a failure domain and take it back several times."""
+        if not self._claim_domain(fault.target):
+            return
+        kinds = itertools.cycle(("evacuate", "return"))
+        self._order(next(kinds), fault.target)
+        for pause in fault.detail.split():
+            time.sleep(float(pause))
+            self._order(next(kinds), fault.target)
+        self._evacuated.discard(fault.target)
+
+    def _claim_domain(self, domain):
+        with self._lock:
+            if domain in self._evacuated or len(self._evacuated) == MOST_OUT:
+                return False
+            self._evacuated.add(domain)
+            return True
+
+    def _order(self, kind, domain):
+        method = "POST" if kind == "evacuate" else "DELETE"
+        path = f"/-/evacuations/{domain}"
+        self.operator.send(kind, domain, method, path)
+        self.last_order_at = time.time()
+
+
+def _stop(process):
+    """Stop a process as planned, and kill it after the grace."""
+    try:
+        process.stop(GRACE_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
 
 
+_FREE_TARGETS = (*schedules.DOMAINS, *schedules.CONTROLS, "")
 _ACTIONS = {
     "kill": Injector.restart,
     "terminate": functools.partial(
@@ -267,6 +385,15 @@
     "torn write": Injector.tear_journal,
     "full disk": Injector.fill_disk,
     "kill all": Injector.restart_all,
+    "power and disk": Injector.restart_all,
+    "replica links": Injector.cut_off_replica,
+    "operator link": Injector.disturb_operator,
+    "replace": Injector.replace,
+    "lose replica": Injector.lose_replica,
+    "invalid document": Injector.put_invalid_document,
+    "document again": Injector.put_document_again,
+    "evacuate again": Injector.evacuate_again,
+    "evacuate for good": Injector.evacuate,
     "document": Injector.put_document,
     "two documents": Injector.put_two_documents,
     "evacuate": Injector.evacuate,
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -13,9 +13,34 @@
 REPLICAS = ("replica-1", "replica-2", "replica-3")
 SERVERS = tuple(f"server-{number}" for number in range(1, 6 * SCALE + 1))
 SERVICES = ("plain", "plain", "plain", "other", "engine", "engine")
+# The operator's links to the replicas.
+CONTROLS = ("control-1", "control-2", "control-3")
+LEADER = "leader"  # whichever replica it is
 DOMAINS = ("zone-a", "zone-b", "zone-c")
 LINK_FAULTS = ("cut", "silent", "one_way", "delay")
 PARTITIONS = ("cut", "silent", "refuse")
+# Orders or answers that are lost, or held back until the fault ends.
+ORDER_FAULTS = (
+    "half_answers",
+    "half_answers",
+    "no_answers",
+    "one_way",
+    "silent",
+)
+PEER_FAULTS = ("cut", "silent")
+INVALID = (
+    "unknown service",
+    "same route",
+    "no weight",
+    "no time",
+    "shared key",
+    "cut off",
+)
+MOST_PAUSE_OUT, MOST_PAUSE_IN = 1.5, 1.2  # seconds between quick orders
+LEAST_HOLD, MOST_HOLD = 6.5, 8.5  # seconds that the last evacuation lasts
+LEAST_FREEZE, MOST_FREEZE = 0.6, 3.5  # seconds, of a replica that has an order
+CATCH_UP_SECONDS = 4.0  # after which a new replica's predecessor may go
+AFTER_REPLACEMENT = (0.3, 2.0, 6.0)  # seconds until all lose power
 # Kind, targets, weight, minimum and maximum duration in seconds.
 FAULT_KINDS = (
     ("kill", ENTRIES, 2, 0.2, 3.0),
@@ -40,9 +65,18 @@
     ("garble", SERVERS, 3, 0.5, 4.0),
     ("crash request", ("",), 2, 3.0, 8.0),
     ("crash part", ("",), 2, 3.0, 8.0),
+    ("pause", (LEADER,), 1, 0.6, 3.5),
+    ("kill", (LEADER,), 1, 0.2, 3.0),
+    ("replica links", (*REPLICAS, LEADER), 2, 0.6, 5.0),
+    ("operator link", CONTROLS, 6, 0.6, 5.0),
+    ("replace", REPLICAS, 2, CATCH_UP_SECONDS, CATCH_UP_SECONDS + 2.0),
+    ("lose replica", REPLICAS, 2, 0.5, 3.0),
     ("document", ("",), 6, 0.0, 0.0),
+    ("invalid document", ("",), 3, 0.0, 0.0),
+    ("document again", ("",), 2, 0.0, 0.0),
     ("two documents", ("",), 2, 0.0, 0.0),
     ("evacuate", DOMAINS, 2, 1.0, 5.0),
+    ("evacuate again", DOMAINS, 9, 0.0, 0.0),
 )
 
 
@@ -55,7 +89,10 @@
         target: name of the process or failure domain; may be empty.
         seconds: duration until the fault is undone.
         detail: fault of a `link`, one of LINK_FAULTS, or of an instance's
-            `upstream links`, one of PARTITIONS.
+            `upstream links`, one of PARTITIONS; of an `operator link`, one of
+            ORDER_FAULTS; of `replica links`, one of PEER_FAULTS; of an
+            `invalid document`, one of INVALID; of `evacuate again`, the
+            seconds between its orders.
     """
 
     at: float
@@ -71,9 +108,57 @@
 
 
 def _draw_detail(kind, rng):
-    if kind == "link":
-        return rng.choice(LINK_FAULTS)
-    return rng.choice(PARTITIONS) if kind == "upstream links" else ""
+    choices = {
+        "link": LINK_FAULTS,
+        "upstream links": PARTITIONS,
+        "operator link": ORDER_FAULTS,
+        "replica links": PEER_FAULTS,
+        "invalid document": INVALID,
+    }
+    return rng.choice(choices[kind]) if kind in choices else ""
+
+
+def _draw_orders(fault, rng):
+    """Return an `evacuate again` with its times, and the last quick return.
+
+    Orders alternate, evacuate and return; the last evacuation lasts.
+    """
+    pauses = []
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        pauses.append(round(rng.uniform(0.1, MOST_PAUSE_OUT), 2))
+        pauses.append(round(rng.uniform(0.0, MOST_PAUSE_IN), 2))
+    pauses.append(round(rng.uniform(LEAST_HOLD, MOST_HOLD), 2))
+    detail = " ".join(map(str, pauses))
+    seconds = round(sum(pauses), 2)
+    return_at = round(fault.at + sum(pauses[:-2]) - 0.05, 2)
+    return fault._replace(seconds=seconds, detail=detail), return_at
+
+
+def _draw_end(busy_until, seconds, rng):
+    """Return the last faults: those that strike all processes at once."""
+    turn = rng.random()
+    at = seconds + 1.0
+    ends = []
+    if rng.random() < 0.5:
+        ends.append(
+            Fault(seconds, "evacuate for good", rng.choice(DOMAINS), 0.0)
+        )
+    if turn < 0.25:
+        ends.append(Fault(at, "kill all", "", 1.0))
+    elif turn < 0.45:
+        at = max(at, busy_until.get("replicas", 0.0))
+        ends.append(Fault(at, "power and disk", rng.choice(REPLICAS), 0.0))
+    elif turn < 0.7:
+        at = max(
+            seconds,
+            *(busy_until.get(one, 0.0) for one in ("replicas", *ENTRIES)),
+        )
+        old, lost = rng.sample(REPLICAS, 2)
+        gap = rng.choice(AFTER_REPLACEMENT)
+        ends.append(Fault(at, "replace", old, CATCH_UP_SECONDS + 0.5))
+        at += CATCH_UP_SECONDS + 0.5 + gap
+        ends.append(Fault(round(at, 2), "power and disk", lost, 0.0))
+    return ends
 
 
 def draw(seed, seconds=DEFAULT_SECONDS):
@@ -81,7 +166,8 @@
 
     Faults occur in bursts and overlap, with two exceptions: a process has one
     fault at a time, and so has the group of replicas, which tolerates the loss
-    of one.
+    of one. A replica that is replaced as planned is no loss, and the next one
+    may have a fault shortly after.
     """
     rng = random.Random(seed)
     weights = [kind[2] for kind in FAULT_KINDS]
@@ -98,16 +184,27 @@
             round(rng.uniform(low, high), 2),
             _draw_detail(kind, rng),
         )
-        group = "replicas" if target in REPLICAS else target or kind
+        is_replica = target in REPLICAS or target == LEADER
+        group = "replicas" if is_replica else target or kind
         if busy_until.get(group, 0.0) <= at:
+            gap = REPLICA_GAP_SECONDS if is_replica else 0.5
+            if kind == "replace":
+                gap = rng.choice(AFTER_REPLACEMENT)  # as it is no loss
+            if kind == "evacuate again":
+                fault, return_at = _draw_orders(fault, rng)
+                if busy_until.get("replicas", 0.0) <= return_at:
+                    freeze = round(rng.uniform(LEAST_FREEZE, MOST_FREEZE), 2)
+                    one = rng.choice((*REPLICAS, LEADER))
+                    faults.append(Fault(return_at, "pause", one, freeze))
+                    busy_until["replicas"] = (
+                        return_at + freeze + REPLICA_GAP_SECONDS
+                    )
             faults.append(fault)
-            gap = REPLICA_GAP_SECONDS if group == "replicas" else 0.5
             busy_until[group] = at + fault.seconds + gap
         # Short gaps make bursts; an occasional long one allows recovery.
         at += rng.choice((0.05, 0.2, 0.4, 0.8, 2.0))
-    if rng.random() < 0.3:
-        faults.append(Fault(seconds + 1.0, "kill all", "", 1.0))
-    return faults
+    faults += _draw_end(busy_until, seconds, rng)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 def shorten(faults, fails):
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -5,6 +5,7 @@
                     --address=ADDRESS --control=LIST --effects=FILE
                     [--advertise=ADDRESS] [--cold=SECONDS]
                     [--drain=SECONDS] [--version=VERSION]
+                    [--control-list=FILE]
                     [--places=N --work=SECONDS --waiting=N] [--brittle=N]
 
 The server registers with the control addresses in turn and appends a line to
@@ -23,7 +24,8 @@
 the effects file records each such answer. On SIGTERM the server
 drains and leaves, which its answers say; the effects file records when its
 departure was acknowledged. The advertised
-address is that of a proxy if it differs from the own one. The server registers
+address is that of a proxy if it differs from the own one. The file of
+--control-list holds the control addresses of now. The server registers
 as cold for --cold seconds after its start, with --version, which it also
 names as the type of each event, and continues to serve for --drain
 seconds after its departure was acknowledged. With --places, it runs so many
@@ -101,7 +103,8 @@
         self.drain_seconds = float(arguments["--drain"] or DRAIN_SECONDS)
         self.version = arguments["--version"] or "v1"
         self.cold_until = time.time() + float(arguments["--cold"] or 0)
-        self.control = arguments["--control"].split(",")
+        self.control = arguments["--control"]
+        self.control_list = arguments["--control-list"]
         self.effects = arguments["--effects"]
         self.state = "ready"
         self.rejects = False
@@ -122,7 +125,9 @@
 
     async def register(self):
         """Register periodically, with one control address after another."""
-        for control in itertools.cycle(self.control):
+        for turn in itertools.count():
+            controls = self._read_controls()
+            control = controls[turn % len(controls)]
             body = {
                 "Service": self.service,
                 "Address": self.advertised,
@@ -141,6 +146,12 @@
                 self.acknowledged.set()
             await trio.sleep(REGISTER_INTERVAL_SECONDS)
 
+    def _read_controls(self):
+        if self.control_list:
+            with open(self.control_list) as file:
+                return file.read().split(",")
+        return self.control.split(",")
+
     def _measure_cold_ms(self):
         return int(1000 * max(0.0, self.cold_until - time.time()))
 
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -16,6 +16,8 @@
     refuse    reset every new connection, open ones live on;
     silent    keep connections open, forward nothing in either direction;
     one_way   forward nothing to the target, but still its answers;
+    no_answers  forward all to the target, but none of its answers;
+    half_answers  the same for half of the connections, drawn as they open;
     delay     delay each chunk by MS, times a random factor of 0.5 to 1.5.
 `drop` is the share of new connections that are closed at once.
 """
@@ -31,6 +33,7 @@
 
 CHUNK_BYTES = 65536
 POLL_INTERVAL_SECONDS = 0.02
+LOST_SHARE = 0.5  # of the connections of `half_answers`
 
 
 def _parse_address(address):
@@ -111,15 +114,20 @@
         await trio.aclose_forcefully(client)
         await trio.aclose_forcefully(target)
 
-    def _is_blocked(self, forwards, address):
+    def _is_blocked(self, forwards, address, is_lossy):
         fault = self._find_fault(address)
-        return fault == "silent" or fault == "one_way" and forwards
+        if fault == "half_answers":
+            return is_lossy and not forwards
+        return fault == "silent" or fault == (
+            "one_way" if forwards else "no_answers"
+        )
 
     async def _relay(self, source, sink, forwards, scope, address):
+        is_lossy = self._rng.random() < LOST_SHARE
         try:
             while True:
                 chunk = await source.receive_some(CHUNK_BYTES)
-                while self._is_blocked(forwards, address):
+                while self._is_blocked(forwards, address, is_lossy):
                     await trio.sleep(POLL_INTERVAL_SECONDS)
                 if not chunk:
                     await sink.send_eof()
