Soak: orders of a run are kept, and late copies come later

A red run keeps orders.jsonl (each call of each order) and faults.jsonl. A replica that gets an order and has a fault keeps it longer, mostly until after the next order; every replica that runs is read.

--- a/tests/features/steps/soak.py
+++ b/tests/features/steps/soak.py
@@ -271,7 +271,7 @@
 def _order(history, kind, acknowledged_at, status):
     history.operator_requests.append(
         histories.OperatorRequest(
-            kind, 3, START_SECONDS + 10, acknowledged_at, None, status
+            kind, 3, START_SECONDS + 10, acknowledged_at, status
         )
     )
     return history
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -111,6 +111,11 @@
     return histories.FinalState(recovered, versions, observed_from)
 
 
+def _write_records(path, records):
+    lines = [json.dumps(one._asdict()) for one in records]
+    path.write_text("\n".join(lines) + "\n")
+
+
 def _count_used(world, since):
     """Return how many failure domains got requests since a time."""
     effects = world.platform.list_effects()
@@ -135,6 +140,8 @@
     counts["readings"] = len(history.readings)
     if violations:
         (folder / "found.json").write_text(json.dumps(violations, indent=1))
+        _write_records(folder / "orders.jsonl", history.operator_requests)
+        _write_records(folder / "faults.jsonl", history.fault_periods)
     else:
         shutil.rmtree(folder)
     return violations, counts
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -44,17 +44,16 @@
         sent_at: time of the first attempt, in Unix seconds.
         acknowledged_at: time of the acknowledgement, in Unix seconds;
             None if there was none.
-        ended_at: time when the operator sent it no more, in Unix seconds;
-            None while it does.
         status: status of the last answer; 0 for none.
+        attempts: (time of sending, host, status) of each call.
     """
 
     kind: str
     subject: object
     sent_at: float
     acknowledged_at: float | None
-    ended_at: float | None = None
     status: int = 200
+    attempts: tuple = ()
 
 
 class Reading(typing.NamedTuple):
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -80,7 +80,7 @@
         """
         with self._places:
             order = histories.OperatorRequest(
-                kind, subject, time.time(), None, None, 0
+                kind, subject, time.time(), None, 0
             )
             with self._lock:
                 number = len(self.requests)
@@ -93,7 +93,7 @@
         is_document = body is not None
         seconds = DOCUMENT_SECONDS if is_document else ORDER_SECONDS
         until = order.sent_at + seconds
-        backoff, refusals, status = BACKOFF_SECONDS, 0, 0
+        backoff, refusals, attempts = BACKOFF_SECONDS, 0, []
         turn = self._rng.randrange(6)
         addresses = self._list_addresses()
         if first in addresses:
@@ -105,19 +105,19 @@
             timeout = ANSWER_SECONDS
             if not is_document:
                 timeout = min(timeout, max(0.05, until - time.time()))
+            sent_at = time.time()
             status, _ = call(address, method, path, body, timeout)
-            now = time.time()
+            attempts.append((sent_at, address[0], status))
+            order = order._replace(status=status, attempts=tuple(attempts))
             if 200 <= status < 300:
-                return order._replace(
-                    acknowledged_at=now, ended_at=now, status=status
-                )
+                return order._replace(acknowledged_at=time.time())
             if 400 <= status < 500 and status not in RETRIED_STATUSES:
                 refusals += 1
                 if status in FINAL_STATUSES or refusals == MOST_REFUSALS:
                     break
             time.sleep(max(0.0, min(backoff, until - time.time())))
             backoff = min(BACKOFF_FACTOR * backoff, MAX_BACKOFF_SECONDS)
-        return order._replace(ended_at=time.time(), status=status)
+        return order
 
 
 class Reader:
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -36,11 +36,12 @@
     "shared key",
     "cut off",
 )
-MOST_PAUSE_OUT, MOST_PAUSE_IN = 1.5, 1.2  # seconds between quick orders
+MOST_PAUSE_OUT, MOST_PAUSE_IN = 1.5, 0.6  # seconds between quick orders
 LEAST_HOLD, MOST_HOLD = 6.5, 8.5  # seconds that the last evacuation lasts
-LEAST_FREEZE, MOST_FREEZE = 0.6, 3.5  # seconds, of a replica that has an order
+# Seconds; a copy is late if it comes after the next order.
+LEAST_FREEZE, USUAL_FREEZE, MOST_FREEZE = 0.6, 2.4, 3.5
 CATCH_UP_SECONDS = 4.0  # after which a new replica's predecessor may go
-LEADER_SHARE, FIRST_SHARE = 0.25, 0.6  # of the replicas that have an order
+LEADER_SHARE, FIRST_SHARE = 0.2, 0.8  # of the replicas that have an order
 MIXED_SHARE = 0.2  # of schedules that begin with the older build
 UPGRADE_SECONDS = 1.0
 AFTER_REPLACEMENT = (0.3, 2.0, 6.0)  # seconds until all lose power
@@ -143,7 +144,8 @@
     kind, detail = rng.choice((("pause", ""), ("replica links", "silent")))
     is_leader = rng.random() < LEADER_SHARE
     target = LEADER if is_leader else rng.choice(REPLICAS)
-    seconds = round(rng.uniform(LEAST_FREEZE, MOST_FREEZE), 2)
+    seconds = rng.triangular(LEAST_FREEZE, MOST_FREEZE, USUAL_FREEZE)
+    seconds = round(seconds, 2)
     return Fault(at, kind, target, seconds, detail)
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -133,10 +133,11 @@
         ]
 
     def list_replicas(self):
-        """Return (name, control address) of each replica."""
+        """Return (name, control address) of each replica that runs."""
         return [
             (name, (self.platform.find_address(name), platforms.CONTROL_PORT))
-            for name in self._occupants.values()
+            for name in list(self.platform.running)
+            if name.startswith("replica-")
         ]
 
     def find_control(self, place):
