--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,9 +2,10 @@
 
 Usage:
     soak [--first=N] [--seeds=N] [--jobs=N] [--seconds=S] [--break=NAME]
+         [--build=COMMIT] [--folder=PATH]
+    soak --schedule=FILE [--shorten] [--break=NAME] [--build=COMMIT]
          [--folder=PATH]
-    soak --schedule=FILE [--shorten] [--break=NAME] [--folder=PATH]
-    soak --regressions [--jobs=N] [--folder=PATH]
+    soak --regressions [--jobs=N] [--build=COMMIT] [--folder=PATH]
 
 Options:
     --first=N        First seed; random if not given.
@@ -15,6 +16,7 @@
     --shorten        Search for a shorter schedule that still fails.
     --regressions    Run each schedule of tests/soak/regressions.
     --break=NAME     Use a daemon with a defect; see tests/soak/broken.py.
+    --build=COMMIT   Use the daemon of an earlier commit.
     --folder=PATH    Folder of logs and schedules [default: run/soak].
 
 The folder of a run that violates a guarantee is kept, with its schedule, its
@@ -166,6 +168,8 @@
     """Run the soak test with the options of the command line."""
     arguments = docopt.docopt(__doc__)
     program = None
+    if arguments["--build"]:
+        program = worlds.find_program(arguments["--build"])
     if arguments["--break"]:
         program = processes.run_module(
             "tests.soak.broken", arguments["--break"], "--platform"
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -41,7 +41,12 @@
 # Seconds; a copy is late if it comes after the next order.
 LEAST_FREEZE, USUAL_FREEZE, MOST_FREEZE = 0.6, 2.4, 3.5
 CATCH_UP_SECONDS = 4.0  # after which a new replica's predecessor may go
-LEADER_SHARE, FIRST_SHARE = 0.2, 0.8  # of the replicas that have an order
+HOLDS = (
+    ("pause", ""),
+    ("replica links", "silent"),
+    ("operator link", "one_way"),
+)
+LEADER_SHARE, FIRST_SHARE = 0.1, 0.9  # of the replicas that have an order
 MIXED_SHARE = 0.2  # of schedules that begin with the older build
 UPGRADE_SECONDS = 1.0
 AFTER_REPLACEMENT = (0.3, 2.0, 6.0)  # seconds until all lose power
@@ -80,7 +85,7 @@
     ("document again", ("",), 2, 0.0, 0.0),
     ("two documents", ("",), 2, 0.0, 0.0),
     ("evacuate", DOMAINS, 2, 1.0, 5.0),
-    ("evacuate again", DOMAINS, 12, 0.0, 0.0),
+    ("evacuate again", DOMAINS, 18, 0.0, 0.0),
 )
 
 
@@ -139,14 +144,22 @@
     return fault._replace(seconds=seconds, detail=detail), return_at
 
 
-def _draw_hold(at, rng):
-    """Return the fault of a replica that holds back an order."""
-    kind, detail = rng.choice((("pause", ""), ("replica links", "silent")))
-    is_leader = rng.random() < LEADER_SHARE
-    target = LEADER if is_leader else rng.choice(REPLICAS)
+def _draw_hold(at, busy_until, rng):
+    """Return a fault that holds back an order, and the replica it goes to.
+
+    The operator's link holds it if the replicas may not have a fault.
+    """
     seconds = rng.triangular(LEAST_FREEZE, MOST_FREEZE, USUAL_FREEZE)
     seconds = round(seconds, 2)
-    return Fault(at, kind, target, seconds, detail)
+    number = rng.randrange(len(REPLICAS))
+    is_leader = rng.random() < LEADER_SHARE
+    kind, detail = rng.choice(HOLDS)
+    if kind == "operator link" or busy_until.get("replicas", 0.0) > at:
+        hold = Fault(at, "operator link", CONTROLS[number], seconds, "one_way")
+        return hold, REPLICAS[number]
+    target = LEADER if is_leader else REPLICAS[number]
+    busy_until["replicas"] = at + seconds + REPLICA_GAP_SECONDS
+    return Fault(at, kind, target, seconds, detail), target
 
 
 def _draw_upgrades(rng):
@@ -238,15 +251,11 @@
                 gap = rng.choice(AFTER_REPLACEMENT)  # as it is no loss
             if kind == "evacuate again":
                 fault, return_at = _draw_orders(fault, rng)
-                if busy_until.get("replicas", 0.0) <= return_at:
-                    hold = _draw_hold(return_at, rng)
-                    faults.append(hold)
-                    busy_until["replicas"] = (
-                        return_at + hold.seconds + REPLICA_GAP_SECONDS
-                    )
-                    if rng.random() < FIRST_SHARE:
-                        detail = f"{fault.detail} replica {hold.target}"
-                        fault = fault._replace(detail=detail)
+                hold, place = _draw_hold(return_at, busy_until, rng)
+                faults.append(hold)
+                if rng.random() < FIRST_SHARE:
+                    detail = f"{fault.detail} replica {place}"
+                    fault = fault._replace(detail=detail)
             faults.append(fault)
             busy_until[group] = at + fault.seconds + gap
         # Short gaps make bursts; an occasional long one allows recovery.
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -34,6 +34,17 @@
 START_TIMEOUT_SECONDS = 20.0
 
 
+def find_program(commit):
+    """Return the command line of a commit's daemon behind the proxies."""
+    daemon = processes.run_module(
+        "tests.harness.bound_daemon", bound_daemon.BEHIND_PROXY, "--platform"
+    )
+    if commit == builds.NEW:
+        return daemon
+    # The variables of the build, for the program of the harness.
+    return [*builds.find_program(commit)[:2], *daemon]
+
+
 def make_document(version):
     """Return an encoded document with a route and a key of its version."""
     document = json.loads(
@@ -93,22 +104,16 @@
         """
         self.platform = platforms.Platform(folder, slot)
         # The proxy tells instances apart by their addresses.
-        self._program = program or processes.run_module(
-            "tests.harness.bound_daemon",
-            bound_daemon.BEHIND_PROXY,
-            "--platform",
-        )
+        self._program = program or find_program(builds.NEW)
         self._old = set(old)
-        if old:
-            # The variables of the build, for the program behind the proxy.
-            variables = builds.find_program(OLD_COMMIT)[:2]
-            self._old_program = [*variables, *self._program]
+        self._old_program = find_program(OLD_COMMIT) if old else None
         self._seed = seed
         self._starts = collections.Counter()
         self._control_ports = {"proxy": 24000 + slot, "peers": 24200 + slot}
         # The process at the place of each replica that the schedule names.
         self._occupants = {name: name for name in schedules.REPLICAS}
         self._listed = list(schedules.REPLICAS)
+        self._list_lock = threading.Lock()
         self._controls = self.platform.folder / "controls"
         self._timers = []
         self._ports = {
@@ -168,11 +173,12 @@
         """Let callers' lists name a replica, or no more, after their lag."""
 
         def change():
-            if is_listed:
-                self._listed = [*self._listed, name]
-            else:
-                self._listed = [one for one in self._listed if one != name]
-            self._write_list()
+            with self._list_lock:
+                if is_listed:
+                    self._listed = [*self._listed, name]
+                else:
+                    self._listed = [one for one in self._listed if one != name]
+                self._write_list()
 
         timer = threading.Timer(SEED_LAG_SECONDS, change)
         timer.daemon = True
