--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -6,7 +6,8 @@
 name and the identity of its data folder. A replica that lost its disk comes
 back with another identity: it receives entries as a learner and counts
 toward no quorum until the leader has replaced the old identity by two
-membership changes, one that removes it and one that adds the new one.
+membership changes, one that removes it and one that adds the new one. Which
+change is due is decided by `voter_changes`.
 """
 
 import time
@@ -20,13 +21,18 @@
 from camphorhook_daemon.domain import entries
 from camphorhook_daemon.domain import followers
 from camphorhook_daemon.domain import state as states
+from camphorhook_daemon.domain import voter_changes
 from camphorhook_daemon.ports import journal as journals
 
 SNAPSHOT_ENTRIES = 4000
 BATCH_ENTRIES = 512
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
-ADMISSION_INTERVAL_SECONDS = 1.0
+VOTERS_CHECK_SECONDS = 0.2  # below the time to detect a silent voter
+LEAVE_WAIT_SECONDS = 0.3  # half of the time that the sender waits
 SECONDS_PER_MS = 0.001
+MAX_ELECTION_BACKOFF = 4  # election timeouts, after as many failures
+DISK_PATIENCE = 2  # election timeouts, then the leader hands over
+VOTE_PATIENCE = 4  # times that of a pre-vote, as a vote is synced to disk
 PAUSE_SECONDS = 0.5  # of this process or its disk, above which a line says so
 
 
@@ -49,6 +55,21 @@
         self.done.set()
 
 
+def _log_voters(voters, index):
+    """Log the voters in force from an index on.
+
+    Args:
+        voters: identity by name.
+        index: of the entry or the snapshot that sets them.
+    """
+    logs.log(
+        "info",
+        f"the voters are {', '.join(sorted(voters))}",
+        step="change voters",
+        inputs={"index": index, "identities": voters},
+    )
+
+
 class Replica:
     """A Raft server: votes, stores log entries and applies them.
 
@@ -116,15 +137,21 @@
         self._followers = None
         self._known_members = ()
         self._lead_scope = None
+        self._last_leader = ""
         self._leader_contact_at = float("-inf")
         self._confirmed_at = float("-inf")
         self._snapshot_data = b""
         self._received_snapshot = b""
+        self._write_began_at = None
+        self._voted_at = float("-inf")
+        self._failed_elections = 0
+        self._stands_after = float("-inf")
         self._last_election = None
         self._last_votes = {}
         self._replication_due = trio.Event()
         self._commit_advanced = trio.Event()
         self._leader_wakeup = trio.Event()
+        self._voters_due = trio.Event()
         self.applied = trio.Event()
         self._load_journal()
 
@@ -216,14 +243,19 @@
             began_at = self._now()
             await trio.sleep(wait / 4)
             self._note_pause("this process", self._now() - began_at - wait / 4)
-            silent = self._now() - self._leader_contact_at
             if self.role == "leader":
-                await self._check_quorum()
-            elif silent > wait and self.is_voter:
+                await self._check_leadership()
+            elif self.is_voter and self._is_election_due(wait):
                 await self._run_election()
             elif not self.is_voter:
                 self.role = "learner"
 
+    def _is_election_due(self, wait):
+        """Return whether nobody was heard of or voted for in `wait` s."""
+        now = self._now()
+        heard_at = max(self._leader_contact_at, self._voted_at)
+        return now - heard_at > wait and now >= self._stands_after
+
     def _note_pause(self, what, seconds):
         if seconds > PAUSE_SECONDS:
             logs.log(
@@ -239,34 +271,70 @@
         Raises:
             errors.StorageError: the contents may not be durable.
         """
-        began_at = self._now()
-        await trio.to_thread.run_sync(function, *arguments)
+        began_at = self._write_began_at = self._now()
+        try:
+            await trio.to_thread.run_sync(function, *arguments)
+        finally:
+            self._write_began_at = None
         self._note_pause("the disk", self._now() - began_at)
 
-    async def _check_quorum(self):
+    def _check_quorum(self):
         silence = self._now() - self._find_quorum_contact()
         if silence > self._timing.election_ms * SECONDS_PER_MS:
             silent = self._followers.describe_silence(self.voters, self._now())
-            async with self._lock:
-                self._step_down(f"lost the quorum; {silent}")
+            self._step_down(f"lost the quorum; {silent}")
+
+    def _measure_write(self):
+        """Return for how many seconds a write to the disk has been running."""
+        if self._write_began_at is None:
+            return 0.0
+        return self._now() - self._write_began_at
+
+    async def _check_leadership(self):
+        """Step down without a quorum; hand over while the disk hangs.
+
+        Followers hear of a leader whose disk hangs, so that none would
+        stand. The lock is not needed, and held by the write.
+        """
+        seconds = self._measure_write()
+        patience = DISK_PATIENCE * self._timing.election_ms * SECONDS_PER_MS
+        if seconds > patience:
+            await self._hand_over(f"the disk has hung for {seconds:.3f} s")
+        else:
+            self._check_quorum()
 
     async def _run_election(self, transfer=False):
         self.role = "candidate"
         self.leader = ""
+        began_at = self._now()
         if not transfer:
             if not await self._collect_votes(self.term + 1, pre_vote=True):
                 return
         async with self._lock:
-            if self._has_recent_leader() and not transfer:
+            has_voted = self._voted_at >= began_at
+            if (self._has_recent_leader() or has_voted) and not transfer:
                 return
             await self._save_vote(self.term + 1, self._name)
-        term = self.term
+            term = self.term
         self._recorder.record("log.candidate", detail=f"term {term}")
         if not await self._collect_votes(term, False, transfer):
+            if not transfer:
+                self._postpone_election()
             return
         if self.term == term and self.role == "candidate":
             self._become_leader()
 
+    def _postpone_election(self):
+        """Stand again only after a random time, so that candidates part.
+
+        It grows with each election that failed, as two candidates whose
+        disks are slow take long to see each other's votes.
+        """
+        self._failed_elections += 1
+        most = min(self._failed_elections, MAX_ELECTION_BACKOFF)
+        seconds = most * self._timing.election_ms * SECONDS_PER_MS
+        self._stands_after = self._now() + seconds * self._rng.random()
+
     async def _collect_votes(self, term, pre_vote, transfer=False):
         """Request votes; return whether a majority of voters granted one.
 
@@ -289,15 +357,14 @@
         granted = {self._name}
         answers = dict.fromkeys(voters, "no answer")
         answers[self._name] = "itself"
-        won = trio.Event()
+        majority = len(voters) // 2 + 1
+        wait = self._timing.election_ms * SECONDS_PER_MS / 2
+        longest = wait if pre_vote else wait * VOTE_PATIENCE
+        began_at = trio.current_time()
 
-        async def ask(peer):
+        async def ask(peer, scope):
             try:
-                reply = await self._transport.call(
-                    peer,
-                    request,
-                    self._timing.election_ms * SECONDS_PER_MS / 2,
-                )
+                reply = await self._transport.call(peer, request, longest)
             except errors.UnreachableError:
                 return
             if reply.term > self.term:
@@ -310,20 +377,20 @@
                 granted.add(peer)
             elif reply.granted:
                 answers[peer] = "another data folder"
-            if len(granted) > len(voters) // 2:
-                won.set()
-
-        if len(granted) > len(voters) // 2:
-            return True
-        with trio.move_on_after(self._timing.election_ms * SECONDS_PER_MS / 2):
-            async with trio.open_nursery() as nursery:
-                for peer in voters:
-                    if peer != self._name:
-                        nursery.start_soon(ask, peer)
-                await won.wait()
-                nursery.cancel_scope.cancel()
-        self._log_election(request, won.is_set(), answers)
-        return won.is_set()
+            else:
+                scope.deadline = min(scope.deadline, began_at + wait)
+            if len(granted) >= majority:
+                scope.cancel()
+
+        if len(granted) < majority:
+            with trio.move_on_after(longest) as scope:
+                async with trio.open_nursery() as nursery:
+                    for peer in voters:
+                        if peer != self._name:
+                            nursery.start_soon(ask, peer, scope)
+        won = len(granted) >= majority
+        self._log_election(request, won, answers)
+        return won
 
     def _log_election(self, request, won, answers):
         """Log how voters answered, if they answered differently before.
@@ -352,6 +419,7 @@
 
     def _become_leader(self):
         self.role = "leader"
+        self._failed_elections = 0
         self.leader = self._name
         known = {
             **dict.fromkeys(self._settings.list_replicas()),
@@ -362,6 +430,10 @@
         self._followers = followers.Followers(
             self._name, peers, self.voters, self._now()
         )
+        self._followers.record_heard(
+            self._last_leader, self._leader_contact_at, self._now()
+        )
+        self._last_leader = ""
         self._queued_proposals = []
         self._recorder.record("log.leader", detail=f"term {self.term}")
         logs.log("info", f"leads the log in term {self.term}", step="elect")
@@ -371,6 +443,7 @@
         if self.role == "leader":
             self._recorder.record("log.stepped_down", detail=reason)
             logs.log("info", f"stepped down as leader: {reason}", step="lead")
+            self._known_members = self.list_members()
             self.leader = ""
         if self.role != "learner":
             self.role = "follower"
@@ -397,9 +470,15 @@
 
         The caller holds the lock.
         """
+        if self._end_term(term):
+            await self._save_vote(term, "")
+
+    def _end_term(self, term):
+        """Step down for a higher term; return whether it is higher."""
         if term > self.term:
             self._step_down(f"term {term}")
-            await self._save_vote(term, "")
+            return True
+        return False
 
     # --- leading ---------------------------------------------------------
 
@@ -418,7 +497,7 @@
             self._lead_nursery = nursery
             for peer in self._followers.list_peers():
                 nursery.start_soon(self._replicate, peer, term)
-            nursery.start_soon(self._admit_learners, term)
+            nursery.start_soon(self._change_voters, term)
             begin = commands.BeginTerm(self._name, time.time())
             await self._append_batch([_Proposal(begin)], term)
             while self.role == "leader" and self.term == term:
@@ -453,7 +532,8 @@
                 self._wake_replication()
                 await self._write(self._journal.append, written)
                 self._stored_index = written[-1].index
-                self._advance_commit()
+                if self.role == "leader":
+                    self._advance_commit()
 
     def _wake_replication(self):
         self._replication_due.set()
@@ -649,28 +729,100 @@
             return 0
         return self._log.get_term(self.commit_index)
 
-    async def _admit_learners(self, term):
-        """Change the set of voters by one voter at a time.
+    def _view_voters(self):
+        return self._followers.view_voters(
+            self.voters,
+            self.commit_index,
+            self._now(),
+            self._max_voters,
+            self._timing.election_ms * SECONDS_PER_MS,
+        )
+
+    def _is_changing_voters(self):
+        return self._log.voters_index > self.commit_index
 
-        Admits learners that are up to date, and replaces the identity of a
-        replica that came back with a new disk. A change starts only after
-        the last one is committed.
+    async def _change_voters(self, term):
+        """Make each change of the voters that is due, one after the other.
+
+        A change starts as soon as the last one is committed.
         """
         while self.role == "leader" and self.term == term:
-            await trio.sleep(ADMISSION_INTERVAL_SECONDS)
-            if (
-                self._log.voters_index > self.commit_index
-                or not self.holds_lease()
-            ):
+            if self._is_changing_voters():
+                await self._commit_advanced.wait()
                 continue
-            members = self._followers.plan_admission(
-                self.voters, self.commit_index, self._now(), self._max_voters
-            )
-            if members is not None:
-                names = ", ".join(sorted(members))
-                self._recorder.record("log.voters", detail=names)
-                command = commands.SetVoters(members, time.time())
-                await self._append_batch([_Proposal(command)], term)
+            change = None
+            if self.holds_lease():
+                change = voter_changes.plan(self._view_voters())
+            if change is not None:
+                await self._propose_voters(change, term)
+                continue
+            self._voters_due = trio.Event()
+            with trio.move_on_after(VOTERS_CHECK_SECONDS):
+                await self._voters_due.wait()
+
+    async def _propose_voters(self, change, term):
+        names = ", ".join(sorted(change.members))
+        self._recorder.record("log.voters", detail=names)
+        logs.log(
+            "info",
+            f"proposes the voters {names}: {change.reason}",
+            step="change voters",
+            inputs={"index": self.last_index + 1, "term": term},
+        )
+        self._followers.record_change(self._now())
+        command = commands.SetVoters(change.members, time.time())
+        await self._append_batch([_Proposal(command)], term)
+
+    async def handle_leave(self, message):
+        """Return the LeaveReply to a Leave, when it is known or after a wait.
+
+        A voter that asks is replaced by a learner, as long as it asks again
+        and again.
+        """
+        reply = self._answer_leave(message)
+        with trio.move_on_after(LEAVE_WAIT_SECONDS):
+            while reply.code == "pending":
+                await self._commit_advanced.wait()
+                reply = self._answer_leave(message)
+        return reply
+
+    def _answer_leave(self, message):
+        if not self.holds_lease():
+            detail = f"{self._name} holds no lease"
+            return wire.LeaveReply("not_leader", self.leader, detail)
+        if self._is_changing_voters():
+            return wire.LeaveReply("pending", self._name, "voters change")
+        if self.voters.get(message.name) != message.identity:
+            return wire.LeaveReply("left", self._name, "")
+        obstacle = voter_changes.find_obstacle(
+            self._view_voters(), message.name
+        )
+        if not obstacle:
+            self._followers.forget_leaving(message.name)
+            detail = "no other replica can take its place"
+            return wire.LeaveReply("kept", self._name, detail)
+        self._followers.record_leaving(message.name, self._now())
+        self._voters_due.set()
+        return wire.LeaveReply("pending", self._name, obstacle)
+
+    def is_repairing_voters(self):
+        """Return whether it leads more voters than the maximum, not all up.
+
+        Then its vote may be needed to remove the one that is lost.
+        """
+        return self.role == "leader" and voter_changes.is_repairing(
+            self._view_voters()
+        )
+
+    def may_be_replaced(self):
+        """Return whether a replica may exist that can take over the vote.
+
+        It may be one that the leader named and that has ended since.
+        """
+        if self._max_voters is None:
+            return False
+        has_surplus = len(self.voters) > self._max_voters
+        return has_surplus or not self.voters.keys() >= {*self.list_members()}
 
     def introduce(self, peer, identity):
         """Start to replicate to a replica that introduced itself.
@@ -713,11 +865,13 @@
             return "" if request.term > self.term else "lower term"
         if request.term < self.term:
             return "lower term"
-        await self._adopt_term(request.term)
-        if self._voted_for not in ("", request.candidate):
-            return f"voted for {self._voted_for} already"
-        if not self._voted_for:
+        voted_for = self._voted_for if request.term == self.term else ""
+        if voted_for not in ("", request.candidate):
+            return f"voted for {voted_for} already"
+        if not voted_for:
+            self._end_term(request.term)
             await self._save_vote(request.term, request.candidate)
+        self._voted_at = self._now()
         return ""
 
     def _log_vote(self, request, objection):
@@ -805,8 +959,11 @@
     async def _accept_leader(self, term, leader):
         await self._adopt_term(term)
         self._leader_contact_at = self._now()
+        self._last_leader = leader
         self.role = "follower" if self.is_voter else "learner"
         self._last_election = None
+        self._failed_elections = 0
+        self._stands_after = float("-inf")
         if self.leader != leader:
             self.leader = leader
             logs.log(
@@ -884,15 +1041,14 @@
         self._received_snapshot = b""
         if checkpoint.index <= self.commit_index:
             return
-        await trio.to_thread.run_sync(
-            self._journal.save_checkpoint, checkpoint, []
-        )
+        await self._write(self._journal.save_checkpoint, checkpoint, [])
         self._log.reset(checkpoint)
         self._snapshot_data = checkpoint.data
         self._stored_index = checkpoint.index
         self.state.load(checkpoint.data)
         self._set_commit(checkpoint.index)
         self._notify_applied()
+        _log_voters(checkpoint.voters, checkpoint.index)
         detail = f"index {checkpoint.index}"
         self._recorder.record("log.snapshot_installed", detail=detail)
         logs.log(
@@ -927,6 +1083,8 @@
         index = self.state.index + 1
         entry = self._log.get(index)
         outcome = self.state.apply(entry)
+        if entry.kind == "voters":
+            _log_voters(commands.decode(entry.kind, entry.data).members, index)
         proposal = self._proposals.pop(index, None)
         if proposal is not None:
             proposal.finish(outcome)
@@ -939,7 +1097,7 @@
                 checkpoint, remaining = self._log.plan_compaction(
                     index, self.state.dump()
                 )
-                await trio.to_thread.run_sync(
+                await self._write(
                     self._journal.save_checkpoint, checkpoint, remaining
                 )
                 self._log.compact(checkpoint, remaining)
@@ -1016,10 +1174,17 @@
         """
         if self.role != "leader":
             return
-        best = self._followers.find_most_advanced(self.voters)
-        async with self._lock:
-            self._step_down("handed over")
-            self._leader_contact_at = self._now()
+        wait = self._timing.election_ms * SECONDS_PER_MS
+        with trio.move_on_after(wait):
+            async with self._lock:
+                pass  # the batch that is being written may be committed
+        if self.role == "leader":
+            await self._hand_over("handed over")
+
+    async def _hand_over(self, reason):
+        best = self._followers.find_most_advanced(self.voters, self._now())
+        self._step_down(reason)
+        self._leader_contact_at = self._now()
         if best:
             message = wire.TimeoutNow(self.term)
             wait = self._timing.election_ms * SECONDS_PER_MS
--- a/tests/features/steps/log_safety.py
+++ b/tests/features/steps/log_safety.py
@@ -20,6 +20,19 @@
         context.counts.append(replicas.run_seed(seed, seconds))
 
 
+@behave.when(
+    "replicas are replaced for {seconds:d} seconds of a mock clock with seeds "
+    "{first:d} to {last:d}"
+)
+def run_replacements(context, seconds, first, last):
+    context.counts = []
+    for seed in range(first, last + 1):
+        print(f"seed {seed}")
+        context.counts.append(
+            replicas.run_seed(seed, seconds, replicas.run_replacements)
+        )
+
+
 @behave.then("they agreed and lost no acknowledged change")
 def check_counts(context):
     for counts in context.counts:
@@ -59,6 +72,40 @@
     assert mean < factor * timeout, (mean, timeout)
 
 
+@behave.when(
+    "the leader crashes as each change of a disk takes {ms:d} ms, in "
+    "{runs:d} runs"
+)
+def crash_with_slow_disks(context, ms, runs):
+    context.waits = [
+        replicas.run_repeatably(
+            seed, replicas.measure_slow_disks, seed, ms / 1000
+        )
+        for seed in range(runs)
+    ]
+
+
+@behave.when(
+    "the disk of the leader hangs for {seconds:d} seconds, in {runs:d} runs"
+)
+def hang_disk(context, seconds, runs):
+    context.waits = [
+        replicas.run_repeatably(
+            seed, replicas.measure_hung_disk, seed, seconds
+        )
+        for seed in range(runs)
+    ]
+
+
+@behave.then(
+    "a change was acknowledged within {seconds:d} seconds in each run"
+)
+@behave.then("there was another leader within {seconds:d} seconds in each run")
+def check_leader(context, seconds):
+    print(f"longest {max(context.waits):.3f} s")
+    assert max(context.waits) < seconds, sorted(context.waits)
+
+
 @behave.when(
     "a replica {name} that is only a learner is introduced to the leader"
 )
