--- a/tests/soak/breaks.py
+++ b/tests/soak/breaks.py
@@ -62,6 +62,10 @@
         _load("late-orders-frozen"),
     ),
     "late orders on links": ("check_evacuations", _load("late-orders-held")),
+    "keep leavers": (
+        "check_recovery",
+        _load("voters-after-replacement-short"),
+    ),
     "crowd cold": (
         "check_cold",
         # The only remaining server, which is cold, gets all requests.
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -15,6 +15,7 @@
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain import crash_evidence
+from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain.routing import choice
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import forwarding
@@ -191,6 +192,15 @@
     control._check_caller = lambda exchange, domain: None
 
 
+def _keep_leavers():
+    """Let replicas that stop for good end as voters."""
+
+    async def leave(*_arguments):
+        return None
+
+    leaving.leave = leave
+
+
 def _write_nothing():
     """Acknowledge log entries without writing them to disk."""
     journal.DiskJournal.append = lambda self, entries: None
@@ -214,6 +224,7 @@
     "forget crashes": _forget_crashes,
     "blame bystanders": _blame_bystanders,
     "late orders": _take_late_orders,
+    "keep leavers": _keep_leavers,
     "write nothing": _write_nothing,
 }
 
