--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -15,6 +15,7 @@
 from camphorhook_daemon.adapters import journal
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain import crash_evidence
+from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain.routing import choice
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import forwarding
@@ -24,7 +25,9 @@
 from camphorhook_daemon.domain.routing import table
 from camphorhook_daemon.domain.routing import upstream_limits
 from camphorhook_daemon.domain.routing import withdrawals
+from camphorhook_daemon.domain import state as states
 from camphorhook_daemon.domain import verdicts
+from camphorhook_daemon.platform import control
 from tests.harness import bound_daemon
 
 STALE_SECONDS = 6.0  # longer than a document may take to be in force
@@ -176,6 +179,28 @@
     verdicts.judge = judge
 
 
+def _take_late_orders():
+    """Carry out orders whenever they come, and over newer ones."""
+    submit_order = control.ControlApp._submit_order
+
+    async def submit(self, exchange, command):
+        command = command._replace(expected_version=states.ANY_VERSION)
+        return await submit_order(self, exchange, command)
+
+    control.ControlApp._submit_order = submit
+    control.ORDER_SECONDS = math.inf
+    control._check_caller = lambda exchange, domain: None
+
+
+def _keep_leavers():
+    """Let replicas that stop for good end as voters."""
+
+    async def leave(*_arguments):
+        return None
+
+    leaving.leave = leave
+
+
 def _write_nothing():
     """Acknowledge log entries without writing them to disk."""
     journal.DiskJournal.append = lambda self, entries: None
@@ -198,6 +223,8 @@
     "ignore cuts": _ignore_cuts,
     "forget crashes": _forget_crashes,
     "blame bystanders": _blame_bystanders,
+    "late orders": _take_late_orders,
+    "keep leavers": _keep_leavers,
     "write nothing": _write_nothing,
 }
 
@@ -205,4 +232,5 @@
 if __name__ == "__main__":
     BREAKS[sys.argv.pop(1)]()
     bound_daemon.bind_connections()
+    bound_daemon.bind_peers()
     runpy.run_module("camphorhook_daemon.main", run_name="__main__")
