Pass on no error in place of the rest of a stream

After a stream had broken off and another upstream took it up, clients got what was no part of it: an error's head and text from the body of an event stream ("HTTP/1.1 500 Error"), or an event of type error without id, after which the stream looked complete; a 204 ended it as if complete.

An answer of another status than 200 is no event stream now. When a stream with numeric ids is taken up, each event must have one; otherwise the stream breaks off.

Test: endings.feature, "No error at the take-up of a stream reaches its client", 19 shapes of error, each in three framings and to clients of HTTP/1.0 and 1.1.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -51,10 +51,10 @@
         return default
 
     def is_event_stream(self):
-        """Return whether the answer succeeds and has no other media type."""
+        """Return whether the status is 200 and no other media type given."""
         media_type = self.get("content-type").partition(";")[0].strip()
         is_other = media_type and media_type.lower() != EVENT_STREAM
-        return self.status < 300 and not is_other
+        return self.status == 200 and not is_other
 
     def get_length(self):
         """Return the body's length in bytes; None if there is none."""
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -90,6 +90,15 @@
     return ""
 
 
+def lacks_id(data):
+    """Return whether a block that is more than comments has no numeric id."""
+    return any(
+        is_event_part(block)
+        and numerals.parse_unsigned(_read_id(block)) is None
+        for block in split_blocks(data)
+    )
+
+
 def split_blocks(data):
     """Return the blocks of complete events, without the ends of events."""
     return [block for block in _EVENT_END.split(data) if block]
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from camphorhook_common import numerals
 from camphorhook_daemon.domain.routing import events
 
 EVENT_SILENCE_SECONDS = 2.0  # clients disconnect after the same time
@@ -12,7 +13,7 @@
 
 
 class StreamInvalid(Exception):
-    """The upstream's answer ended inside an event, or one is too large."""
+    """The upstream's answer is no stream, or not the rest of this one."""
 
 
 class Position:
@@ -26,17 +27,21 @@
         self.last_event = last_event
         self._buffer = b""
         self._skips_known = True
+        self._requires_ids = False
 
     def begin(self):
         """Prepare for the answer of another upstream."""
         self._buffer = b""
         self._skips_known = True
+        last_event = numerals.parse_unsigned(self.last_event)
+        self._requires_ids = last_event is not None
 
     def feed(self, piece):
         """Add bytes of the answer; return the complete events to relay.
 
         Raises:
-            StreamInvalid: an event exceeds events.MAX_EVENT_BYTES.
+            StreamInvalid: an event exceeds events.MAX_EVENT_BYTES, or one of
+                an answer that takes up the stream has no id.
         """
         whole, self._buffer = events.split_events(
             self._buffer + piece, len(self._buffer)
@@ -45,6 +50,8 @@
             raise StreamInvalid(
                 f"an event exceeds {events.MAX_EVENT_BYTES} bytes"
             )
+        if self._requires_ids and events.lacks_id(whole):
+            raise StreamInvalid("the stream goes on with an event without id")
         if whole and self._skips_known:
             whole = events.drop_known_events(whole, self.last_event)
             self._skips_known = not whole
@@ -70,8 +77,9 @@
     Raises:
         StreamSilent: the upstream sent no event for EVENT_SILENCE_SECONDS.
             Comments and parts of an event are none.
-        StreamInvalid: the answer ended inside an event, or one exceeds
-            events.MAX_EVENT_BYTES. The partial event is not relayed.
+        StreamInvalid: the answer ended inside an event, one exceeds
+            events.MAX_EVENT_BYTES, or one of an answer that takes up the
+            stream has no id. The partial event is not relayed.
     """
     left = EVENT_SILENCE_SECONDS
     with trio.CancelScope() as silence:
--- a/tests/features/endings.feature
+++ b/tests/features/endings.feature
@@ -46,6 +46,33 @@
       | inside an event | cut off  |
       | after an event  | complete |
 
+  Scenario Outline: No error at the take-up of a stream reaches its client
+    Given upstreams that take up a stream with the error: <error>
+    When clients request streams that may be resumed, in each framing
+    Then each gets the events 1 to 3, nothing of the error, and is cut off
+
+    Examples: by error
+      | error                  |
+      | 500                    |
+      | 500 with an event      |
+      | 503, not run           |
+      | 503                    |
+      | 421                    |
+      | 400                    |
+      | 200 in JSON            |
+      | 200 in plain text      |
+      | 204                    |
+      | a head that breaks off |
+      | a head in the body     |
+      | a head in a chunk      |
+      | broken chunks          |
+      | an event of type error |
+      | no length              |
+      | two errors             |
+      | an error without id    |
+      | no HTTP                |
+      | nothing                |
+
   Scenario Outline: Bytes without end take bounded memory and time
     Given upstreams of which the first answers with <what> without end
     When a client requests <route> with a timeout of 1.5 seconds
