--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -17,3 +17,13 @@
   Scenario: An answer's header beyond ASCII is passed on as it came
     When a server answers with the header value Malmö
     Then the client gets it in Latin-1: Malmö
+
+  Scenario Outline: Numbers in headers of answers that can't be used
+    Then odd numbers in the header <name> of an answer change nothing
+
+    Examples: by header
+      | name           |
+      | x-server-load  |
+      | server-limit   |
+      | server-leaving |
+      | retry-after    |
--- a/tests/features/steps/odd_entries.py
+++ b/tests/features/steps/odd_entries.py
@@ -1,21 +1,25 @@
 """Step definitions for registrations and documents that can't be used."""
 
 import json
+import math
 import types
 
 import behave
 import trio
 
 from camphorhook_common import wire
+from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.domain.routing import catalog as catalogs
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import protocol
 from tests.features.steps import platform
 from tests.harness import platforms
 
 NESTED = b"[" * 100_000 + b"]" * 100_000
 SHALLOWER = b"[" * 500 + b"]" * 500  # some stacks could still decode it
+ODD_NUMBERS = ("", "nan", "inf", "-inf", "-1", "1e400", "9" * 5000, "²", "0x9")
 PLAIN_SERVERS = ("server-1", "server-2", "server-3")
 REGISTRATION = {
     "Service": "plain",
@@ -170,3 +174,14 @@
         held.append((2, body))
     trio.run(run)
     assert rule_set.get_version() == 1
+
+
+@behave.then("odd numbers in the header {name} of an answer change nothing")
+def check_header(context, name):
+    for value in ODD_NUMBERS:
+        for text in (value, f"{value},{value},{value}"):
+            head = connection_pool.Head(503, [(name, text)])
+            info = protocol.read_head_info(head)
+            assert info.load is None, (text, info)
+            assert info.pause == 0 and not info.is_leaving, (text, info)
+            assert info.limit in (None, math.inf), (text, info)
