Test orders given up by their caller, and at a replica that is cut off

late_orders.feature: the order held on the link to the leader now also with a handler that is cancelled after 0.3 s and a replica that is cut off from the others meanwhile (8 rows), and a command that its submitter gave up while it lay in the leader's queue.

--- a/tests/features/late_orders.feature
+++ b/tests/features/late_orders.feature
@@ -24,15 +24,23 @@
     And every entry instance logs that it obeys
 
   Scenario Outline: An order that the link to the leader held back
-    When an order to <order> a failure domain, which was undone, reaches the <leader> leader late
+    When an order to <order>, given up after <seconds> s and undone, reaches the leader late, and <event>
     Then the last acknowledged order is in force at every replica
 
     Examples:
-      | order     | leader |
-      | evacuate  | same   |
-      | take back | same   |
-      | evacuate  | next   |
-      | take back | next   |
+      | order     | seconds | event                   |
+      | evacuate  | 1.0     | nothing else happens    |
+      | take back | 1.0     | nothing else happens    |
+      | evacuate  | 0.3     | nothing else happens    |
+      | take back | 0.3     | nothing else happens    |
+      | evacuate  | 1.0     | the leader starts again |
+      | take back | 1.0     | the leader starts again |
+      | evacuate  | 1.0     | its replica is cut off  |
+      | take back | 0.3     | its replica is cut off  |
+
+  Scenario: A command that its submitter gave up is not written later
+    When a leader with a slow disk gets a command that is given up at once
+    Then it writes only the command before
 
   Scenario Outline: A copy of another write that comes late changes nothing
     When a late copy of <write> is applied
--- a/tests/features/steps/late_orders.py
+++ b/tests/features/steps/late_orders.py
@@ -167,16 +167,30 @@
 
 
 @behave.when(
-    "an order to {order} a failure domain, which was undone, reaches the "
-    "{leader:w} leader late"
+    "an order to {order}, given up after {seconds:f} s and undone, reaches "
+    "the leader late, and {event}"
 )
-def hold_submit(context, order, leader):
+def hold_submit(context, order, seconds, event):
     context.held, context.states = replicas.run_repeatably(
-        held_submits.SEED, held_submits.play, order, leader == "next"
+        held_submits.SEED, held_submits.play, order, seconds, event
     )
     context.late = order
 
 
+@behave.when(
+    "a leader with a slow disk gets a command that is given up at once"
+)
+def give_up(context):
+    context.rows = replicas.run_repeatably(
+        held_submits.SEED, held_submits.leave_queue
+    )
+
+
+@behave.then("it writes only the command before")
+def check_given_up(context):
+    assert context.rows == {"kept"}, context.rows
+
+
 @behave.then("the last acknowledged order is in force at every replica")
 def check_states(context):
     assert context.held, "no message was held back"
--- a/tests/harness/held_submits.py
+++ b/tests/harness/held_submits.py
@@ -1,9 +1,11 @@
 """Orders that the link between two replicas holds back, on mock time."""
 
 import types
+from unittest import mock
 
 import trio
 
+from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.domain import configuration
@@ -13,6 +15,8 @@
 
 DOMAIN = "zone-a"
 SEED = 1
+SYNC_SECONDS = 0.2  # of a slow disk
+LEAVES_AFTER_SECONDS = 0.05  # a submitter, before the disk has synced
 
 
 class _Exchange:
@@ -55,7 +59,7 @@
         async def deliver():
             if self.is_held:
                 await self.released.wait()
-            command = control.commands.decode(message.kind, message.data)
+            command = commands.decode(message.kind, message.data)
             replies.append(await self._group.running[peer].submit(command))
             done.set()
 
@@ -80,10 +84,10 @@
     )
 
 
-async def _send(app, order):
-    """Send an order once; return the status, 0 without an answer in 1 s."""
+async def _send(app, order, seconds=late_orders.OPERATOR_WAIT_SECONDS):
+    """Send an order once; return the status, 0 without an answer in time."""
     exchange = _Exchange(late_orders.METHODS[order])
-    with trio.move_on_after(late_orders.OPERATOR_WAIT_SECONDS):
+    with trio.move_on_after(seconds):
         await app.handle(exchange)
     return exchange.status
 
@@ -93,12 +97,14 @@
         await trio.sleep(late_orders.PAUSE_SECONDS)
 
 
-async def play(late, has_new_leader):
+async def play(late, seconds, event):
     """Hold an order back on its way to the leader, while it is undone.
 
     Args:
         late: the order that comes late.
-        has_new_leader: whether the leader is killed while it is held back.
+        seconds: time after which its caller leaves.
+        event: what happens meanwhile: `the leader starts again`, `its
+            replica is cut off`, or anything else for nothing.
 
     Returns:
         The number of messages held back, and the state of the failure
@@ -119,12 +125,16 @@
         app = _make_app(group, first, link)
         await _insist(app, last)
         slow_link.is_held = True
-        await _send(_make_app(group, second, slow_link), late)
-        if has_new_leader:
+        if "cut off" in event:
+            for other in (first, leader):
+                group.cut_links.add(frozenset((second, other)))
+        await _send(_make_app(group, second, slow_link), late, seconds)
+        if "starts again" in event:
             group.crash(leader)
             await group.start(leader, nursery)
         await _insist(app, late)
         await _insist(app, last)
+        group.cut_links.clear()
         slow_link.released.set()
         await trio.sleep(1.0)
         states = [
@@ -133,3 +143,38 @@
         ]
         nursery.cancel_scope.cancel()
     return slow_link.held, states
+
+
+async def leave_queue():
+    """Submit two commands, one of which is given up before it is written.
+
+    Returns:
+        The names of the rows that the leader has in the end.
+    """
+    group = replicas.Group(SEED)
+    group.is_reliable = True
+
+    async def sync_slowly(function, *arguments):
+        await trio.sleep(SYNC_SECONDS)
+        return function(*arguments)
+
+    async with trio.open_nursery() as nursery:
+        for name in replicas.NAMES:
+            await group.start(name, nursery)
+        await trio.sleep(replicas.RECOVERY_SECONDS)
+        (leader,) = (
+            one for one in group.running.values() if one.role == "leader"
+        )
+        with mock.patch.object(trio.to_thread, "run_sync", sync_slowly):
+            nursery.start_soon(leader.submit, _make_change("kept"))
+            await trio.sleep(LEAVES_AFTER_SECONDS)
+            with trio.move_on_after(LEAVES_AFTER_SECONDS):
+                await leader.submit(_make_change("given up"))
+            await trio.sleep(1.0)
+        rows = set(leader.state.tables["upstreams"])
+        nursery.cancel_scope.cancel()
+    return rows
+
+
+def _make_change(row):
+    return commands.SetCells(row, "upstreams", row, 0, {"weight": 1}, 0)
