Send nothing to a failure domain evacuated while it waited

What callers saw: a request that had chosen its upstream and then waited for a place, a permit, a prefill or a connection was sent to it, even if its failure domain had been evacuated meanwhile.

Cause: what is asked just before the first byte looked at leaving notices, pauses, keys and permits, not at evacuated failure domains.

Change: it looks at them too. The request then goes to another upstream and counts as not sent. The question which parts an engine holds is not sent to an evacuated failure domain either.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -326,6 +326,8 @@
         obstacle = self.withdrawals.find_obstacle(upstream)
         if obstacle:
             return obstacle
+        if upstream.failure_domain in self._rules.list_excluded_domains():
+            return f"{upstream.failure_domain} is taken out of service"
         table = self._rules.get_table()
         spec = table.services.get(upstream.service) if table else None
         if self._find_rate(upstream, spec, now) == math.inf:
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -415,7 +415,8 @@
 
         Raises:
             ports.AttemptError: the engine did not answer completely.
-            ports.SendWithheld: the engine leaves, wants a pause or is limited.
+            ports.SendWithheld: the engine leaves, wants a pause, is limited
+                or in a failure domain that is taken out of service.
         """
         call = ports.Call(
             "GET",
--- a/tests/features/steps/withdrawals.py
+++ b/tests/features/steps/withdrawals.py
@@ -236,6 +236,8 @@
         # The prompt counts as being prefilled on one of the engines.
         now = trio.current_time()
         chosen, context.other = router.upstreams
+        chosen.failure_domain = "zone-b"
+        router.register()
         router.cache_index.record_placement(*PART, chosen.name, now)
         context.chosen = chosen
         context.clients = [routers.Client()]
@@ -246,6 +248,8 @@
                 router.withdrawals.record_departure(chosen.register())
             elif "pause" in event:
                 router.withdrawals.record_pause(chosen.register(), 30.0)
+            elif "evacuated" in event:
+                router.excluded_domains = {chosen.failure_domain}
             else:
                 table = router.table
                 router.table = tables.RoutingTable(
@@ -256,6 +260,35 @@
     run_actions(context)
 
 
+@behave.when("a request waits for a {what}, as its upstream is evacuated")
+def evacuate_chosen(context, what):
+    async def run(router):
+        by_name = {one.name: one for one in router.upstreams}
+        for number, one in enumerate(router.upstreams):
+            one.failure_domain = f"zone-{number}"
+        router.register()
+        forwarder = router.forwarder
+        is_connection = what == "connection"
+        holder = forwarder._pool if is_connection else forwarder._selector
+        name = "_acquire" if is_connection else "acquire"
+        acquire = getattr(holder, name)
+
+        async def evacuate(first, *others):
+            result = await acquire(first, *others)
+            if not router.excluded_domains:
+                target = first if is_connection else result.choice.upstream
+                context.chosen = by_name.pop(target.name)
+                (context.other,) = by_name.values()
+                router.excluded_domains = {target.failure_domain}
+            return result
+
+        setattr(holder, name, evacuate)
+        context.clients = [await router.send()]
+
+    add_action(context, run)
+    run_actions(context)
+
+
 @behave.then("the request goes to the other engine and takes no retry")
 def check_moved(context):
     assert not context.chosen.requests, context.chosen.requests
--- a/tests/features/withdrawals.feature
+++ b/tests/features/withdrawals.feature
@@ -78,6 +78,17 @@
       | event            |
       | leaves           |
       | wants a pause    |
+      | is evacuated     |
+
+  Scenario Outline: Nothing that waited reaches an evacuated failure domain
+    Given 2 upstreams of a service that has no engines
+    When a request waits for a <what>, as its upstream is evacuated
+    Then the request goes to the other engine and takes no retry
+
+    Examples:
+      | what              |
+      | place or a permit |
+      | connection        |
 
   Scenario: A key that is revoked while its request waits is not used
     Given 2 upstreams of a service that has engines
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -59,11 +59,13 @@
         is_reset_only: it resets the connection there and runs on.
         capacity: number of requests that it says it runs at once.
         run_seconds: time until it answers.
+        failure_domain: its failure domain.
     """
 
     def __init__(self, number):
         self.capacity = 64
         self.run_seconds = 0.0
+        self.failure_domain = "zone-a"
         self.name = f"upstream-{number}"
         self.incarnation = 1
         self.requests = []
@@ -119,7 +121,7 @@
         return wire.Registration(
             self.name,
             SERVICE,
-            "zone-a",
+            self.failure_domain,
             "127.0.0.1",
             self.port,
             self.incarnation,
@@ -185,6 +187,7 @@
         cache_index: the instance's CacheIndex.
         withdrawals: the instance's Withdrawals.
         limits: the instance's UpstreamLimits.
+        excluded_domains: failure domains that are taken out of service.
         rules: stand-in for the rules in force.
         counts: stand-in for the metrics.
         is_cut_off: no replica answers the instance any more.
@@ -236,13 +239,14 @@
         self.evidence = crash_evidence.CrashEvidence(
             verdicts.SHARED_LIMIT, now
         )
+        self.excluded_domains = frozenset()
         self.rules = types.SimpleNamespace(
             get_table=lambda: self.table,
             get_version=lambda: self.table.version,
             measure_age_ms=lambda: 0,
             is_current=lambda: True,
             may_deny=lambda: True,
-            list_excluded_domains=frozenset,
+            list_excluded_domains=lambda: self.excluded_domains,
             make_retry_budget=lambda: budgets.RetryBudget(1.0, 1000, 10.0),
         )
         selector = selection.Selector(
