Apply no late order of an operator over a newer one

What operators saw: an order without a version that was held back (a slow replica, a copy sent again) was applied over a newer, acknowledged one.

Cause: the command carried 'any version', so nothing told old from new, and it was submitted for a caller that had disconnected.

Change: the version known on arrival is the condition. A conflict with a change that was not known then is answered 503, once that change has arrived here; the order sent again goes on under an id that all copies derive from the stored conflict, so it takes effect once and is acknowledged again. Nothing is submitted for a caller that has gone. Log, state and messages are as before.

--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -250,7 +250,7 @@
         outcome = None
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_on_disconnect, receive, nursery)
+                nursery.start_soon(http.cancel_on_disconnect, receive, nursery)
                 runner = self._components.chat_runner
                 outcome = await runner.run_unstreamed(admitted)
                 nursery.cancel_scope.cancel()
@@ -326,7 +326,7 @@
         ]
         has_begun = False
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_disconnect, receive, nursery)
+            nursery.start_soon(http.cancel_on_disconnect, receive, nursery)
             await http.send_head(context.send, 200, headers)
             while True:
                 await stream.wait_for_event_after(number)
@@ -497,15 +497,6 @@
     return b"event: error\ndata: " + body + b"\n\n"
 
 
-async def _cancel_on_disconnect(receive, nursery):
-    """Cancel a nursery once the client has closed its connection."""
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            nursery.cancel_scope.cancel()
-            return
-
-
 def _make_method_failure(allowed):
     text = f"use the method {allowed} here"
     return wire.RequestFailure(405, "method_not_allowed", text, "not-run")
--- a/packages/daemon/src/camphorhook_daemon/adapters/http.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/http.py
@@ -77,6 +77,15 @@
     return b"".join(chunks)
 
 
+async def cancel_on_disconnect(receive, nursery):
+    """Cancel a nursery once the client has closed its connection."""
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            nursery.cancel_scope.cancel()
+            return
+
+
 def _describe_large_body(limits):
     text = f"the body is larger than {limits.body_bytes} bytes"
     return wire.RequestFailure(413, "body_too_large", text, "not-run")
--- a/packages/daemon/src/camphorhook_daemon/adapters/operators.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/operators.py
@@ -18,6 +18,8 @@
 SUBMIT_TIMEOUT_SECONDS = 8.0
 STATUS_TIMEOUT_SECONDS = 1.5
 IN_FORCE_TIMEOUT_SECONDS = 2.0  # for an accepted change to arrive here
+DEPARTURE_SECONDS = 0.01  # after a pause, to read that a caller has left
+CONFLICT_RETRY_SECONDS = 0.1
 MAX_OPERATION_CHARACTERS = 128
 
 
@@ -121,6 +123,8 @@
     async def _change_row(self, request, names, receive, send):
         """Set cells of a row (PUT) or remove the row (DELETE).
 
+        Nothing is done any more for a caller that has disconnected.
+
         Returns:
             The wire.RequestFailure to answer with; None if an answer was
             sent.
@@ -134,18 +138,16 @@
         result = self._read_change(request, names, body)
         if isinstance(result, wire.RequestFailure):
             return result
-        try:
-            outcome = await self._components.submitter.submit(
-                result, SUBMIT_TIMEOUT_SECONDS
-            )
-        except errors.UnreachableError as error:
-            text = (
-                f"{error.message}; the change may still be committed: send "
-                "it again with the same operation id"
-            )
-            return wire.RequestFailure(
-                503, "no_quorum", text, "maybe-run", 1.0
-            )
+        version = self._find_version(result)
+        index = self._components.configuration.index
+        outcome = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(http.cancel_on_disconnect, receive, nursery)
+            await trio.sleep(DEPARTURE_SECONDS)
+            outcome = await self._submit_change(result, version, index)
+            nursery.cancel_scope.cancel()
+        if outcome is None or isinstance(outcome, wire.RequestFailure):
+            return outcome
         if outcome.code == "done":
             # The operator's next read here must not be older.
             with trio.move_on_after(IN_FORCE_TIMEOUT_SECONDS):
@@ -167,6 +169,66 @@
         await http.send_json(send, status, answer)
         return None
 
+    def _find_version(self, command):
+        """Return the version that the row of a change must have.
+
+        It is the version known here if the operator named none.
+        """
+        if command.expected_version != states.ANY_VERSION:
+            return command.expected_version
+        rows = self._components.configuration.list_rows(command.table)
+        return rows[command.row][0] if command.row in rows else 0
+
+    async def _submit_change(self, command, version, arrived_index):
+        """Submit a change; return its Outcome, or a wire.RequestFailure.
+
+        If the operator named no version, a conflict with a change that was
+        not known here on arrival is a failure. One found before the arrival
+        is the stored outcome of an earlier copy: the change goes on under an
+        id that all copies derive from it, so that it takes effect once.
+
+        Args:
+            command: the SetCells or RemoveRow.
+            version: version that the row must have.
+            arrived_index: index of the configuration on arrival.
+        """
+        operation = command.operation
+        while True:
+            try:
+                outcome = await self._components.submitter.submit(
+                    command._replace(
+                        operation=operation, expected_version=version
+                    ),
+                    SUBMIT_TIMEOUT_SECONDS,
+                )
+            except errors.UnreachableError as error:
+                text = (
+                    f"{error.message}; the change may still be committed: "
+                    "send it again with the same operation id"
+                )
+                return wire.RequestFailure(
+                    503, "no_quorum", text, "maybe-run", 1.0
+                )
+            is_any = command.expected_version == states.ANY_VERSION
+            if not is_any or outcome.code != "conflict":
+                return outcome
+            # A row that was removed has no version any more.
+            if (outcome.version or outcome.index) > arrived_index:
+                return await self._describe_conflict(outcome)
+            operation = f"{operation}/{outcome.index}"
+
+    async def _describe_conflict(self, outcome):
+        """Return the failure once the other change is known here."""
+        with trio.move_on_after(IN_FORCE_TIMEOUT_SECONDS):
+            configuration = self._components.configuration
+            await configuration.wait_for_change(
+                outcome.version or outcome.index
+            )
+        text = f"{outcome.detail}, which was not known here; send it again"
+        return wire.RequestFailure(
+            503, "changed_meanwhile", text, "not-run", CONFLICT_RETRY_SECONDS
+        )
+
     def _read_change(self, request, names, body):
         """Return the command for a change.
 
