--- a/tests/features/late_changes.feature
+++ b/tests/features/late_changes.feature
@@ -21,3 +21,19 @@
     Given a failure domain that operators took out of use
     When an order to take back it comes from an operator that has gone
     Then nothing is submitted
+
+  Scenario Outline: A late copy of another write changes nothing
+    Given a state to which <before> were applied
+    When a late copy of <late> is applied
+    Then its outcome is <outcome>, and the state is as before
+
+    Examples:
+      | before                             | late             | outcome  |
+      | claim one, finish one              | claim one        | replay   |
+      | claim one, finish one              | abandon one      | done     |
+      | claim one, finish one              | claim two        | replay   |
+      | abandon one                        | claim one        | abandoned |
+      | claim one, abandon one, claim two  | claim one        | running  |
+      | claim one, abandon one, claim two  | finish one       | refused  |
+      | document 5, document 7             | document 5       | kept     |
+      | document 5, document 7             | document 7       | kept     |
--- a/tests/features/registrations.feature
+++ b/tests/features/registrations.feature
@@ -22,6 +22,15 @@
     When it registers with incarnation 101, sequence 1 and state live
     Then the upstream is live
 
+  Scenario: A late farewell ends no newer incarnation
+    Given an upstream registered with incarnation 100, sequence 5 and state live
+    When it registers with incarnation 101, sequence 1 and state live
+    And incarnation 100 deregisters late
+    Then the upstream is live
+    When the replica restarts without a registration of the upstream
+    And incarnation 100 deregisters late
+    Then the upstream is live
+
   Scenario: An older upstream can't come back at an address used again
     Given an upstream registered with incarnation 100, sequence 5 and state live
     When another upstream registers at its address with incarnation 200
--- a/tests/features/steps/late_changes.py
+++ b/tests/features/steps/late_changes.py
@@ -7,6 +7,7 @@
 import trio
 
 from camphorhook_common import commands
+from camphorhook_common import deltas
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import operators
 from camphorhook_daemon.domain import configuration
@@ -185,3 +186,46 @@
 @behave.then("nothing is submitted")
 def check_nothing(context):
     assert not context.interface.submitted, context.interface.submitted
+
+
+def make_command(text):
+    """Return the command that a scenario names."""
+    word, name = text.split()
+    if word == "document":
+        return commands.ImportDocument(int(name), deltas.pack(b"{}"), 1.0)
+    if word == "claim":
+        return commands.ClaimAttempt(
+            "club", "key", "digest", name, "a1", 3600.0, 60.0, 1.0
+        )
+    state = {"finish": "finished", "abandon": "abandoned"}[word]
+    return commands.SettleAttempt(
+        "club", "key", name, state, 200, "text/plain", b"", 1.0
+    )
+
+
+def apply_command(state, text):
+    """Apply the command that a scenario names; return its Outcome."""
+    encoded = commands.encode(make_command(text))
+    return state.apply(commands.Entry(state.index + 1, 1, *encoded))
+
+
+@behave.given("a state to which {before} were applied")
+def apply_before(context, before):
+    context.state = states.State()
+    for text in before.split(", "):
+        apply_command(context.state, text)
+
+
+@behave.when("a late copy of {late} is applied")
+def apply_late(context, late):
+    state = context.state
+    context.before = dict(state.claims), dict(state.tables["documents"])
+    context.outcome = apply_command(state, late)
+
+
+@behave.then("its outcome is {outcome}, and the state is as before")
+def check_unchanged(context, outcome):
+    assert context.outcome.code == outcome, context.outcome
+    state = context.state
+    after = dict(state.claims), dict(state.tables["documents"])
+    assert after == context.before, (context.before, after)
--- a/tests/features/steps/registrations.py
+++ b/tests/features/steps/registrations.py
@@ -121,6 +121,12 @@
     context.simulation.synchronize()
 
 
+@behave.when("incarnation {incarnation:d} deregisters late")
+def deregister_late(context, incarnation):
+    context.simulation.registry.deregister("one", incarnation)
+    context.simulation.synchronize()
+
+
 @behave.when(
     "another upstream registers at its address with incarnation "
     "{incarnation:d}"
