--- a/tests/features/late_orders.feature
+++ b/tests/features/late_orders.feature
@@ -43,7 +43,7 @@
     Then it writes only the command before
 
   Scenario Outline: A copy of another write that comes late changes nothing
-    When a late copy of <write> is applied
+    When the state gets a late copy of <write>
     Then rows, claims and documents stay as they are
 
     Examples:
--- a/tests/features/steps/late_orders.py
+++ b/tests/features/steps/late_orders.py
@@ -287,7 +287,7 @@
 }
 
 
-@behave.when("a late copy of {write} is applied")
+@behave.when("the state gets a late copy of {write}")
 def apply_late(context, write):
     state = states.State()
     context.contents = []
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -187,6 +187,7 @@
         cache_index: the instance's CacheIndex.
         withdrawals: the instance's Withdrawals.
         limits: the instance's UpstreamLimits.
+        excluded_domains: failure domains that are taken out of service.
         rules: stand-in for the rules in force.
         counts: stand-in for the metrics.
         is_cut_off: no replica answers the instance any more.
@@ -238,13 +239,14 @@
         self.evidence = crash_evidence.CrashEvidence(
             verdicts.SHARED_LIMIT, now
         )
+        self.excluded_domains = frozenset()
         self.rules = types.SimpleNamespace(
             get_table=lambda: self.table,
             get_version=lambda: self.table.version,
             measure_age_ms=lambda: 0,
             is_current=lambda: True,
             may_deny=lambda: True,
-            list_excluded_domains=frozenset,
+            list_excluded_domains=lambda: self.excluded_domains,
             make_retry_budget=lambda: budgets.RetryBudget(1.0, 1000, 10.0),
         )
         selector = selection.Selector(
