Show that an evacuation holds in time beside a frozen replica

An instance whose watched replica is frozen goes on with the state before until its watch times out (1.9 s) and it asks the next one. Requests on public routes are not held back meanwhile.

--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -39,6 +39,17 @@
     Then a request with key-2 to entry-1 does not run
     And explain reports of request gone: entry-1 had no confirmation
 
+  Scenario Outline: An evacuation holds in time beside a frozen replica
+    When process replica-<number> is paused
+    And zone-b is taken out, as entry-2 sends it open requests
+    Then within 4.5 seconds entry-2 sends it nothing more
+
+    Examples: one of them is watched by entry-2
+      | number |
+      | 1      |
+      | 2      |
+      | 3      |
+
   Scenario: The leader is killed, and orders and requests go on
     When the leading replica is killed
     Then within 5 seconds document 30 is acknowledged
--- a/tests/features/steps/platform.py
+++ b/tests/features/steps/platform.py
@@ -176,6 +176,7 @@
 @behave.when("process {name} is paused")
 def pause(context, name):
     context.platform.pause(name)
+    context.paused = name
 
 
 @behave.when("document {version:d} revokes key-2")
@@ -190,6 +191,36 @@
     context.platform.resume(name)
 
 
+@behave.when("zone-b is taken out, as {entry} sends it open requests")
+def evacuate_beside_requests(context, entry):
+    def is_sent():
+        answer = context.platform.request(entry, "/open/a")
+        return answer.body.startswith(b"server-2 ")
+
+    others = [n for n in (1, 2, 3) if context.paused != f"replica-{n}"]
+    processes.wait_until(
+        lambda: context.platform.call_control(
+            "POST", "/-/evacuations/zone-b", replicas=others
+        ).status
+        == 200,
+        what="acknowledgement of the evacuation",
+    )
+    began_at = time.monotonic()
+    context.late = []
+    while time.monotonic() < began_at + 5.5:
+        sent_at = time.monotonic()
+        if is_sent():
+            context.late.append(sent_at - began_at)
+        time.sleep(0.02)
+
+
+@behave.then("within {seconds:f} seconds {entry} sends it nothing more")
+def check_evacuated(context, seconds, entry):
+    last = max(context.late, default=0.0)
+    print(f"last one sent {last:.2f} s after the acknowledgement")
+    assert last < seconds, last
+
+
 @behave.then("a request with key-2 to {name} does not run")
 def check_key_revoked(context, name):
     answer = context.platform.request(
