Soak: a new replica answers before the one that it replaces is told to stop

The final fault now also comes so long after the planned replacement as drawn, however late that was.

--- a/tests/soak/injector.py
+++ b/tests/soak/injector.py
@@ -46,6 +46,7 @@
         self._bodies = {1: worlds.make_document(1)}
         self._evacuated = set()
         self._leavers = []
+        self._replaced_at = 0.0
         self._errors = []
         # A process has one fault at a time, even if a fault takes longer
         # than scheduled.
@@ -242,6 +243,7 @@
             return
         time.sleep(fault.seconds)
         process = self._world.let_replica_go(fault.target, successor)
+        self._replaced_at = time.time()
         leaver = threading.Thread(target=_stop, args=(process,))
         self._leavers.append(leaver)
         leaver.start()
@@ -268,12 +270,16 @@
     def restart_all(self, fault):
         """Kill all instances at the same time and restart them.
 
-        A target is the replica that loses its disk meanwhile.
+        A target is the replica that loses its disk meanwhile; this comes so
+        many seconds after a planned replacement at least.
         """
         names = (*schedules.REPLICAS, *schedules.ENTRIES)
         with contextlib.ExitStack() as stack:
             for name in names:
                 stack.enter_context(self._process_locks[name])
+            if fault.target:
+                due_at = self._replaced_at + fault.seconds
+                time.sleep(max(0.0, due_at - time.time()))
             begin = time.time()
             for name in names:
                 self._world.send_signal(name, signal.SIGKILL)
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -208,7 +208,7 @@
         gap = rng.choice(AFTER_REPLACEMENT)
         ends.append(Fault(at, "replace", old, CATCH_UP_SECONDS + 0.5))
         at += CATCH_UP_SECONDS + 0.5 + gap
-        ends.append(Fault(round(at, 2), "power and disk", lost, 0.0))
+        ends.append(Fault(round(at, 2), "power and disk", lost, gap))
     return ends
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -16,6 +16,7 @@
 from tests.harness import platforms
 from tests.harness import processes
 from tests.soak import checkers
+from tests.soak import operators
 from tests.soak import schedules
 
 PROXY_PORT_OFFSET = 100  # from the port of a process to that of its proxy
@@ -199,7 +200,10 @@
         """Start a replica with an empty disk at a new address.
 
         Returns:
-            Its name; None if there is no address left.
+            Its name, once it answers; None if there is no address left.
+
+        Raises:
+            TimeoutError: it does not answer in START_TIMEOUT_SECONDS.
         """
         number = schedules.REPLICAS.index(place) + 1
         self._starts[place] += 1
@@ -209,6 +213,12 @@
         name = f"replica-{number}"
         self._start_instance(name)
         self._change_list(name, True)
+        address = self.platform.find_address(name), platforms.CONTROL_PORT
+        processes.wait_until(
+            lambda: operators.call(address, "GET", operators.CONFIG_PATH)[0],
+            START_TIMEOUT_SECONDS,
+            name,
+        )
         return name
 
     def let_replica_go(self, place, successor):
