Wait for a lost leader with a successor in sight

A stopping voter whose leader is killed before it answers gave up after 3 s; beside load, replicas need longer to come back. It now gives up early only while a leader that is in contact does not answer (an older build).

--- a/packages/daemon/src/camphorhook_daemon/domain/leaving.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/leaving.py
@@ -9,7 +9,7 @@
 CALL_TIMEOUT_SECONDS = 0.6
 INTERVAL_SECONDS = 0.1
 ELECTION_WAIT_SECONDS = 1.5  # longer than an election takes
-LEADER_WAIT_SECONDS = 3.0  # with a successor in sight
+LEADER_WAIT_SECONDS = 3.0  # for a leader that does not answer
 _NO_ANSWER = wire.LeaveReply("no answer", "", "no leader answers")
 _NO_LEADER = wire.LeaveReply("not_leader", "", "no leader is known")
 
@@ -46,7 +46,8 @@
             reply = await _ask(replica, identity, transport)
             is_pending = is_pending or reply.code == "pending"
             waited = now() - began_at
-            if not is_pending and _gives_up(reply, may_be_replaced, waited):
+            ignored = reply.code == "no answer" and _has_leader(replica)
+            if not is_pending and _gives_up(ignored, may_be_replaced, waited):
                 break
             await trio.sleep(INTERVAL_SECONDS)
     except trio.Cancelled:
@@ -58,11 +59,20 @@
         _log_kept(reply.detail)
 
 
-def _gives_up(reply, may_be_replaced, waited):
-    """Return whether to stop without an answer, after `waited` seconds."""
+def _has_leader(replica):
+    """Return whether a leader is in contact, so that it could answer."""
+    age = replica.measure_contact_age()
+    return age is not None and age < CALL_TIMEOUT_SECONDS
+
+
+def _gives_up(ignored, may_be_replaced, waited):
+    """Return whether to stop without an answer, after `waited` seconds.
+
+    With a successor in sight, a leader that was lost is waited for.
+    """
     if may_be_replaced:
-        return waited > LEADER_WAIT_SECONDS
-    return reply.code == "no answer" or waited > ELECTION_WAIT_SECONDS
+        return ignored and waited > LEADER_WAIT_SECONDS
+    return ignored or waited > ELECTION_WAIT_SECONDS
 
 
 def _log_kept(reason):
