Answer open watches as a replica stops

What callers saw: after a planned stop of a replica, entry instances that watched it answered 503, "the configuration may be old" (the users' record has this line at all entry instances): 11 to 39 of some 1,900 requests of older_builds.feature at a load above 45, 23 of 1,966 with alone.

Cause: a watch that is open as its replica stops gets no answer and waits for 1.9 s until the next replica is asked.

Measured: older_builds, replacements and log_safety pass side by side, load 3. Not run at a load as high as that of the failures.

--- a/packages/daemon/src/camphorhook_daemon/domain/configuration.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/configuration.py
@@ -169,14 +169,25 @@
         self._replica = replica
         self._transport = transport
         self._now = now
+        self._is_closed = False
         self._confirmation_lock = trio.Lock()
         self._round_started_at = float("-inf")
         self._confirmed_index = -1
 
+    def close(self):
+        """Answer all watches at once, so that watchers change the replica.
+
+        Otherwise they would wait for a replica that has stopped until their
+        calls time out.
+        """
+        self._is_closed = True
+        self._replica.notify_applied()
+
     async def answer(self, request):
         """Return the WatchReply to a Watch.
 
-        Waits for a change, for up to the request's wait_ms.
+        Waits for a change, for up to the request's wait_ms. The reply names
+        no contact with a leader after `close`.
 
         Raises:
             errors.UnreachableError: the request asks for a confirmed state,
@@ -188,7 +199,7 @@
                 "no leader confirmed that the state is current", step="watch"
             )
         with trio.move_on_after(request.wait_ms * SECONDS_PER_MS):
-            while not self._has_changes(request.index):
+            while not (self._is_closed or self._has_changes(request.index)):
                 await self._replica.applied.wait()
         whole, changes = state.list_changes(request.index)
         if state.index < request.index:
@@ -198,6 +209,8 @@
                 changes, state, request.index
             )
         age = self._replica.measure_contact_age()
+        if self._is_closed:
+            age = None
         age_ms = -1 if age is None else int(age / SECONDS_PER_MS)
         return wire.WatchReply(
             state.index,
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -1063,7 +1063,7 @@
         self._stored_index = checkpoint.index
         self.state.load(checkpoint.data)
         self._set_commit(checkpoint.index)
-        self._notify_applied()
+        self.notify_applied()
         _log_voters(checkpoint.voters, checkpoint.index)
         detail = f"index {checkpoint.index}"
         self._recorder.record("log.snapshot_installed", detail=detail)
@@ -1079,7 +1079,8 @@
 
     # --- applying --------------------------------------------------------
 
-    def _notify_applied(self):
+    def notify_applied(self):
+        """Wake all that wait for entries to be applied."""
         self.applied.set()
         self.applied = trio.Event()
 
@@ -1096,7 +1097,7 @@
                 continue
             while self.state.index < self.commit_index:
                 self._apply_next()
-            self._notify_applied()
+            self.notify_applied()
             if len(self._log) > 2 * SNAPSHOT_ENTRIES:
                 await self._compact()
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -62,6 +62,7 @@
 REPLICA_SCAN_SECONDS = 1.0
 # Two readiness checks, one second apart, must fail before the drain begins.
 SHUTDOWN_DELAY_SECONDS = 2.6
+LAST_REPLIES_SECONDS = 0.05  # closing the sockets discards unsent messages
 HELD_PARTS_TIMEOUT_SECONDS = 1.0  # for one engine
 MAX_HANDOVER_BYTES = 4096  # of the headers of a request handed over
 MAX_PROBE_BYTES = 64 * 1024  # of an answer to a probe
@@ -658,16 +659,20 @@
     with trio.move_on_after(components.settings.stop_seconds):
         async with trio.open_nursery() as nursery:
             if components.replica is not None:
-                nursery.start_soon(
-                    leaving.leave,
-                    components.replica,
-                    components.journal.identity,
-                    components.transport,
-                )
+                nursery.start_soon(_leave, components)
             if components.forwarder is not None:
                 nursery.start_soon(_drain, components)
 
 
+async def _leave(components):
+    """Let watchers and the vote go to other replicas."""
+    components.watch_server.close()
+    await leaving.leave(
+        components.replica, components.journal.identity, components.transport
+    )
+    await trio.sleep(LAST_REPLIES_SECONDS)
+
+
 async def _drain(components):
     await trio.sleep(SHUTDOWN_DELAY_SECONDS)
     # From now on, clients that send another request must reach another
