Stop a replica beside a new leader and beside a settled one

The scenario of a plain restart failed once beside load (1.5 s, load 20). Both cases are played now: 1.5 s as before beside a settled leader, 2.5 s beside a new one (GraceS is 8 s).

--- a/tests/features/replacements.feature
+++ b/tests/features/replacements.feature
@@ -34,13 +34,18 @@
     Then within 12 seconds the last acknowledged document is read back
     And the stopped replicas exited by themselves within 8 seconds
 
-  Scenario: A replica that restarts without a successor keeps its vote
-    When a follower gets SIGTERM
-    Then it exits within 1.5 seconds and reports: keeps its vote
+  Scenario Outline: A replica that restarts without a successor keeps its vote
+    When a follower gets SIGTERM <after> seconds after document 10
+    Then it exits within <limit> seconds and reports: keeps its vote
     When this replica is started again
     And a follower is killed
     Then document 11 is acknowledged by the replicas that are left
 
+    Examples: a new leader waits for 1 s for replicas that it has not met
+      | after | limit |
+      | 0     | 2.5   |
+      | 2     | 1.5   |
+
   Scenario: A successor that dies while it takes over
     When replica-4 starts 2.0 seconds ahead of SIGTERM to a follower
     And replica-4 is killed at once and its disk is lost
--- a/tests/features/steps/replacements.py
+++ b/tests/features/steps/replacements.py
@@ -210,8 +210,9 @@
     wait_read_back(context, context.operator.acknowledged, seconds)
 
 
-@behave.when("a follower gets SIGTERM")
-def stop_one(context):
+@behave.when("a follower gets SIGTERM {after:g} seconds after document 10")
+def stop_one(context, after):
+    time.sleep(after)
     (context.restarted,) = choose(context, "a follower")
     stop(context, [context.restarted])
 
