--- a/packages/daemon/src/camphorhook_daemon/domain/orders.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/orders.py
@@ -14,7 +14,6 @@
 # a second without an answer.
 TIMEOUT_SECONDS = 0.85
 MAX_DELAY_SECONDS = 0.5  # from the acceptance to the complete order
-STEP = "set failure domain"
 
 
 class Orders:
@@ -67,13 +66,14 @@
         )
         if outcome.code != "done":
             raise errors.UnreachableError(
-                f"another order came first: {outcome.detail}", step=STEP
+                f"another order came first: {outcome.detail}",
+                step="set failure domain",
             )
         logs.log(
             "info",
             f"failure domain {domain} is {state}",
             operation=command.operation,
-            step=STEP,
+            step="set failure domain",
             inputs={"index": outcome.index, "code": outcome.code},
         )
         # Otherwise the caller's next order here would be overtaken.
@@ -93,7 +93,7 @@
         raise errors.UnreachableError(
             f"the order came {age:.3f} s after its connection, over "
             f"{MAX_DELAY_SECONDS:g} s",
-            step=STEP,
+            step="set failure domain",
         )
 
 
