Mend what a newcomer would stumble over in the log of replicas

Cause: a reading of the whole change. Decisions on the votes of candidates were kept for each replica for good; the term of an election had the name of a transfer's in both cases; constants said neither what they limit nor of what they are multiples; log lines and comments used figures of speech; the simulated group was started in seven places.

--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -21,7 +21,7 @@
 _CONNECTING_KINDS = (zmq.DEALER, zmq.SUB)  # sockets of other types are bound
 _CONNECT_POLL_INTERVAL_SECONDS = 0.02
 _CONNECT_TIMEOUT_MS = 1500  # allows for a lost SYN, retransmitted in 1 s
-_SILENCE_SECONDS = 0.25  # without an answer, before a line says so
+_SILENCE_SECONDS = 0.25  # without an answer, above which it is logged
 
 
 class TrioSocket:
--- a/packages/daemon/src/camphorhook_daemon/domain/replica.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/replica.py
@@ -31,11 +31,9 @@
 LEAVE_WAIT_SECONDS = 0.3  # half of the time that the sender waits
 SECONDS_PER_MS = 0.001
 MAX_ELECTION_BACKOFF = 4  # election timeouts, after as many failures
-DISK_TIMEOUT_FACTOR = 2  # election timeouts, then the leader hands over
-VOTE_TIMEOUT_FACTOR = (
-    4  # times that of a pre-vote, as a vote is synced to disk
-)
-PAUSE_SECONDS = 0.5  # of this process or its disk, above which a line says so
+DISK_TIMEOUT_FACTOR = 2  # of the election timeout, for a leader's write
+VOTE_TIMEOUT_FACTOR = 4  # of a pre-vote's timeout, as a vote is synced
+PAUSE_SECONDS = 0.5  # of this process or its disk, above which it is logged
 
 
 class _Proposal:
@@ -244,7 +242,7 @@
             wait = min_timeout * (1 + self._rng.random())
             began_at = self._now()
             await trio.sleep(wait / 4)
-            self._note_pause("this process", self._now() - began_at - wait / 4)
+            self._log_pause("this process", self._now() - began_at - wait / 4)
             if self.role == "leader":
                 await self._check_leadership()
             elif self.is_voter and self._is_election_due(wait):
@@ -258,11 +256,11 @@
         heard_at = max(self._leader_contact_at, self._voted_at)
         return now - heard_at > wait and now >= self._next_election_at
 
-    def _note_pause(self, what, seconds):
+    def _log_pause(self, what, seconds):
         if seconds > PAUSE_SECONDS:
             logs.log(
                 "warning",
-                f"{what} stood still for {seconds:.3f} s",
+                f"{what} paused for {seconds:.3f} s",
                 step="replicate",
                 inputs={"role": self.role, "term": self.term},
             )
@@ -280,7 +278,7 @@
                 await trio.to_thread.run_sync(function, *arguments)
             finally:
                 self._write_began_at = None
-        self._note_pause("the disk", self._now() - began_at)
+        self._log_pause("the disk", self._now() - began_at)
 
     def _check_quorum(self):
         silence = self._now() - self._find_quorum_contact()
@@ -297,14 +295,14 @@
     async def _check_leadership(self):
         """Step down without a quorum; hand over while the disk hangs.
 
-        Followers hear of a leader whose disk hangs, so that none would
-        stand. The lock is not needed, and held by the write.
+        Followers still hear from a leader whose disk hangs, so that none
+        begins an election. The lock is not taken, as the write holds it.
         """
         seconds = self._measure_write()
-        patience = (
+        timeout = (
             DISK_TIMEOUT_FACTOR * self._timing.election_ms * SECONDS_PER_MS
         )
-        if seconds > patience:
+        if seconds > timeout:
             await self._hand_over(f"the disk has hung for {seconds:.3f} s")
         else:
             self._check_quorum()
@@ -318,15 +316,15 @@
         """
         transfer = transfer_term is not None
         began_at = self._now()
+        asked_term = transfer_term if transfer else self.term
         if not transfer:
             self.role = "candidate"
             self.leader = ""
-            transfer_term = self.term
             if not await self._collect_votes(self.term + 1, pre_vote=True):
                 return
         async with self._lock:
             # What held the lock may have changed the term.
-            if self.term != transfer_term or not self.is_voter:
+            if self.term != asked_term or not self.is_voter:
                 return
             has_voted = self._voted_at >= began_at
             if (self._has_recent_leader() or has_voted) and not transfer:
@@ -998,6 +996,7 @@
         self._last_leader = leader
         self.role = "follower" if self.is_voter else "learner"
         self._last_election = None
+        self._last_votes.clear()
         self._failed_elections = 0
         self._next_election_at = float("-inf")
         if self.leader != leader:
--- a/tests/harness/replicas.py
+++ b/tests/harness/replicas.py
@@ -476,6 +476,13 @@
     return group.counts
 
 
+async def _start_all(group, nursery):
+    """Start all replicas of a group and wait until they have a leader."""
+    for name in NAMES:
+        await group.start(name, nursery)
+    await trio.sleep(RECOVERY_SECONDS)
+
+
 async def measure_replication(changes):
     """Return the replication delay of each change in seconds.
 
@@ -487,9 +494,7 @@
     group.is_reliable = True
     waits = []
     async with trio.open_nursery() as nursery:
-        for name in NAMES:
-            await group.start(name, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         replicas = list(group.running.values())
         (leader,) = (one for one in replicas if one.role == "leader")
         for number in range(changes):
@@ -551,9 +556,7 @@
     group.is_reliable = True
     held = []
     async with trio.open_nursery() as nursery:
-        for name in NAMES:
-            await group.start(name, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         (leader,) = (
             one for one in group.running.values() if one.role == "leader"
         )
@@ -584,9 +587,7 @@
     group = Group(seed)
     group.is_reliable = True
     async with trio.open_nursery() as nursery:
-        for name in NAMES:
-            await group.start(name, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         for disk in group.disks.values():
             disk.sync_seconds = seconds
         group.crash(group.find_leader())
@@ -609,9 +610,7 @@
     group = Group(seed)
     group.is_reliable = True
     async with trio.open_nursery() as nursery:
-        for name in NAMES:
-            await group.start(name, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         since = trio.current_time()
         group.disks[group.find_leader()].hangs_until = since + seconds
         async with trio.open_nursery() as submitters:
@@ -634,9 +633,7 @@
         The leader's Replica and that of the follower.
     """
     group.is_reliable = True
-    for name in NAMES:
-        await group.start(name, nursery)
-    await trio.sleep(RECOVERY_SECONDS)
+    await _start_all(group, nursery)
     leader = group.running[group.find_leader()]
     target = group.running[next(one for one in NAMES if one != leader.name)]
     now = trio.current_time()
@@ -688,9 +685,7 @@
     group = Group(1)
     group.is_reliable = True
     async with trio.open_nursery() as nursery:
-        for name in NAMES:
-            await group.start(name, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         name = group.find_leader()
         leader = group.running[name]
         other = next(one for one in NAMES if one != name)
@@ -708,9 +703,7 @@
     group = Group(1)
     group.is_reliable = True
     async with trio.open_nursery() as nursery:
-        for one in NAMES:
-            await group.start(one, nursery)
-        await trio.sleep(RECOVERY_SECONDS)
+        await _start_all(group, nursery)
         for one in group.running.values():
             one.introduce(name, f"{name}#0")
         await trio.sleep(2 * TIMING.heartbeat_ms / 1000)
