--- a/review/1/case.py
+++ b/review/1/case.py
@@ -168,4 +168,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(deployments.run(play, FOLDER))
+    sys.exit(deployments.run(play, FOLDER / "record.txt"))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -106,4 +106,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(deployments.run(play, FOLDER))
+    sys.exit(deployments.run(play, FOLDER / "record.txt"))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -667,18 +667,18 @@
     }
 
 
-def run(play, folder):
+def run(play, path):
     """Play a case; return its exit code.
 
     Args:
         play: async function of (record, has_trouble), which returns whether
             the rule held.
-        folder: the folder of the case, for `record.txt`.
+        path: of the file for the Record.
 
     Returns:
         0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
     """
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {has_trouble}")
     try:
