--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -688,9 +689,11 @@
     record = Record(path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {has_trouble}")
+    # The processes of the case are ended on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         holds = asyncio.run(play(record, has_trouble))
-    except (CannotRun, OSError) as error:
+    except Exception as error:  # noqa: B902 - an error shows no break
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
