Store origins of streams before their first event if versions differ

Cause: origins are sent to replicas in batches and synced five times a second. A stream of unknown origin is refused if the service has two versions, as it could go on at the other one.

Change: while a service has several versions, the first event waits for a replica's sync, .2 s at most; batches and syncs come at shorter intervals then. A new message, SyncOrigins, is answered after the sync; older replicas get StoreOrigins as before.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -593,6 +593,12 @@
     groups: list[OriginGroup]
 
 
+class SyncOrigins(typing.NamedTuple):
+    """StoreOrigins that a replica answers once they are on its disk."""
+
+    groups: list[OriginGroup]
+
+
 class ReadVersions(typing.NamedTuple):
     """Asks an instance which versions it saw lately."""
 
@@ -1088,6 +1094,7 @@
     "rl": ReadLimits,
     "so": StoreOrigin,
     "sg": StoreOrigins,
+    "os": SyncOrigins,
     "rv": ReadVersions,
     "vs": VersionsReply,
     "fo": FindOrigin,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -133,6 +133,11 @@
     async def _(self, message: wire.StoreOrigins):
         return self._components.origins.store_all(message)
 
+    @handle.register
+    async def _(self, message: wire.SyncOrigins):
+        self._get_replica()
+        return await self._components.origins.sync_all(message)
+
     @handle.register
     async def _(self, message: wire.ReadVersions):
         known = self._components.registry or self._components.catalog
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -188,6 +188,7 @@
             stream_origins.make_key(request.account, request.request),
             stream_origins.Origin(target.service, target.version),
             request.deadline - self._now(),
+            self._version_checks.has_several(target.service),
         )
 
     async def _attempt(self, request, service, budget, progress, reply):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_origins.py
@@ -6,7 +6,9 @@
 it. An instance at which a client takes the stream up asks the keepers. Only a
 few instances are keepers, so that each one needs connections to those. Two
 replicas get the origins as well, some at a time, in case all entry instances
-are killed at once.
+are killed at once. While a service has several versions, the first event
+waits until a replica has the origin on its disk: all instances and replicas
+may be killed at any moment, and then nothing else tells the version.
 """
 
 import collections
@@ -36,6 +38,10 @@
 # Between two messages to replicas, which a fleet of any size must bear.
 BATCH_SECONDS = 0.05
 BATCH_SECONDS_PER_INSTANCE = 0.002
+# The same while first events wait, and the longest that they do.
+SHORT_BATCH_SECONDS = 0.01
+SYNC_WAIT_SECONDS = 0.2
+MAX_BATCHES = 4  # on their way at once; a replica may have just been lost
 
 
 class Origin(typing.NamedTuple):
@@ -45,6 +51,21 @@
     version: str
 
 
+class _Batch:
+    """Origins that are sent to replicas in one message.
+
+    Attributes:
+        found: (key, milliseconds to keep it) of streams by Origin.
+        must_sync: whether first events wait until a disk has them.
+        is_stored: set once a replica has them, on its disk if they must be.
+    """
+
+    def __init__(self):
+        self.found = {}
+        self.must_sync = False
+        self.is_stored = trio.Event()
+
+
 class _Kept(typing.NamedTuple):
     """An Origin, None if there were two, and until when it is kept."""
 
@@ -88,8 +109,10 @@
         """
         self._list_replicas = list_replicas
         self._most = most
-        self._batch = {}
+        self._batch = _Batch()
         self._has_batch = trio.Event()
+        self._must_sync = trio.Event()
+        self._batches = trio.Semaphore(MAX_BATCHES)
         self._name = name
         self._map_instances = map_instances
         self._transport = transport
@@ -105,32 +128,54 @@
             while True:
                 await self._has_batch.wait()
                 instances = len(self._map_instances())
-                await trio.sleep(
+                with trio.move_on_after(
                     BATCH_SECONDS + BATCH_SECONDS_PER_INSTANCE * instances
-                )
-                await self._send_batch()
-
-    async def _send_batch(self):
+                ):
+                    await self._must_sync.wait()
+                    await trio.sleep(SHORT_BATCH_SECONDS)
+                await self._batches.acquire()
+                batch, self._batch = self._batch, _Batch()
+                self._has_batch = trio.Event()
+                self._must_sync = trio.Event()
+                self._nursery.start_soon(self._send_batch, batch)
+
+    async def _send_batch(self, batch):
         """Send origins to replicas until two of them have them."""
-        batch, self._batch = self._batch, {}
-        self._has_batch = trio.Event()
-        message = wire.StoreOrigins(
-            [
-                wire.OriginGroup(
-                    *origin,
-                    max(keep_ms for _, keep_ms in found),
-                    [key for key, _ in found],
-                )
-                for origin, found in batch.items()
-            ]
-        )
-        stored = 0
+        groups = [
+            wire.OriginGroup(
+                *origin,
+                max(keep_ms for _, keep_ms in found),
+                [key for key, _ in found],
+            )
+            for origin, found in batch.found.items()
+        ]
         weights = dict.fromkeys(self._list_replicas(), 1.0)
-        for name in hashing.rank(self._name, weights):
+        names = iter(hashing.rank(self._name, weights))
+
+        async def send():
+            for name in names:
+                if await self._send_groups(name, groups, batch.must_sync):
+                    batch.is_stored.set()
+                    return
+
+        try:
+            async with trio.open_nursery() as nursery:
+                for _ in range(REPLICAS):
+                    nursery.start_soon(send)
+        finally:
+            self._batches.release()
+
+    async def _send_groups(self, name, groups, must_sync):
+        """Send wire.OriginGroups to a replica; return whether it has them."""
+        if must_sync:
+            message = wire.SyncOrigins(groups)
             reply = await self._call(name, message, FIND_TIMEOUT_SECONDS)
-            stored += reply is not None
-            if stored == REPLICAS:
-                return
+            if reply is not None:
+                return True
+            # It may be of an older build, which keeps them all the same.
+        message = wire.StoreOrigins(groups)
+        reply = await self._call(name, message, FIND_TIMEOUT_SECONDS)
+        return reply is not None
 
     def _choose_keepers(self, key, count):
         """Return the names of the other instances that keep an origin."""
@@ -191,19 +236,24 @@
 
     # --- asking ----------------------------------------------------------
 
-    async def record(self, key, origin, seconds):
+    async def record(self, key, origin, seconds, must_sync=False):
         """Tell the keepers where a stream began; wait until one has it.
 
         Args:
             key: as `make_key` returns it.
             origin: the Origin.
             seconds: for how long the client may take the stream up.
+            must_sync: whether to wait until a replica has it on its disk.
         """
         keep_ms = int((seconds + MARGIN_SECONDS) / SECONDS_PER_MS)
         message = wire.StoreOrigin(key, *origin, keep_ms)
         self.store(message)
-        self._batch.setdefault(origin, []).append((key, keep_ms))
+        batch = self._batch
+        batch.found.setdefault(origin, []).append((key, keep_ms))
         self._has_batch.set()
+        if must_sync:
+            batch.must_sync = True
+            self._must_sync.set()
         keepers = self._choose_keepers(key, KEEPERS)
         is_stored = trio.Event()
         for name in keepers:
@@ -211,6 +261,9 @@
         if keepers:
             with trio.move_on_after(STORE_WAIT_SECONDS):
                 await is_stored.wait()
+        if must_sync:
+            with trio.move_on_after(SYNC_WAIT_SECONDS):
+                await batch.is_stored.wait()
 
     async def _tell(self, name, message, is_stored):
         reply = await self._call(name, message, STORE_TIMEOUT_SECONDS)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/version_checks.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/version_checks.py
@@ -54,6 +54,12 @@
         found |= self._catalog.list_recent_versions(service)
         return found.pop() if len(found) == 1 else None
 
+    def has_several(self, service):
+        """Return whether a service has had more than one version lately."""
+        found = self._list_announced(service)
+        found = found or self._catalog.list_recent_versions(service)
+        return len(found) > 1
+
     def _list_announced(self, service):
         rows = self._configuration.list_rows(states.VERSIONS_TABLE)
         return announced_versions.list_versions(
--- a/tests/features/steps/stream_versions.py
+++ b/tests/features/steps/stream_versions.py
@@ -87,8 +87,18 @@
         return self.numbers == list(range(1, EVENTS + 1))
 
 
-def read_all(context, entry, between=None, names_first=True):
-    """Read all streams at an instance; call `between` once they have begun."""
+def read_all(
+    context, entry, between=None, names_first=True, events=BEGUN_EVENTS
+):
+    """Read all streams at an instance; call `between` once they have begun.
+
+    Args:
+        context: behave's context, with `platform` and `streams`.
+        entry: name of the instance.
+        between: function to call once each stream has some events, or None.
+        names_first: whether clients name the request that began a stream.
+        events: how many events each stream has by then.
+    """
     threads = [
         threading.Thread(
             target=one.read, args=(context.platform, entry, names_first)
@@ -98,13 +108,14 @@
     for thread in threads:
         thread.start()
     if between is not None:
-        time.sleep(BEGIN_SECONDS)
+        if events == BEGUN_EVENTS:
+            time.sleep(BEGIN_SECONDS)
         processes.wait_until(
             lambda: all(
-                len(_EVENT.findall(one.received)) >= BEGUN_EVENTS
+                len(_EVENT.findall(one.received)) >= events
                 for one in context.streams
             ),
-            what=f"{BEGUN_EVENTS} events of each stream",
+            what=f"{events} events of each stream",
         )
         between()
     for thread in threads:
@@ -237,6 +248,32 @@
         )
 
 
+@behave.when(
+    "{count:d} streams begin at {entry}, and all instances are killed at "
+    "their first events"
+)
+def kill_at_first_events(context, count, entry):
+    context.streams = [Stream() for _ in range(count)]
+    platform = context.platform
+    names = [f"replica-{number}" for number in (1, 2, 3)]
+    names += platform_steps.ENTRIES
+
+    def restart():
+        for name in names:
+            platform.kill(name)
+        for name in names:
+            platform.start(name, first=False)
+
+    read_all(context, entry, restart, events=1)
+    for name in platform_steps.ENTRIES:
+        processes.wait_until(
+            lambda one=name: platform.is_ready(one), READY_SECONDS
+        )
+        processes.wait_until(
+            lambda one=name: find_servers(platform, one), READY_SECONDS
+        )
+
+
 @behave.when("their clients take them up at {entry}")
 def take_up(context, entry):
     context.streams = [one for one in context.streams if one.numbers]
--- a/tests/features/stream_versions.feature
+++ b/tests/features/stream_versions.feature
@@ -40,6 +40,14 @@
       | twice             |
       | without replica-2 |
 
+  # The origins of streams that had just begun were not on a disk yet.
+  Scenario: All processes but the engines die as streams have just begun
+    Given a platform with 2 entry instances and 2 engines each of v1 and v2
+    When 16 streams begin at entry-1, and all instances are killed at their first events
+    And their clients take them up at entry-2
+    Then each stream holds events of one version only
+    And at least 14 streams are complete
+
   Scenario: No engine of the version that began a stream is left
     Given a platform with 2 entry instances and 2 engines each of v1 and v2
     When 16 streams begin at entry-1, and both engines of v1 are killed
