Read load headers with a fourth value

Newer upstreams add a fourth value to X-Server-Load, which says how long work takes on their machine now. Instances then knew no load of these upstreams.

Cause: read_head_info took exactly three values and dropped the header otherwise. Answers to health checks were not read at all.

Change: the fourth value becomes HeadInfo.slowdown (1 as usual).

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -59,6 +59,8 @@
         limit: requests per second that the upstream takes from all instances
             together; inf if it names no limit, None if that is unreadable.
         is_brittle: the upstream falls over if it has to turn requests away.
+        slowdown: factor of the time that work takes on the upstream now; 1
+            as usual, None if the upstream does not report it.
     """
 
     has_run: bool
@@ -68,6 +70,7 @@
     pause: float = 0.0
     limit: float | None = math.inf
     is_brittle: bool = False
+    slowdown: float | None = None
 
 
 class AttemptResult(enum.Enum):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -444,7 +444,6 @@
         """Send a request, which `wait` observes, and relay its answer."""
         target = choice.upstream
         call = self._make_call(request, choice, progress, wait)
-        health = self._selector.health[target.name]
         progress.sent_at = self._now()
         async with self._pool.open(target, call) as answer:
             self._links.record_answer(wait, answer.is_first_use)
@@ -457,8 +456,7 @@
                 route=request.route.name,
             )
             head_info = self._protocol.read_head_info(answer.head)
-            if head_info.load is not None:
-                health.record_report(*head_info.load, self._now())
+            self.record_load(target, head_info)
             self.record_statements(target, head_info, progress.sent_at)
             if not head_info.has_run:
                 await bodies.discard(answer)
@@ -485,6 +483,19 @@
             return attempts.AttemptResult.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
+    def record_load(self, target, head_info):
+        """Record the load that an upstream reports in any answer.
+
+        Args:
+            target: wire.Registration of the upstream that was asked.
+            head_info: the HeadInfo of the answer.
+        """
+        if head_info.is_wrong_upstream or head_info.load is None:
+            return
+        self._selector.health[target.name].record_report(
+            *head_info.load, self._now()
+        )
+
     def record_statements(self, target, head_info, sent_at):
         """Record what an upstream said of itself in an answer.
 
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from camphorhook_common import jsontext
+from camphorhook_common import log_limits
 from camphorhook_common import logs
 from camphorhook_common import numerals
 from camphorhook_daemon.adapters import header_codec
@@ -32,6 +33,13 @@
 REQUEST_PRIORITY = "x-request-priority"
 MAX_PRIORITY = 9  # 0 is the most urgent
 SECONDS_PER_MS = 0.001
+LOAD_VALUES = 3  # running and waiting requests, and slots
+USUAL_WORK_PERCENT = 100.0
+# Range of the time that work takes, in percent of the usual. Slow periods
+# take 250; a value outside is taken for an error, as an upstream that seems
+# a hundred times as fast would get all requests.
+MIN_WORK_PERCENT = 10.0
+MAX_WORK_PERCENT = 10_000.0
 # Despite its name, it lists an engine's cached parts, not keys and values.
 HELD_PARTS_PATH = "/-/kv-list"
 # Unlike a health check, it waits for no place at a busy engine.
@@ -56,6 +64,10 @@
 )
 
 
+# Each answer of an upstream carries the header.
+_load_log = log_limits.LimitedLog()
+
+
 def pick_request_headers(headers):
     """Return the client's headers to pass on to an upstream."""
     dropped = _RESERVED_HEADERS | header_codec.list_hop_by_hop(headers)
@@ -102,11 +114,7 @@
 
 def read_head_info(head):
     """Return the attempts.HeadInfo of a connection_pool.Head."""
-    load = None
-    words = head.get(SERVER_LOAD).split(",")
-    numbers = [numerals.parse_unsigned(word) for word in words]
-    if len(numbers) == 3 and None not in numbers:
-        load = (numbers[0], numbers[1])
+    load, slowdown = _read_load(head)
     is_wrong_upstream = head.status == 421
     has_run = not is_wrong_upstream and not head.get(NOT_EXECUTED)
     pause = 0.0
@@ -123,9 +131,44 @@
         pause,
         limit,
         bool(head.get(SERVER_BRITTLE)),
+        slowdown,
     )
 
 
+def _read_load(head):
+    """Return (running, waiting) and the slowdown; None for what is invalid.
+
+    The load is invalid as a whole if one of its values is. The slowdown, the
+    fourth value, may be missing, and either of both is used alone.
+    """
+    text = head.get(SERVER_LOAD)
+    if not text:
+        return None, None
+    words = text.split(",")
+    load, slowdown = None, None
+    is_valid = len(words) in (LOAD_VALUES, LOAD_VALUES + 1)
+    if is_valid:
+        numbers = [
+            numerals.parse_unsigned(word) for word in words[:LOAD_VALUES]
+        ]
+        is_valid = None not in numbers
+        if is_valid:
+            load = (numbers[0], numbers[1])
+        if len(words) > LOAD_VALUES:
+            percent = numerals.parse_number(words[-1], MAX_WORK_PERCENT)
+            if percent is not None and percent >= MIN_WORK_PERCENT:
+                slowdown = percent / USUAL_WORK_PERCENT
+            else:
+                is_valid = False
+    if not is_valid:
+        _load_log.write(
+            "warning",
+            f"ignored values of the header {SERVER_LOAD}: {text[:80]!r}",
+            step="read answer",
+        )
+    return load, slowdown
+
+
 def _read_number(head, name, most):
     """Return a header's number from 0 to `most`; None if it is invalid."""
     text = head.get(name, "0")
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -436,6 +436,9 @@
         with trio.move_on_after(seconds):
             try:
                 async with self.pool.open(upstream, call) as answer:
+                    self.forwarder.record_load(
+                        upstream, protocol.read_head_info(answer.head)
+                    )
                     await bodies.read_start(answer, MAX_PROBE_BYTES)
                 return True
             except ports.AttemptError as error:
@@ -470,6 +473,7 @@
         with trio.move_on_after(HELD_PARTS_TIMEOUT_SECONDS):
             async with self.pool.open(engine, call) as answer:
                 head_info = protocol.read_head_info(answer.head)
+                self.forwarder.record_load(engine, head_info)
                 self.forwarder.record_statements(engine, head_info, sent_at)
                 body, is_whole = await bodies.read_start(
                     answer, MAX_HELD_PARTS_BYTES
