Give the emulator's stand-in for version checks all its functions

The forwarder asks whether a service has several versions; the emulated instances could not tell, so that streams failed in emulator.feature.

--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -98,6 +98,10 @@
         """Return None, as modelled clients name their first requests."""
         return None
 
+    def has_several(self, _service):
+        """Return that the engines have one version."""
+        return False
+
     def is_in_step(self):
         """Return that changes are known."""
         return True
