Count the speed that upstreams report when choosing one

Upstreams share their machines with others and work 2.5 times as long for about 600 ms at a time. Which one is slow now had no part in the choice.

Change: the selector keeps the last slowdown of each upstream; it decays to the usual speed with a time constant of 200 ms. Choosing an engine adds what it could have done in the time lost, at most over the 300 ms that a slow period lasts on average; choosing a plain upstream adds the slowdown to its relative load. Services whose upstreams have reported no speed for 60 s are chosen as before, as is anything at usual speed.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -15,6 +15,7 @@
 
 from camphorhook_daemon.domain import hashing
 from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import speeds
 
 REPORT_DECAY_SECONDS = 1.5  # half of the requests end within it
 LOAD_BOUND = 1.6  # times the mean load, for prompts that are quick to prefill
@@ -27,12 +28,17 @@
 # Smaller differences in work are ignored, so that prompts that arrive at the
 # same time do not all choose the same engine.
 WORK_STEP_TOKENS = 4000
+PREFILL_TOKENS_PER_MS = 64.0  # that an engine prefills at the usual speed
 MIN_COPY_TOKENS = 512  # fewer are prefilled before a copy would start
 MIN_COPY_RATE = 200.0  # tokens per millisecond; three times the prefill rate
 FAILURE_COST = 4.0  # weight of the failure rate against relative load
 FAILURE_RATE_LIMIT = 0.25  # from this rate on, other upstreams are preferred
 FAILURE_RATE_MARGIN = 0.15  # above the median; over the noise of 30 outcomes
 REMOTE_DOMAIN_COST = 0.15  # relative load; the network latency is higher
+# Relative load for a slowdown of 2. With it, an idle upstream that takes 2.5
+# times as long is chosen where a request at the others would wait as long:
+# from 14 requests in 6 slots on.
+SLOW_COST = 1.5
 MAX_CONSECUTIVE_ERRORS = 3  # broken connections without an answer between them
 AVOID_SECONDS = 0.5  # first back-off of a failing upstream
 # Longer than a heartbeat interval, since registrations are better evidence.
@@ -212,7 +218,9 @@
     return sum(counted) / max(1, len(counted))
 
 
-def choose_engine(demand, upstreams, loads, holders, mean, limited=()):
+def choose_engine(
+    demand, upstreams, loads, holders, mean, limited=(), slowdowns=None
+):
     """Return the Choice for a prompt.
 
     Engines that probably have the shared part cached are preferred. If there
@@ -232,6 +240,8 @@
             those that accept no new requests, which the bound on load
             counts too.
         limited: names of upstreams that take few requests.
+        slowdowns: slowdown by name, which adds the work that an engine could
+            have done in the time lost; None if they report none.
     """
     by_name = {one.name: one for one in upstreams}
     key, tokens = find_shared_part(demand.parts)
@@ -247,6 +257,12 @@
     def compute_work(name):
         load = loads[name]
         work = load.pending_prefill_tokens + TOKENS_PER_REQUEST * load.requests
+        if slowdowns is not None:
+            work += speeds.estimate_delay(
+                work + sum(count for _, count in demand.parts),
+                slowdowns[name],
+                PREFILL_TOKENS_PER_MS,
+            )
         return work // WORK_STEP_TOKENS
 
     ranked = hashing.rank(key or demand.request, dict.fromkeys(by_name, 1.0))
@@ -303,11 +319,14 @@
     return min(found, key=lambda one: one.failure_domain != domain)
 
 
-def choose_plain(demand, upstreams, failure_rates, loads, failure_domain):
+def choose_plain(
+    demand, upstreams, failure_rates, loads, failure_domain, slowdowns=None
+):
     """Return the Choice for a request to a service without engines.
 
     The upstream with the lowest load relative to its capacity wins. A
-    failure rate and a different failure domain add to its cost.
+    failure rate and a different failure domain add to its cost. If upstreams
+    report their speed, the time that a slow one costs is added.
 
     Args:
         demand: the Demand.
@@ -315,11 +334,18 @@
         failure_rates: failure rate by name, from 0 to 1.
         loads: Load by name.
         failure_domain: failure domain of this instance.
+        slowdowns: slowdown by name; None if the upstreams report none.
     """
     mean = sum(loads[one.name].requests for one in upstreams) / len(upstreams)
 
     def compute_cost(one):
-        cost = loads[one.name].requests / max(1, one.capacity)
+        capacity = max(1, one.capacity)
+        cost = loads[one.name].requests / capacity
+        if slowdowns is not None:
+            waiting = max(0, loads[one.name].requests + 1 - capacity)
+            cost += (slowdowns[one.name] - speeds.USUAL) * (
+                SLOW_COST + waiting / capacity
+            )
         cost += FAILURE_COST * failure_rates[one.name]
         if one.failure_domain != failure_domain:
             cost += REMOTE_DOMAIN_COST
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -484,17 +484,21 @@
         return await self._answer_whole(request, answer, body, progress, reply)
 
     def record_load(self, target, head_info):
-        """Record the load that an upstream reports in any answer.
+        """Record the load and the speed that an upstream reports.
 
         Args:
             target: wire.Registration of the upstream that was asked.
             head_info: the HeadInfo of the answer.
         """
-        if head_info.is_wrong_upstream or head_info.load is None:
+        if head_info.is_wrong_upstream:
             return
-        self._selector.health[target.name].record_report(
-            *head_info.load, self._now()
-        )
+        now = self._now()
+        if head_info.load is not None:
+            self._selector.health[target.name].record_report(
+                *head_info.load, now
+            )
+        if head_info.slowdown is not None:
+            self._selector.speeds.record(target.name, head_info.slowdown, now)
 
     def record_statements(self, target, head_info, sent_at):
         """Record what an upstream said of itself in an answer.
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -8,6 +8,7 @@
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import places as place_grants
 from camphorhook_daemon.domain.routing import rate_permits
+from camphorhook_daemon.domain.routing import speeds
 
 # Of the latency objective or the time left: longest wait for the prefill of a
 # part, which would take as long if repeated.
@@ -58,6 +59,7 @@
         permits: the rate_permits.RatePermits for upstreams that take few
             requests per second.
         places: the places.Places at upstreams that take few at once.
+        speeds: the speeds.Speeds that upstreams reported.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self._rules = rules
         self._failure_domain = instance[1]
         self.health = collections.defaultdict(choices.UpstreamHealth)
+        self.speeds = speeds.Speeds()
 
     def forgive(self):
         """Avoid no upstream any more for earlier errors of connections."""
@@ -174,9 +177,10 @@
             available, self.health, failure_rates, now
         )
         demand = choices.Demand(request.request, request.parts)
+        slowdowns = self._estimate_slowdowns(known, now)
         if spec.is_engine:
             return self._choose_engine(
-                demand, spec, known, available, loads, now
+                demand, spec, known, available, loads, slowdowns, now
             )
         others = [one for one in available if one.name not in failed]
         return choices.choose_plain(
@@ -185,8 +189,16 @@
             failure_rates,
             loads,
             self._failure_domain,
+            slowdowns,
         )
 
+    def _estimate_slowdowns(self, upstreams, now):
+        """Return slowdowns by name; None if no upstream reports its speed."""
+        names = [one.name for one in upstreams]
+        if not self.speeds.are_reported(names, now):
+            return None
+        return {name: self.speeds.estimate(name, now) for name in names}
+
     def _has_limits(self, upstreams):
         """Return whether any upstream named a limit."""
         return any(
@@ -207,7 +219,9 @@
             or loads[one.name].requests < one.capacity
         ]
 
-    def _choose_engine(self, demand, spec, known, available, loads, now):
+    def _choose_engine(
+        self, demand, spec, known, available, loads, slowdowns, now
+    ):
         """Return the Choice among available engines.
 
         Args:
@@ -216,6 +230,7 @@
             known: wire.Registrations of all engines of the service.
             available: those that may be chosen.
             loads: choice.Load by name.
+            slowdowns: slowdown by name; None if none is reported.
             now: current time in seconds.
         """
         limited = {
@@ -229,7 +244,7 @@
         part, tokens = choices.find_shared_part(demand.parts)
         holders = self._cache_index.find_holders(part, now)
         choice = choices.choose_engine(
-            demand, available, loads, holders, mean, limited
+            demand, available, loads, holders, mean, limited, slowdowns
         )
         if choice.is_cached:
             return choice
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -519,6 +519,7 @@
     def evict_limits(self):
         """Forget the limits and permits of upstreams that are gone."""
         self.limits.retain(self.catalog.registrations)
+        self.selector.speeds.retain(self.catalog.registrations.keys())
         self.pool.retain(self.catalog.registrations)
         self.gateway_pool.retain(self.catalog.map_instances())
         table = self.rules.get_table()
