Learn what requests cost, and tell the remaining work of upstreams

Load counted each request to an engine as 400 tokens, whatever it had still to do, and requests to plain services by number. X-Length-Hint and X-Token-Usage were not read.

Change: for services whose upstreams report their speed, an instance learns output tokens by route, corrects clients' hints by how far they explained the outputs so far, and learns the time that plain requests take in a slot. The expected work is told in the field for pending tokens of a notice, shrinks as events arrive and is taken back at the end. Requests that outlast their estimate count 400 tokens as before. Hints go with requests that are handed over. cost_estimates_total counts estimates by their error; the log line of a sent request has the figures.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -4,9 +4,12 @@
 is not open to clients.
 """
 
+import math
+
 from camphorhook_common import numerals
 from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import gateways
 from camphorhook_daemon.domain.routing import intake
 
@@ -20,6 +23,10 @@
 RUNS = PREFIX + "runs"
 SERVICE = PREFIX + "service"
 EXCLUDED = PREFIX + "excluded"
+# The client's estimate of the output tokens, and the most it accepts.
+OUTPUT = PREFIX + "output"
+MOST_OUTPUT = PREFIX + "most-output"
+MAX_TOKENS = 10_000_000.0  # a higher number is taken for an error
 # Of a request: the version that began its stream. Of an answer: the version
 # of the upstream that sent it.
 VERSION = PREFIX + "version"
@@ -54,6 +61,10 @@
         (SERVICE, handover.service),
         (EXCLUDED, ",".join(handover.excluded)),
     ]
+    if request.hint.output is not None:
+        headers.append((OUTPUT, f"{request.hint.output:.0f}"))
+    if request.hint.most_output < math.inf:
+        headers.append((MOST_OUTPUT, f"{request.hint.most_output:.0f}"))
     if handover.version is not None:
         headers.append((VERSION, handover.version))
     return headers
@@ -96,6 +107,10 @@
         get(AFTER),
         "",
         exchange.received_at,
+        costs.Hint(
+            numerals.parse_number(get(OUTPUT), MAX_TOKENS) or None,
+            numerals.parse_number(get(MOST_OUTPUT), MAX_TOKENS) or math.inf,
+        ),
     )
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/answer_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/answer_relay.py
@@ -12,6 +12,7 @@
 from camphorhook_daemon.domain.routing import stream_relay
 from camphorhook_daemon.ports import upstreams as ports
 
+CLIENT_ERROR = 400  # the first status of errors
 SERVER_ERROR = 500
 
 
@@ -103,7 +104,9 @@
             )
             progress.has_started = True
         progress.position.begin()
-        timing = events.StreamTiming(request.received_at, self._now)
+        timing = events.StreamTiming(
+            request.received_at, self._now, progress.count_output
+        )
         with trio.move_on_at(request.deadline):
             await self._relay_all(request, answer, progress, reply, timing)
             await reply.finish()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -4,6 +4,8 @@
 import math
 import typing
 
+from camphorhook_daemon.domain.routing import costs
+from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.domain.routing import stream_relay
 from camphorhook_daemon.domain.routing import table as tables
 
@@ -29,6 +31,7 @@
             the route's timeout.
         resumes: id of the request that brought the first event of the stream
             that the client takes up; empty if it takes none up.
+        hint: the costs.Hint of the client.
     """
 
     request: str
@@ -45,6 +48,7 @@
     received_at: float
     deadline: float
     resumes: str = ""
+    hint: costs.Hint = costs.Hint()
 
 
 class HeadInfo(typing.NamedTuple):
@@ -136,6 +140,8 @@
             instance handed it over; then this one may not do so again.
         unreached: attempts for which no connection could be opened.
         failed_gateways: names of instances that can't pass the request on.
+        work: the PendingWork of the last attempt, or None.
+        output_tokens: output tokens that upstreams of this instance sent.
     """
 
     def __init__(self, resume_after, handover=None):
@@ -155,6 +161,8 @@
         self.handed_over_to = ""
         self.unreached = 0
         self.failed_gateways = set()
+        self.work = None
+        self.output_tokens = 0
         if handover is not None:
             self.sends = handover.sends
             self.runs = handover.runs
@@ -162,6 +170,13 @@
             self.handed_over_to = handover.service
             self.excluded.update(handover.excluded)
 
+    def count_output(self, data):
+        """Count the output tokens in complete events of a stream."""
+        tokens = costs.TOKENS_PER_EVENT * events.count_events(data)
+        self.output_tokens += tokens
+        if self.work is not None:
+            self.work.subtract_output(tokens)
+
     def make_handover(self, service):
         """Return the Handover to another instance."""
         return Handover(
@@ -173,19 +188,39 @@
         )
 
 
-class PendingPrefill:
-    """Prompt tokens that an upstream has probably not prefilled yet."""
+class PendingWork:
+    """Work in prompt tokens that an upstream has probably not done yet.
+
+    Attributes:
+        estimate: the costs.Estimate; None where only prompts are counted.
+        total: work of the whole request.
+    """
 
-    def __init__(self, loads, upstream, request, choice):
+    def __init__(self, loads, upstream, request, choice, estimate=None):
         self._loads = loads
         self._upstream = upstream
+        self.estimate = estimate
         tokens = sum(count for _, count in request.parts)
         if choice.is_cached or choice.source is not None:
             tokens = request.parts[-1][1]
-        self._tokens = tokens
-        loads.begin(upstream, tokens)
+        self._prefill = tokens
+        self._rest = 0 if estimate is None else estimate.compute_work()
+        self.total = self._prefill + self._rest
+        loads.begin(upstream, self.total)
+
+    def release_prefill(self):
+        """Stop counting the prompt, which is prefilled."""
+        self._loads.subtract_prefill(self._upstream, self._prefill)
+        self._prefill = 0
+
+    def subtract_output(self, tokens):
+        """Stop counting output tokens that have arrived."""
+        work = min(self._rest, int(costs.OUTPUT_TOKEN_WORK * tokens))
+        self._loads.subtract_prefill(self._upstream, work)
+        self._rest -= work
 
     def release(self):
-        """Stop counting the tokens: the prompt is prefilled or abandoned."""
-        self._loads.subtract_prefill(self._upstream, self._tokens)
-        self._tokens = 0
+        """Stop counting all: the request has ended or is abandoned."""
+        self.release_prefill()
+        self._loads.subtract_prefill(self._upstream, self._rest)
+        self._rest = 0
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -14,6 +14,7 @@
 import typing
 
 from camphorhook_daemon.domain import hashing
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain.routing import speeds
 
@@ -28,7 +29,6 @@
 # Smaller differences in work are ignored, so that prompts that arrive at the
 # same time do not all choose the same engine.
 WORK_STEP_TOKENS = 4000
-PREFILL_TOKENS_PER_MS = 64.0  # that an engine prefills at the usual speed
 MIN_COPY_TOKENS = 512  # fewer are prefilled before a copy would start
 MIN_COPY_RATE = 200.0  # tokens per millisecond; three times the prefill rate
 FAILURE_COST = 4.0  # weight of the failure rate against relative load
@@ -115,6 +115,10 @@
             None.
         alternatives: wire.Registrations that would do, the best first; for
             a prompt, the chosen one only.
+        estimate: the costs.Estimate of the request; None if the upstreams of
+            its service report no speed.
+        slowdown: of the upstream, as far as known.
+        remaining_work: of the upstream, in prompt tokens.
     """
 
     upstream: object
@@ -124,6 +128,35 @@
     is_cached: bool = False
     source: object = None
     alternatives: tuple = ()
+    estimate: object = None
+    slowdown: float = speeds.USUAL
+    remaining_work: float = 0.0
+
+    def describe_forecast(self):
+        """Return the figures of a Forecast for a log line, if there is one."""
+        if self.estimate is None:
+            return {}
+        return {
+            "output": round(self.estimate.output),
+            "slot_ms": round(self.estimate.slot_ms, 1),
+            "slowdown": round(self.slowdown, 2),
+            "remaining": round(self.remaining_work),
+        }
+
+
+class Forecast(typing.NamedTuple):
+    """What decides where a request ends first.
+
+    Attributes:
+        slowdowns: slowdown by name of the upstream.
+        estimate: the costs.Estimate of the request.
+        copy_rate: prompt tokens that an engine copies in a millisecond; 0 if
+            engines do not copy.
+    """
+
+    slowdowns: dict[str, float]
+    estimate: object
+    copy_rate: float = 0.0
 
 
 def list_available(upstreams, excluded, excluded_domains):
@@ -219,7 +252,7 @@
 
 
 def choose_engine(
-    demand, upstreams, loads, holders, mean, limited=(), slowdowns=None
+    demand, upstreams, loads, holders, mean, limited=(), forecast=None
 ):
     """Return the Choice for a prompt.
 
@@ -240,8 +273,8 @@
             those that accept no new requests, which the bound on load
             counts too.
         limited: names of upstreams that take few requests.
-        slowdowns: slowdown by name, which adds the work that an engine could
-            have done in the time lost; None if they report none.
+        forecast: the Forecast, which adds the work that an engine could have
+            done in the time lost; None if the upstreams report no speed.
     """
     by_name = {one.name: one for one in upstreams}
     key, tokens = find_shared_part(demand.parts)
@@ -257,11 +290,18 @@
     def compute_work(name):
         load = loads[name]
         work = load.pending_prefill_tokens + TOKENS_PER_REQUEST * load.requests
-        if slowdowns is not None:
+        if forecast is not None:
+            # Requests that outlast their estimate, or come from instances
+            # that tell none, count as they do without estimates.
+            work = max(
+                load.pending_prefill_tokens, work - load.pending_prefill_tokens
+            )
+            own = sum(count for _, count in demand.parts)
+            own += costs.STEP_WORK * forecast.estimate.output
             work += speeds.estimate_delay(
-                work + sum(count for _, count in demand.parts),
-                slowdowns[name],
-                PREFILL_TOKENS_PER_MS,
+                work + own,
+                forecast.slowdowns[name],
+                costs.PREFILL_TOKENS_PER_MS,
             )
         return work // WORK_STEP_TOKENS
 
@@ -284,9 +324,21 @@
         ranked.index(name),
         name in cached,
         alternatives=(by_name[name],),
+        **_describe(forecast, loads, name),
     )
 
 
+def _describe(forecast, loads, name):
+    """Return the fields of a Choice that a Forecast adds."""
+    if forecast is None:
+        return {}
+    return {
+        "estimate": forecast.estimate,
+        "slowdown": forecast.slowdowns[name],
+        "remaining_work": loads[name].pending_prefill_tokens,
+    }
+
+
 def find_copy_source(tokens, copy_rate, chosen, holders, known, health, now):
     """Return the Registration of the engine to copy a part from, or None.
 
@@ -320,7 +372,7 @@
 
 
 def choose_plain(
-    demand, upstreams, failure_rates, loads, failure_domain, slowdowns=None
+    demand, upstreams, failure_rates, loads, failure_domain, forecast=None
 ):
     """Return the Choice for a request to a service without engines.
 
@@ -334,16 +386,20 @@
         failure_rates: failure rate by name, from 0 to 1.
         loads: Load by name.
         failure_domain: failure domain of this instance.
-        slowdowns: slowdown by name; None if the upstreams report none.
+        forecast: the Forecast; None if the upstreams report no speed.
     """
     mean = sum(loads[one.name].requests for one in upstreams) / len(upstreams)
 
     def compute_cost(one):
         capacity = max(1, one.capacity)
         cost = loads[one.name].requests / capacity
-        if slowdowns is not None:
+        if forecast is not None:
+            slot_work = max(1, forecast.estimate.compute_work())
+            remaining = loads[one.name].pending_prefill_tokens / slot_work
+            # Senders of older builds count in the requests only.
+            cost = (cost + remaining / capacity) / 2
             waiting = max(0, loads[one.name].requests + 1 - capacity)
-            cost += (slowdowns[one.name] - speeds.USUAL) * (
+            cost += (forecast.slowdowns[one.name] - speeds.USUAL) * (
                 SLOW_COST + waiting / capacity
             )
         cost += FAILURE_COST * failure_rates[one.name]
@@ -355,5 +411,10 @@
     ordered = tuple(sorted(upstreams, key=compute_cost))
     best = ordered[0]
     return Choice(
-        best, loads[best.name].requests, mean, -1, alternatives=ordered
+        best,
+        loads[best.name].requests,
+        mean,
+        -1,
+        alternatives=ordered,
+        **_describe(forecast, loads, best.name),
     )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -16,7 +16,15 @@
     Times are in seconds.
     """
 
-    def __init__(self, received_at, now):
+    def __init__(self, received_at, now, count_output=None):
+        """Create a record without events.
+
+        Args:
+            received_at: time of receipt of the request in seconds.
+            now: function that returns the time in seconds.
+            count_output: called with complete events as they arrive.
+        """
+        self._count_output = count_output
         self._received_at = received_at
         self._now = now
         self._last = None
@@ -26,8 +34,10 @@
         self._events = 0
         self._rest_bytes = 0
 
-    def record_arrival(self):
-        """Record the arrival of events from the upstream."""
+    def record_arrival(self, data):
+        """Record the arrival of complete events from the upstream."""
+        if self._count_output is not None:
+            self._count_output(data)
         now = self._now()
         if self._last is None:
             self._first = now - self._received_at
@@ -83,6 +93,11 @@
     )
 
 
+def count_events(data):
+    """Return the number of events among complete blocks."""
+    return sum(has_event(block) for block in split_blocks(data))
+
+
 def _read_id(block):
     for line in block.splitlines():
         if line.startswith(b"id:"):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -16,6 +16,7 @@
 from camphorhook_daemon.domain.routing import attempts
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import crash_guard
 from camphorhook_daemon.domain.routing import gateway_attempts
 from camphorhook_daemon.domain.routing import places
@@ -253,6 +254,7 @@
                 "part": choices.find_shared_part(request.parts),
                 "held": choice.is_cached,
                 "source": choice.source.name if choice.source else "",
+                **choice.describe_forecast(),
                 "route": request.route.name,
                 "attempt": progress.sends + 1,
                 "version": target.version,
@@ -264,22 +266,20 @@
         )
         progress.sends += 1
         progress.upstream = target
-        pending_prefill = attempts.PendingPrefill(
-            self._loads, target.name, request, choice
+        progress.work = attempts.PendingWork(
+            self._loads, target.name, request, choice, choice.estimate
         )
         self.changed.set()
         try:
             await self._selector.wait_for_prefill(request, choice, now)
-            return await self._exchange(
-                request, choice, progress, reply, pending_prefill
-            )
+            return await self._exchange(request, choice, progress, reply)
         except ports.SendWithheld as error:
             return self._handle_withheld(request, progress, error)
         except ports.AttemptError as error:
             return self._handle_failure(request, target, progress, error)
         finally:
             self._release_place(service, progress)
-            pending_prefill.release()
+            progress.work.release()
             self._loads.end(target.name)
             self.changed.set()
 
@@ -419,18 +419,14 @@
             return attempts.AttemptResult.RETRY
         return attempts.Failure(502, error.message)
 
-    async def _exchange(
-        self, request, choice, progress, reply, pending_prefill
-    ):
+    async def _exchange(self, request, choice, progress, reply):
         """Send a request to the chosen upstream and relay its answer."""
         target = choice.upstream
         with self._links.watch(
             target.name,
             lambda: request.route.is_idempotent and progress.can_retry,
         ) as wait:
-            return await self._send(
-                request, choice, progress, reply, pending_prefill, wait
-            )
+            return await self._send(request, choice, progress, reply, wait)
         raise ports.AttemptError(
             "the links to upstreams failed",
             step="wait for answer",
@@ -438,9 +434,7 @@
             sent=wait.is_sent,
         )
 
-    async def _send(
-        self, request, choice, progress, reply, pending_prefill, wait
-    ):
+    async def _send(self, request, choice, progress, reply, wait):
         """Send a request, which `wait` observes, and relay its answer."""
         target = choice.upstream
         call = self._make_call(request, choice, progress, wait)
@@ -448,7 +442,7 @@
         async with self._pool.open(target, call) as answer:
             self._links.record_answer(wait, answer.is_first_use)
             self._crash_guard.record_answer(target, progress.sent_at)
-            pending_prefill.release()
+            progress.work.release_prefill()
             self._selector.mark_prefilled(request, target.name)
             self._counts.observe(
                 "first_byte_seconds",
@@ -478,11 +472,39 @@
         # Others need not wait until the client has read the answer.
         self._release_place(target.service, progress)
         self._crash_guard.record_end(request, answer.head)
+        if answer.head.status < answer_relay.CLIENT_ERROR:
+            self._record_cost(request, choice, progress, is_stream)
         if is_stream or body is None:
             self._record_success(target.name)
             return attempts.AttemptResult.ANSWERED
         return await self._answer_whole(request, answer, body, progress, reply)
 
+    def _record_cost(self, request, choice, progress, is_stream):
+        """Learn from a complete answer what its request has cost."""
+        estimate = choice.estimate
+        if estimate is None:
+            return
+        route = request.route.name
+        if is_stream and estimate.output:
+            if request.resume_after:
+                return
+            kind, expected = "output", estimate.output
+            actual = progress.output_tokens
+            self._selector.costs.record_output(route, request.hint, actual)
+        elif estimate.slot_ms and choice.load < choice.upstream.capacity:
+            kind, expected = "slot time", estimate.slot_ms
+            seconds = self._now() - progress.sent_at
+            actual = 1000 * seconds / choice.slowdown
+            self._selector.costs.record_slot_ms(route, actual)
+        else:
+            return
+        self._counts.add(
+            "cost_estimates_total",
+            route=route,
+            kind=kind,
+            within=costs.classify_error(expected, actual),
+        )
+
     def record_load(self, target, head_info):
         """Record the load and the speed that an upstream reports.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
@@ -5,6 +5,7 @@
 import trio
 
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import costs
 
 DEFAULT_DEADLINE_SECONDS = 30.0  # for clients that send no deadline
 DEADLINE_MARGIN_SECONDS = 0.02  # for the answer to reach the client
@@ -30,6 +31,7 @@
         resume_after: id of the last event that the client has, or empty.
         resumes: id of the request that brought the stream's first event.
         received_at: time of receipt in seconds.
+        hint: the costs.Hint of the client.
     """
 
     request: str
@@ -44,6 +46,7 @@
     resume_after: str
     resumes: str
     received_at: float
+    hint: costs.Hint = costs.Hint()
 
 
 def authorize(arrival, rules):
@@ -103,4 +106,5 @@
         trio.current_time(),
         arrival.received_at + timeout,
         arrival.resumes,
+        arrival.hint,
     )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -6,6 +6,7 @@
 
 from camphorhook_daemon.domain import hashing
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import places as place_grants
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import speeds
@@ -60,6 +61,7 @@
             requests per second.
         places: the places.Places at upstreams that take few at once.
         speeds: the speeds.Speeds that upstreams reported.
+        costs: the costs.Costs of requests to upstreams that report speeds.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self._failure_domain = instance[1]
         self.health = collections.defaultdict(choices.UpstreamHealth)
         self.speeds = speeds.Speeds()
+        self.costs = costs.Costs()
 
     def forgive(self):
         """Avoid no upstream any more for earlier errors of connections."""
@@ -177,10 +180,10 @@
             available, self.health, failure_rates, now
         )
         demand = choices.Demand(request.request, request.parts)
-        slowdowns = self._estimate_slowdowns(known, now)
+        forecast = self._make_forecast(request, spec, known, now)
         if spec.is_engine:
             return self._choose_engine(
-                demand, spec, known, available, loads, slowdowns, now
+                demand, spec, known, available, loads, forecast, now
             )
         others = [one for one in available if one.name not in failed]
         return choices.choose_plain(
@@ -189,15 +192,22 @@
             failure_rates,
             loads,
             self._failure_domain,
-            slowdowns,
+            forecast,
         )
 
-    def _estimate_slowdowns(self, upstreams, now):
-        """Return slowdowns by name; None if no upstream reports its speed."""
+    def _make_forecast(self, request, spec, upstreams, now):
+        """Return a choice.Forecast; None if no upstream reports its speed."""
         names = [one.name for one in upstreams]
         if not self.speeds.are_reported(names, now):
             return None
-        return {name: self.speeds.estimate(name, now) for name in names}
+        route = request.route.name
+        if spec.is_engine:
+            output = self.costs.estimate_output(route, request.hint)
+            estimate = costs.Estimate(output, 0.0)
+        else:
+            estimate = costs.Estimate(0.0, self.costs.estimate_slot_ms(route))
+        slowdowns = {name: self.speeds.estimate(name, now) for name in names}
+        return choices.Forecast(slowdowns, estimate, spec.copy_rate)
 
     def _has_limits(self, upstreams):
         """Return whether any upstream named a limit."""
@@ -220,7 +230,7 @@
         ]
 
     def _choose_engine(
-        self, demand, spec, known, available, loads, slowdowns, now
+        self, demand, spec, known, available, loads, forecast, now
     ):
         """Return the Choice among available engines.
 
@@ -230,7 +240,7 @@
             known: wire.Registrations of all engines of the service.
             available: those that may be chosen.
             loads: choice.Load by name.
-            slowdowns: slowdown by name; None if none is reported.
+            forecast: the choice.Forecast; None if no speed is reported.
             now: current time in seconds.
         """
         limited = {
@@ -244,7 +254,7 @@
         part, tokens = choices.find_shared_part(demand.parts)
         holders = self._cache_index.find_holders(part, now)
         choice = choices.choose_engine(
-            demand, available, loads, holders, mean, limited, slowdowns
+            demand, available, loads, holders, mean, limited, forecast
         )
         if choice.is_cached:
             return choice
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/stream_relay.py
@@ -95,7 +95,7 @@
             if events.has_event(whole):
                 left = EVENT_SILENCE_SECONDS
             if whole:
-                timing.record_arrival()
+                timing.record_arrival(whole)
                 await reply.send_chunk(whole)
                 timing.record_sent()
         rest = position.flush()
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -25,6 +25,7 @@
         get(protocol.LAST_EVENT_ID),
         get(protocol.RESUMES),
         exchange.received_at,
+        protocol.read_hint(get(protocol.LENGTH_HINT), get(protocol.USAGE)),
     )
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -10,10 +10,14 @@
 from camphorhook_common import numerals
 from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import costs
 
 REQUEST_ID = "x-request-id"
 DEADLINE_MS = "x-deadline-ms"
 PROMPT_PREFIX = "x-prompt-prefix"
+LENGTH_HINT = "x-length-hint"  # client's estimate of the output tokens
+USAGE = "x-token-usage"  # prompt tokens and most output tokens
+MAX_TOKENS = 10_000_000.0  # a higher number is taken for an error
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"  # id of the request that brought a stream's first event
 TENANT = "x-tenant"
@@ -83,6 +87,24 @@
     return seconds if seconds > 0 else None
 
 
+def read_hint(length, usage):
+    """Return the costs.Hint of a client's headers, invalid values left out.
+
+    Args:
+        length: text of LENGTH_HINT, perhaps empty.
+        usage: text of USAGE, perhaps empty.
+    """
+    output = numerals.parse_number(length, MAX_TOKENS)
+    words = usage.split(",")
+    most = None
+    if len(words) == 2:
+        most = numerals.parse_number(words[1], MAX_TOKENS)
+    return costs.Hint(
+        output if output and output >= 1 else None,
+        most if most and most >= 1 else math.inf,
+    )
+
+
 def make_headers(request, target, left, resume_after, source=None):
     """Return the headers of a forwarded request.
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -526,6 +526,7 @@
         self.places.retain(table.services if table else ())
         if table is not None:
             self.shutdown.retain(route.name for route in table.routes)
+            self.selector.costs.retain(route.name for route in table.routes)
         self.rate_permits.retain(self.catalog.registrations)
 
     def count_active(self):
