Place prompts where they will probably end first

Where the upstreams report their speed, an engine that holds a prompt's shared part was still taken before any other, however much work it had left.

Change: holders and the first candidates in rendezvous order are compared together, by remaining work, the prompt tokens to read there and the delay of a slow period. Reading a part again counts twice, as it delays the streams that run there. The bounds on load, the capacity and the steps of 4000 tokens hold as before, and holders come first among equals.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -29,6 +29,9 @@
 # Smaller differences in work are ignored, so that prompts that arrive at the
 # same time do not all choose the same engine.
 WORK_STEP_TOKENS = 4000
+# Work for each prompt token that a cached part would have saved: prefilling
+# it delays the streams that run on the engine besides the request.
+PREFILL_WORK = 2.0
 MIN_COPY_TOKENS = 512  # fewer are prefilled before a copy would start
 MIN_COPY_RATE = 200.0  # tokens per millisecond; three times the prefill rate
 FAILURE_COST = 4.0  # weight of the failure rate against relative load
@@ -273,8 +276,9 @@
             those that accept no new requests, which the bound on load
             counts too.
         limited: names of upstreams that take few requests.
-        forecast: the Forecast, which adds the work that an engine could have
-            done in the time lost; None if the upstreams report no speed.
+        forecast: the Forecast; then those candidates too are compared that
+            lack the part, by the work until the request would end. None if
+            the upstreams report no speed.
     """
     by_name = {one.name: one for one in upstreams}
     key, tokens = find_shared_part(demand.parts)
@@ -291,18 +295,8 @@
         load = loads[name]
         work = load.pending_prefill_tokens + TOKENS_PER_REQUEST * load.requests
         if forecast is not None:
-            # Requests that outlast their estimate, or come from instances
-            # that tell none, count as they do without estimates.
-            work = max(
-                load.pending_prefill_tokens, work - load.pending_prefill_tokens
-            )
-            own = sum(count for _, count in demand.parts)
-            own += costs.STEP_WORK * forecast.estimate.output
-            work += speeds.estimate_delay(
-                work + own,
-                forecast.slowdowns[name],
-                costs.PREFILL_TOKENS_PER_MS,
-            )
+            is_cached = name in cached
+            work = estimate_end(demand, load, is_cached, forecast, name)
         return work // WORK_STEP_TOKENS
 
     ranked = hashing.rank(key or demand.request, dict.fromkeys(by_name, 1.0))
@@ -313,7 +307,11 @@
     if tokens >= MIN_COPY_TOKENS:
         others = [name for name in candidates if name not in limited]
         candidates = others or candidates
-    for names in (cached, candidates[:RENDEZVOUS_CANDIDATES], ranked):
+    tiers = cached, candidates[:RENDEZVOUS_CANDIDATES], ranked
+    if forecast is not None:
+        # Holders come first, as the first of several alike is chosen.
+        tiers = tuple(dict.fromkeys(tiers[0] + tiers[1])), ranked
+    for names in tiers:
         if names:
             name = min(names, key=compute_work)
             break
@@ -339,6 +337,36 @@
     }
 
 
+def estimate_end(demand, load, is_cached, forecast, name):
+    """Return the work in prompt tokens until a request ends on an engine.
+
+    Its own steps are left out: they are the same on all engines, but for the
+    time that a slowdown costs.
+
+    Args:
+        demand: the Demand.
+        load: the engine's Load, with the remaining work of its requests.
+        is_cached: it probably has the shared part of the prompt cached.
+        forecast: the Forecast.
+        name: name of the engine.
+    """
+    # Requests that outlast their estimate, or come from instances that tell
+    # none, count as they do without estimates.
+    work = max(load.pending_prefill_tokens, TOKENS_PER_REQUEST * load.requests)
+    if demand.parts:
+        work += demand.parts[-1][1]
+    if not is_cached:
+        _, tokens = find_shared_part(demand.parts)
+        rate = costs.PREFILL_TOKENS_PER_MS / PREFILL_WORK
+        if tokens >= MIN_COPY_TOKENS:
+            rate = max(rate, forecast.copy_rate)
+        work += tokens * costs.PREFILL_TOKENS_PER_MS / rate
+    own_steps = costs.STEP_WORK * forecast.estimate.output
+    return work + speeds.estimate_delay(
+        work + own_steps, forecast.slowdowns[name], costs.PREFILL_TOKENS_PER_MS
+    )
+
+
 def find_copy_source(tokens, copy_rate, chosen, holders, known, health, now):
     """Return the Registration of the engine to copy a part from, or None.
 
--- a/tests/features/request_cost.feature
+++ b/tests/features/request_cost.feature
@@ -135,3 +135,27 @@
     Then the engine's remaining work is 0 prompt tokens
     When the end of it arrived
     Then the engine's remaining work is 0 prompt tokens
+
+  Scenario Outline: A cached part is left only if reading it again is quicker
+    # Moving a long part at the first sign of work reads it again everywhere.
+    Given 6 idle engines, and engine 4 holds the part
+    And engine 4 has <work> tokens of remaining work
+    And engine 4 reports a slowdown of <slowdown>
+    When a prompt with a shared part of <shared> tokens is placed for 300 tokens
+    Then it is <verdict> to the holder
+
+    Examples:
+      | work  | slowdown | shared | verdict  |
+      | 15000 | 1        | 10500  | sent     |
+      | 0     | 2.5      | 10500  | sent     |
+      | 40000 | 1        | 10500  | not sent |
+      | 15000 | 1        | 700    | not sent |
+      | 0     | 2.5      | 700    | not sent |
+
+  Scenario: Prompts that arrive together don't all choose the same engine
+    # All instances see the same best engine until its load is told.
+    Given 6 idle engines, and engine 4 holds the part
+    And engine 1 has 300 tokens of remaining work
+    And engine 2 has 2000 tokens of remaining work
+    When 60 prompts with parts of their own are placed at the same time
+    Then no engine gets more than 0.4 of them
