Model uneven costs and slow periods in the emulator

Plans had neither outputs of uneven length, hints of clients, nor servers that slow down in turn and report it.

Change: kinds have tail, hinted and hint_error, services reports_speed, and spells is a trouble. The policies two choices and without speed join the others.

--- a/tools/emulator/load.py
+++ b/tools/emulator/load.py
@@ -1,5 +1,6 @@
 """Models of the callers: request rates, deadlines and retries."""
 
+import math
 import random
 import typing
 
@@ -7,6 +8,7 @@
 
 from camphorhook_daemon.domain.routing import answer_relay
 from camphorhook_daemon.domain.routing import attempts
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import table as tables
 from tools.emulator import plans
 from tools.emulator import servers
@@ -198,6 +200,7 @@
         give_up_at = sent_at + kind.deadline_ms * plans.SECONDS_PER_MS
         parts = self._make_parts(kind, session)
         work = self._rng.expovariate(1.0)
+        events, hint = self._draw_output(kind)
         reply, first_request = _Reply(), ""
         places, is_first_served = [], False
         for _ in range(MAX_ATTEMPTS):
@@ -213,6 +216,8 @@
                 reply,
                 give_up_at,
                 first_request,
+                events,
+                hint,
             )
             is_first_served |= status == 200 and len(places) == 1
             ended_at = trio.current_time()
@@ -240,6 +245,20 @@
             )
         )
 
+    def _draw_output(self, kind):
+        """Return (events, costs.Hint) of a request."""
+        events, hint = kind.events, costs.Hint()
+        if kind.tail:
+            events = max(1, round(events * self._draw_factor(kind.tail)))
+        if kind.hinted and self._rng.random() < kind.hinted:
+            tokens = events * costs.TOKENS_PER_EVENT
+            error = self._draw_factor(kind.hint_error)
+            hint = costs.Hint(max(1.0, tokens * error))
+        return events, hint
+
+    def _draw_factor(self, deviation):
+        return math.exp(self._rng.gauss(0.0, deviation))
+
     async def _attempt(
         self,
         instance,
@@ -250,6 +269,8 @@
         reply,
         give_up_at,
         resumes="",
+        events=None,
+        hint=costs.Hint(),
     ):
         """Send a request once; return (status, seconds until a retry)."""
         self._number += 1
@@ -257,7 +278,8 @@
         if not reply.last_event:
             reply.first_request = name
         spec = self._services[kind.service]
-        tokens = 1 + (kind.events - 1) * spec.stride if kind.events else 0
+        events = kind.events if events is None else events
+        tokens = 1 + (events - 1) * spec.stride if events else 0
 
         def make_job(headers):
             job = servers.Job(
@@ -283,6 +305,7 @@
             now,
             give_up_at,
             resumes,
+            hint,
         )
         failure = None
         with trio.move_on_at(give_up_at):
--- a/tools/emulator/network.py
+++ b/tools/emulator/network.py
@@ -26,6 +26,7 @@
         load: the server's (running, waiting) requests.
         limit: requests per second that it takes; inf if it names no limit.
         is_brittle: it falls over if it has to turn requests away.
+        slowdown: factor of the time that work takes; None if not reported.
     """
 
     status: int
@@ -33,6 +34,7 @@
     load: tuple[int, int]
     limit: float
     is_brittle: bool
+    slowdown: float | None = None
 
     def is_event_stream(self):
         """Return whether the answer is a stream, as all that succeed are."""
@@ -58,6 +60,7 @@
             head.load,
             limit=head.limit,
             is_brittle=head.is_brittle,
+            slowdown=head.slowdown,
         )
 
     def pick_response_headers(self, head):
@@ -209,7 +212,10 @@
         period = self._server.limit
         limit = math.inf if period is None else period.rate
         is_brittle = self._server.brittle is not None
-        return ResponseHead(status, has_run, load, limit, is_brittle)
+        slowdown = None
+        if self._server.spec.reports_speed:
+            slowdown = self._server.slowdown / self._server.base_slowdown
+        return ResponseHead(status, has_run, load, limit, is_brittle, slowdown)
 
     async def _receive(self):
         try:
--- a/tools/emulator/plans.py
+++ b/tools/emulator/plans.py
@@ -34,6 +34,7 @@
         cold_s: seconds that a server is cold after its start.
         cold_per_s: requests per second that a cold server can take; 0 for
             no limit.
+        reports_speed: whether servers report how long work takes now.
     """
 
     name: str
@@ -54,6 +55,7 @@
     versions: int = 1
     cold_s: float = 0.0
     cold_per_s: float = 0.0
+    reports_speed: bool = False
 
 
 class RequestKind(msgspec.Struct, forbid_unknown_fields=True):
@@ -81,6 +83,10 @@
             load.CLUMP_WINDOW_SECONDS.
         hot: share of requests that always belong to the first session.
         events: events of an answer; 0 for a plain service.
+        tail: standard deviation of the logarithm of the events.
+        hinted: share of the requests with an estimate of their output.
+        hint_error: standard deviation of the logarithm of the error of these
+            estimates.
         priority: 0 is the most urgent.
     """
 
@@ -101,6 +107,9 @@
     clump: int = 1
     hot: float = 0.0
     events: int = 0
+    tail: float = 0.0
+    hinted: float = 0.0
+    hint_error: float = 0.0
     priority: int = 0
 
 
@@ -114,7 +123,8 @@
             servers that begin to answer on it, sent besides the load,
             `limit`: servers that say how many requests they take, `cut`:
             instances that lose all packets to and from servers, or `cut
-            domain`: all instances of the first failure domain do.
+            domain`: all instances of the first failure domain do, or
+            `spells`: each server is slow SPELL_SHARE of the time.
         at: seconds from the start of the load.
         for_s: seconds that it lasts.
         service: name of the service whose servers are affected.
@@ -135,6 +145,7 @@
         "cut",
         "cut domain",
         "brittle",
+        "spells",
     ]
     at: float
     for_s: float
--- a/tools/emulator/policies.py
+++ b/tools/emulator/policies.py
@@ -50,6 +50,15 @@
         )
 
 
+class TwoChoicesSelector(_HealthySelector):
+    """Chooses the server with fewer requests of two random ones."""
+
+    def pick(self, request, registrations):
+        """Return a Registration."""
+        found = random.sample(registrations, min(2, len(registrations)))
+        return min(found, key=lambda one: self.loads.sum_load(one.name)[0])
+
+
 class HashSelector(_HealthySelector):
     """Chooses the first server of the shared prompt in rendezvous hashing."""
 
@@ -63,8 +72,17 @@
         return by_name[names[0]]
 
 
+class WithoutSpeedSelector(selection.Selector):
+    """The product's selection where upstreams report no speed."""
+
+    def _make_forecast(self, request, spec, upstreams, now):
+        return None
+
+
 POLICIES = {
     "product": selection.Selector,
+    "without speed": WithoutSpeedSelector,
+    "two choices": TwoChoicesSelector,
     "random": RandomSelector,
     "least": LeastLoadSelector,
     "hash": HashSelector,
--- a/tools/emulator/trials.py
+++ b/tools/emulator/trials.py
@@ -21,6 +21,9 @@
 SETTLE_SECONDS = 1.0  # until all instances know each other
 CONTACT_SECONDS = 3.0  # after which a cut must not be noticed any more
 END_SECONDS = 3.0  # before its end, as later ones may be served after it
+# Of a server whose machine others use too.
+SPELL_SECONDS = 0.6
+SPELL_SHARE = 0.15
 ROUTING_PACKAGE = "camphorhook_daemon.domain.routing"
 
 
@@ -176,6 +179,11 @@
     found = [
         one for one in fleet.servers.values() if one.spec.name == fault.service
     ]
+    if fault.kind == "spells":
+        async with trio.open_nursery() as nursery:
+            for server in found:
+                nursery.start_soon(_slow_in_turn, server, fault, rng.random())
+        return
     chosen = rng.sample(found, math.ceil(fault.share * len(found)))
     if fault.kind == "slow":
         for server in chosen:
@@ -203,6 +211,19 @@
             nursery.start_soon(fleet.crash, server, fault.for_s)
 
 
+async def _slow_in_turn(server, fault, start):
+    """Slow a server down again and again, from a random time on."""
+    end = trio.current_time() + fault.for_s
+    usual = SPELL_SECONDS * (1 / SPELL_SHARE - 1)
+    rng = random.Random(f"{server.name} {start}")
+    await trio.sleep(start * usual)
+    while trio.current_time() < end:
+        server.slowdown = server.base_slowdown * fault.times
+        await trio.sleep(SPELL_SECONDS)
+        server.slowdown = server.base_slowdown
+        await trio.sleep(usual * rng.uniform(0.5, 1.5))
+
+
 async def _cut_links(fault, fleet, rng):
     """Cut instances off from all servers for some seconds."""
     found = fleet.instances
