Add the command where, which shows where a request would go now

Operators could see where requests had gone, in logs, but not where one would go now and why. An entry instance's metrics port answers GET /placement with what the code that chooses upstreams says now, and with the figures of each upstream. Nothing is sent, and no permit or place is acquired.

--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -4,6 +4,8 @@
 """
 
 import sys
+import urllib.parse
+import uuid
 
 from camphorhook import csvfiles
 from camphorhook import explanation
@@ -14,6 +16,17 @@
 from camphorhook_common import errors
 from camphorhook_common import timeline
 
+PLACEMENT_COLUMNS = (
+    "name",
+    "failure_domain",
+    "version",
+    "state",
+    "capacity",
+    "load",
+    "pending_tokens",
+    "slowdown",
+    "failure_rate",
+)
 STATUS_COLUMNS = (
     "name",
     "failure_domain",
@@ -224,6 +237,70 @@
     _change_row(client, arguments, table, arguments["NAME"], {"state": state})
 
 
+def show_placement(client, arguments):
+    """Print to which upstream a request would go now, and why.
+
+    Raises:
+        errors.CamphorhookError: no route matches.
+    """
+    fields = {
+        "host": arguments["HOST"],
+        "path": arguments["PATH"],
+        "parts": arguments["--parts"] or "",
+        "request": uuid.uuid4().hex,
+    }
+    answer = client.read(f"/placement?{urllib.parse.urlencode(fields)}")
+    if arguments["--json"]:
+        formatting.echo_json(answer)
+        return
+    if answer["reason"]:
+        raise errors.CamphorhookError(
+            answer["reason"], step="where", peer=arguments["HOST"]
+        )
+    formatting.echo(f"route {answer['route']}, document {answer['version']}")
+    for service in answer["services"]:
+        formatting.echo(_describe_placement(service))
+        rows = [
+            [upstream[column] for column in PLACEMENT_COLUMNS]
+            + [", ".join(_list_obstacles(upstream))]
+            for upstream in service["upstreams"]
+        ]
+        formatting.echo_rows((*PLACEMENT_COLUMNS, "not chosen as"), rows)
+
+
+def _describe_placement(service):
+    """Return one sentence on where a request to a service would go."""
+    start = f"service {service['service']} (weight {service['weight']:g}): "
+    if "refusal" in service:
+        refusal = service["refusal"]
+        return (
+            f"{start}refused, {refusal['reason']}; to be sent again after "
+            f"{refusal['retry_after']:.2f} s"
+        )
+    choice = service["choice"]
+    text = (
+        f"{start}to {choice['upstream']}, which has {choice['load']:.1f} "
+        f"requests where the mean is {choice['mean']:.1f}"
+    )
+    if choice["part"]:
+        text += f"; part {choice['part']} of {choice['tokens']} tokens is "
+        text += "cached there" if choice["is_cached"] else "not cached there"
+    if choice["source"]:
+        text += f" and would be copied from {choice['source']}"
+    return text
+
+
+def _list_obstacles(upstream):
+    """Return the reasons for which an upstream is avoided."""
+    reasons = {
+        "is_avoided": "its connections failed",
+        "is_out_of_service": "its failure domain is out of service",
+        "is_leaving": "it leaves",
+        "is_limited": "it takes few requests",
+    }
+    return [text for name, text in reasons.items() if upstream[name]]
+
+
 def show_status(client, arguments):
     """Print the state and the configuration index of each instance."""
     answer = client.read("/status")
--- a/packages/client/src/camphorhook/main.py
+++ b/packages/client/src/camphorhook/main.py
@@ -13,6 +13,7 @@
     camphorhook [options] drain (upstream | instance) NAME [--undo]
     camphorhook [options] status
     camphorhook [options] upstreams
+    camphorhook [options] where HOST PATH [--parts LIST]
     camphorhook [options] timeline [FILE...]
     camphorhook [options] explain REQUEST FILE...
     camphorhook [options] report PAGE FILE...
@@ -23,7 +24,9 @@
 Tables are client_accounts, services, routes, failure_domains, upstreams and
 instances. CELL is COLUMN=VALUE. A document holds all routes, services and
 client accounts; import-document needs a replica's control port as --server.
-report writes an HTML page with plots of the events in log files.
+report writes an HTML page with plots of the events in log files. where shows
+to which upstream an instance would send a request now, without sending it; it
+needs the instance's metrics port as --server.
 
 Options:
     --server LIST     Operators' ports as ADDRESS:PORT, separated by commas;
@@ -38,6 +41,8 @@
     --dry-run         Print the faults of the document and what would change;
                       change nothing.
     --undo            End a drain.
+    --parts LIST      Parts of the request's prompt, as ID:TOKENS entries
+                      separated by commas.
     --word ID         Only events with this request id, operation id or peer.
     --instance NAME   Only events of this instance.
     --event PREFIX    Only events whose name starts with this prefix.
@@ -71,6 +76,7 @@
     "drain": commands.drain,
     "status": commands.show_status,
     "upstreams": commands.show_upstreams,
+    "where": commands.show_placement,
     "timeline": commands.show_timeline,
     "explain": commands.explain_request,
     "report": commands.write_report,
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -199,6 +199,36 @@
             return None
         return {name: self.speeds.estimate(name, now) for name in names}
 
+    def describe_upstreams(self, service, now):
+        """Return the figures by which each upstream of a service is chosen.
+
+        Returns:
+            A dictionary of an upstream for each, in the order of names.
+        """
+        known = self._catalog.list_service(service)
+        instances = self._catalog.count_instances()
+        loads = self._estimate_loads(known, instances, now)
+        excluded = self._rules.list_excluded_domains()
+        spec = self._rules.get_table().services.get(service)
+        return [
+            {
+                "name": one.name,
+                "failure_domain": one.failure_domain,
+                "version": one.version,
+                "state": one.state,
+                "capacity": one.capacity,
+                "load": loads[one.name].requests,
+                "pending_tokens": loads[one.name].pending_prefill_tokens,
+                "slowdown": self.speeds.estimate(one.name, now),
+                "failure_rate": self.outcomes.estimate_failure_rate(one.name),
+                "is_avoided": self.health[one.name].avoid_until > now,
+                "is_out_of_service": one.failure_domain in excluded,
+                "is_leaving": self.withdrawals.is_leaving(one),
+                "is_limited": self._find_rate(one, spec, now) < math.inf,
+            }
+            for one in sorted(known, key=lambda one: one.name)
+        ]
+
     def _has_limits(self, upstreams):
         """Return whether any upstream named a limit."""
         return any(
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -41,6 +41,7 @@
 from camphorhook_daemon.domain.routing import links
 from camphorhook_daemon.domain.routing import loads
 from camphorhook_daemon.domain.routing import outcomes
+from camphorhook_daemon.domain.routing import placement_preview
 from camphorhook_daemon.domain.routing import places
 from camphorhook_daemon.domain.routing import pressure
 from camphorhook_daemon.domain.routing import publishing
@@ -133,7 +134,10 @@
         self.forwarder = None
         self._listen(
             settings.metrics,
-            exposition.MetricsApp(self.counts).handle,
+            exposition.MetricsApp(
+                self.counts,
+                self.preview_placement if settings.callers else None,
+            ).handle,
             listeners.Limits,
         )
 
@@ -418,6 +422,22 @@
             and not self.withdrawals.is_leaving(one)
         ]
 
+    def preview_placement(self, host, path, parts, request):
+        """Return placement_preview.preview of a request.
+
+        Args:
+            host: host name.
+            path: path without its query.
+            parts: ID:TOKENS entries of its prompt, separated by commas.
+            request: its id.
+        """
+        demand = placement_preview.Demand(
+            request, host, path, handover.read_parts(parts)
+        )
+        return placement_preview.preview(
+            demand, self.rules, self.selector, trio.current_time()
+        )
+
     async def probe(self, upstream, seconds):
         """Return whether an upstream answers on a new connection.
 
