Show the learned cost of a request in placement previews

The selector asks for the route and hint of a request since it learns costs, which a preview lacked, so that the command where failed at services whose upstreams report their speed. placement_preview.feature passes.

--- a/packages/client/src/camphorhook/commands.py
+++ b/packages/client/src/camphorhook/commands.py
@@ -287,6 +287,11 @@
         text += "cached there" if choice["is_cached"] else "not cached there"
     if choice["source"]:
         text += f" and would be copied from {choice['source']}"
+    figures = service["forecast"].items()
+    if figures:
+        text += "; " + ", ".join(
+            f"{name} {value:g}" for name, value in figures
+        )
     return text
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/placement_preview.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/placement_preview.py
@@ -7,7 +7,9 @@
 import typing
 
 from camphorhook_daemon.domain.routing import choice as choices
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import selection
+from camphorhook_daemon.domain.routing import table as tables
 
 HIGHEST_SHOWN_LOAD = 1e9  # JSON has no infinity
 
@@ -20,12 +22,16 @@
         host: host name.
         path: path without its query.
         parts: (id, tokens) of each part of its prompt, in order.
+        route: the Route that matches, or None.
+        hint: the costs.Hint of its client.
     """
 
     request: str
     host: str
     path: str
     parts: tuple[tuple[str, int], ...]
+    route: tables.Route | None = None
+    hint: costs.Hint = costs.Hint()
 
 
 def preview(demand, rules, selector, now):
@@ -48,6 +54,7 @@
     route = table.find_route(demand.host, demand.path)
     if route is None:
         return _refuse(table.version, "no route matches the host and path")
+    demand = demand._replace(route=route)
     return {
         "version": table.version,
         "route": route.name,
@@ -82,6 +89,7 @@
         }
         return shown
     part, tokens = choices.find_shared_part(demand.parts)
+    shown["forecast"] = found.describe_forecast()
     shown["choice"] = {
         "upstream": found.upstream.name,
         "load": found.load,
