--- a/packages/common/src/camphorhook_common/log_limits.py
+++ b/packages/common/src/camphorhook_common/log_limits.py
@@ -20,7 +20,7 @@
         self._next_at = float("-inf")
         self._omitted = 0
 
-    def write(self, level, message, **fields):
+    def log(self, level, message, **fields):
         """Write a log line, or count it as omitted.
 
         The line says how many were omitted since the one before.
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -254,7 +254,7 @@
                 "part": choices.find_shared_part(request.parts),
                 "held": choice.is_cached,
                 "source": choice.source.name if choice.source else "",
-                **choice.describe_forecast(),
+                "forecast": choice.describe_forecast(),
                 "route": request.route.name,
                 "attempt": progress.sends + 1,
                 "version": target.version,
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -183,7 +183,7 @@
             else:
                 is_valid = False
     if not is_valid:
-        _load_log.write(
+        _load_log.log(
             "warning",
             f"ignored values of the header {SERVER_LOAD}: {text[:80]!r}",
             step="read answer",
