Order scarce places by target time and account

Cause: while a service is short of places, what waits is served by priority and arrival. At 1.3 times the room nearly all that is served is late, and one account takes the places of the others.

A new message, AcquireOrderedPlace, tells account and target time; it goes only to holders that have answered one, as older builds drop what they don't know. No service is ordered yet: the composition has a stub.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -531,8 +531,41 @@
     lease_ms: int
 
 
+class AcquireOrderedPlace(typing.NamedTuple):
+    """Asks for a place as AcquirePlace does, and tells what sets the order.
+
+    Older builds refuse longer forms of a message, and don't answer kinds that
+    they don't know. One without candidates asks whether it is answered.
+
+    Attributes:
+        sender: name of the instance that asks.
+        number: number of the question at the sender.
+        service: name of the service.
+        candidates: its upstreams that may serve the request.
+        priority: 0 is the most urgent.
+        wait_ms: longest time to wait for a place, in milliseconds.
+        lease_ms: milliseconds after which the place counts as free.
+        account: name of the client account; empty on a public route.
+        target_ms: milliseconds until the target time of the answer.
+        is_last: the client is told to return if there is no place.
+        request: hash of the client's id of the request; 0 if it has none.
+    """
+
+    sender: str
+    number: int
+    service: str
+    candidates: list[PlaceCandidate]
+    priority: int
+    wait_ms: int
+    lease_ms: int
+    account: str = ""
+    target_ms: int = 0
+    is_last: bool = False
+    request: int = 0
+
+
 class PlaceReply(typing.NamedTuple):
-    """Answers AcquirePlace.
+    """Answers AcquirePlace and AcquireOrderedPlace.
 
     Attributes:
         upstream: upstream to send the request to; empty if there is no place.
@@ -548,7 +581,7 @@
 
 
 class ReleasePlace(typing.NamedTuple):
-    """Gives back what AcquirePlace of this sender and number was granted."""
+    """Gives back what a question of this sender and number was granted."""
 
     sender: str
     number: int
@@ -1101,6 +1134,7 @@
     "or": OriginReply,
     "pn": PressureNews,
     "ac": AcquirePlace,
+    "ao": AcquireOrderedPlace,
     "pc": PlaceReply,
     "rz": ReleasePlace,
     "rk": ReadContacts,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -107,8 +107,9 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self._components.rate_permits.grant(message)
 
-    @handle.register
-    async def _(self, message: wire.AcquirePlace):
+    @handle.register(wire.AcquirePlace)
+    @handle.register(wire.AcquireOrderedPlace)
+    async def _(self, message):
         return await self._components.places.grant(message)
 
     @handle.register
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/granting.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/granting.py
@@ -5,14 +5,14 @@
 its lease ends.
 """
 
-import heapq
-import itertools
+import functools
 
 import trio
 
 from camphorhook_common import logs
 from camphorhook_common import wire
 from camphorhook_daemon.domain import hashing
+from camphorhook_daemon.domain.routing import waiting
 
 SECONDS_PER_MS = 0.001
 NO_HOLDER_SECONDS = 0.3  # until instances agree on the holders again
@@ -23,7 +23,7 @@
 # Of the time that a request may wait: what waits beyond it would often be
 # refused in the end.
 ADMITTED_SHARE = 0.75
-MAX_WAITING = 500  # requests at one holder
+LATE_ADMITTED_SHARE = 0.33  # others may become late and go before them
 # At first, requests that were sent without a place occupy upstreams, which
 # only the instances' notices tell.
 SETTLE_SECONDS = 1.0
@@ -33,33 +33,17 @@
 HOLD_WEIGHT = 0.1  # of the last request in the mean time of a place
 
 
-class _Waiter:
-    """A request that waits for a place."""
-
-    def __init__(self, message):
-        self.message = message
-        self.upstream = ""
-        self.is_done = False
-        self.ended = trio.Event()
-
-
 class _Pool:
     """The places of one service that this instance grants."""
 
-    def __init__(self):
+    def __init__(self, now):
         self.used = {}
-        self.waiting = []
+        self.line = waiting.Line(now)
         self.hold_seconds = FIRST_HOLD_SECONDS
         self.leases = {}
         self.settles_at = 0.0
         self.asked_at = float("-inf")
 
-    def count_waiting(self):
-        """Return the number of requests that wait."""
-        self.waiting = [one for one in self.waiting if not one[2].is_done]
-        heapq.heapify(self.waiting)
-        return len(self.waiting)
-
 
 class Grants:
     """Grants the places of the services that this instance holds."""
@@ -79,10 +63,13 @@
         self._count_load = count_load
         self._now = now
         self._pools = {}
-        self._numbers = itertools.count()
 
     async def grant(self, message):
-        """Return the wire.PlaceReply to a wire.AcquirePlace."""
+        """Return the wire.PlaceReply to a question for a place.
+
+        Args:
+            message: a wire.AcquirePlace or wire.AcquireOrderedPlace.
+        """
         self._holders.refresh()
         if self._holders.find_position(message.service, "") is None:
             wait_ms = int(NO_HOLDER_SECONDS / SECONDS_PER_MS)
@@ -90,21 +77,24 @@
         # Of an upstream with one place, one of the holders grants none.
         if not self._count_all_places(message):
             return wire.PlaceReply("", 0, True, False)
-        pool = self._pools.setdefault(message.service, _Pool())
+        pool = self._pools.setdefault(message.service, _Pool(self._now))
         self._settle(pool)
         self._serve(message.service, pool)
-        if not pool.count_waiting():
+        demand = _describe(message, self._now())
+        if not pool.line:
             upstream = self._take(pool, message)
             if upstream:
+                pool.line.record_grant(demand)
                 return wire.PlaceReply(upstream, 0)
-        expected = self._estimate_wait(pool, message)
+        pace = waiting.Pace(pool.hold_seconds, self._count_all_places(message))
+        outlook = pool.line.estimate(demand, pace)
         wait = message.wait_ms * SECONDS_PER_MS
-        is_late = expected > ADMITTED_SHARE * wait
-        if is_late or len(pool.waiting) >= MAX_WAITING:
-            return wire.PlaceReply("", int(expected / SECONDS_PER_MS) + 1)
-        waiter = _Waiter(message)
-        entry = message.priority, next(self._numbers), waiter
-        heapq.heappush(pool.waiting, entry)
+        share = LATE_ADMITTED_SHARE if outlook.is_late else ADMITTED_SHARE
+        is_hopeless = outlook.seconds > share * wait
+        if is_hopeless or len(pool.line) >= waiting.MAX_WAITING:
+            return self._refuse(pool, message, demand)
+        waiter = waiting.Waiter(message, demand)
+        pool.line.add(waiter, outlook.is_late)
         try:
             with trio.move_on_after(wait):
                 while not waiter.ended.is_set():
@@ -112,11 +102,19 @@
                         await waiter.ended.wait()
                     self._serve(message.service, pool)
         finally:
-            waiter.is_done = True
+            pool.line.remove(waiter)
         if waiter.upstream:
             return wire.PlaceReply(waiter.upstream, 0)
-        expected = self._estimate_wait(pool, message)
-        return wire.PlaceReply("", int(expected / SECONDS_PER_MS) + 1)
+        return self._refuse(pool, message, demand)
+
+    def _refuse(self, pool, message, demand):
+        """Return the wire.PlaceReply to a request that gets no place."""
+        pace = waiting.Pace(pool.hold_seconds, self._count_all_places(message))
+        if _keeps_turn(message):
+            seconds = pool.line.refuse(demand, pace)
+        else:
+            seconds = pool.line.estimate(demand, pace).seconds
+        return wire.PlaceReply("", int(seconds / SECONDS_PER_MS) + 1)
 
     def _settle(self, pool):
         """Begin to watch the load, if no place was asked for of late."""
@@ -190,12 +188,6 @@
         usual = LEASE_HOLDS * pool.hold_seconds
         return min(lease, max(MIN_LEASE_SECONDS, usual))
 
-    def _estimate_wait(self, pool, message):
-        """Return the seconds after which a place is likely to be free."""
-        places = self._count_all_places(message)
-        ahead = len(pool.waiting) + 1
-        return ahead * pool.hold_seconds / max(1, places)
-
     def handle_release(self, message):
         """Free the place of a wire.ReleasePlace; return a wire.PlaceReply.
 
@@ -204,11 +196,7 @@
         pool = self._pools.get(message.service)
         if pool is not None:
             key = message.sender, message.number
-            for _, _, waiter in pool.waiting:
-                asked = waiter.message
-                if (asked.sender, asked.number) == key:
-                    waiter.is_done = True
-                    waiter.ended.set()
+            pool.line.release(key)
             lease = pool.leases.pop(key, None)
             if lease is not None:
                 self._free(pool, lease)
@@ -233,22 +221,9 @@
         Returns:
             Whether one was granted.
         """
-        unserved = []
-        is_granted = False
-        while pool.waiting:
-            entry = heapq.heappop(pool.waiting)
-            waiter = entry[2]
-            if waiter.is_done:
-                continue
-            waiter.upstream = self._take(pool, waiter.message)
-            if waiter.upstream:
-                waiter.is_done = is_granted = True
-                waiter.ended.set()
-                break
-            unserved.append(entry)
-        for entry in unserved:
-            heapq.heappush(pool.waiting, entry)
-        return is_granted
+        return pool.line.serve_first(
+            functools.partial(self._take, pool), pool.hold_seconds
+        )
 
     def _evict(self, service, pool):
         """Free places whose holder was lost without a release."""
@@ -269,5 +244,29 @@
         """Forget services that are gone, and free what was not released."""
         for service, pool in list(self._pools.items()):
             self._evict(service, pool)
+            pool.line.evict()
             if service not in services and not pool.leases:
                 del self._pools[service]
+
+    def count_waiting(self):
+        """Return the number of requests that wait here for a place."""
+        return sum(len(pool.line) for pool in self._pools.values())
+
+
+@functools.singledispatch
+def _describe(message, _now):
+    """Return the waiting.Demand of a message of an older build."""
+    return waiting.Demand(message.priority)
+
+
+@_describe.register
+def _(message: wire.AcquireOrderedPlace, now):
+    target_at = now + message.target_ms * SECONDS_PER_MS
+    return waiting.Demand(
+        message.priority, message.account, target_at, message.request
+    )
+
+
+def _keeps_turn(message):
+    """Return whether a refusal is passed on to the client."""
+    return isinstance(message, wire.AcquireOrderedPlace) and message.is_last
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -4,7 +4,8 @@
 upstreams of a service have (granting.py), and the others ask them before each
 request. What waits does so at a holder, by priority and order of arrival, and
 no longer than it can be expected to be served within; the rest is refused at
-once.
+once. Where the service is ordered, accounts and target times count as well
+(waiting.py).
 """
 
 import itertools
@@ -13,6 +14,7 @@
 import typing
 
 import trio
+import xxhash
 
 from camphorhook_common import errors
 from camphorhook_common import logs
@@ -30,6 +32,17 @@
 # Of that wait at the first holder: it may have no free place for long while
 # the other one has some.
 FIRST_WAIT_SHARE = 0.5
+# An ordered wait goes on after the target time, to serve the request late.
+ORDERED_WAIT_SHARE = 0.6  # of the time left; the upstream may be slow
+# Of an ordered wait at the first holder: the order at the second one does not
+# know how long a request has waited already.
+ORDERED_FIRST_SHARE = 0.75
+# A holder of an older build does not answer ordered questions. Shorter than a
+# process takes to be replaced by one and to be a holder again.
+ORDER_HEARD_SECONDS = 1.0
+ORDER_KNOWN_SECONDS = 30.0  # after the last answer; then it is asked again
+# Each inquiry leaves a line in the log of an older build.
+INQUIRY_SECONDS = 60.0
 NUMBER_BITS = 48  # of the random first number of a process's questions
 
 
@@ -62,6 +75,23 @@
 _NO_HOLDER = NoPlace(granting.NO_HOLDER_SECONDS, False)
 
 
+class Client(typing.NamedTuple):
+    """Whose request needs a place.
+
+    Attributes:
+        account: name of the client account; empty on a public route.
+        request: request id as given by the client.
+        spent: seconds since the request was received.
+    """
+
+    account: str
+    request: str
+    spent: float
+
+
+_NO_CLIENT = Client("", "", 0.0)
+
+
 class _Question(typing.NamedTuple):
     """What a request needs a place for.
 
@@ -70,18 +100,32 @@
         upstreams: wire.Registrations to choose from, the best first.
         priority: 0 is the most urgent.
         left: seconds until the request's deadline.
+        client: the Client; None if the order does not depend on it.
+        target_at: time in seconds by which it should be answered.
     """
 
     service: str
     upstreams: list
     priority: int
     left: float
+    client: Client | None
+    target_at: float
 
 
 class Places:
     """Acquires places from holders, and grants those this instance holds."""
 
-    def __init__(self, name, holders, pressure, count_load, transport, now):
+    def __init__(
+        self,
+        name,
+        holders,
+        pressure,
+        count_load,
+        transport,
+        now,
+        is_ordered,
+        counts,
+    ):
         """Create the places of an instance that has granted none.
 
         Args:
@@ -92,14 +136,21 @@
                 have at an upstream, by its name.
             transport: a Transport.
             now: function that returns the time in seconds.
+            is_ordered: function that returns whether accounts and target
+                times count for a service, by its name.
+            counts: metrics: `add`.
         """
         self._name = name
+        self._is_ordered = is_ordered
+        self._counts = counts
         self._holders = holders
         self._transport = transport
         self._now = now
         self._grants = granting.Grants(holders, pressure, count_load, now)
         self._silent_until = {}
         self._heard_at = {}
+        self._order_heard_at = {}
+        self._inquired_at = {}
         # A process that starts again must not use the numbers of before.
         self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
         self._nursery = None
@@ -112,7 +163,15 @@
 
     # --- asking ----------------------------------------------------------
 
-    async def acquire(self, service, upstreams, priority, objective, left):
+    async def acquire(
+        self,
+        service,
+        upstreams,
+        priority,
+        objective,
+        left,
+        client=_NO_CLIENT,
+    ):
         """Return a Place, or a NoPlace.
 
         Args:
@@ -121,17 +180,45 @@
             priority: 0 is the most urgent.
             objective: target latency of the request in seconds.
             left: seconds until its deadline.
+            client: the Client.
         """
         self._holders.refresh()
-        question = _Question(service, upstreams, priority, left)
+        is_ordered = self._is_ordered(service)
+        target_at = self._now() + objective - client.spent
+        question = _Question(
+            service,
+            upstreams,
+            priority,
+            left,
+            client if is_ordered else None,
+            target_at,
+        )
         longest = min(WAIT_SHARE * left, WAIT_OBJECTIVES * objective)
+        if is_ordered:
+            longest = ORDERED_WAIT_SHARE * left
+        found = await self._seek(question, longest)
+        if isinstance(found, NoPlace):
+            reason = "no place in time" if found.is_known else "no holder"
+            self._counts.add("places_refused_total", reason=reason)
+        return found
+
+    async def _seek(self, question, longest):
+        """Return a Place or a NoPlace.
+
+        Args:
+            question: the _Question.
+            longest: seconds for which the request may wait.
+        """
+        service = question.service
         asked_at = self._now()
         holders = self._list_holders(service)
         # While a holder is lost its places stay empty for seconds, which only
         # brittle upstreams need.
         must_have_place = self.pressure.is_brittle(service)
         is_complete = len(holders) == len(self._holders.find(service, ""))
-        waits_at = self._choose_waiting(holders)
+        waits_at = ""
+        if question.client is None:
+            waits_at = self._choose_waiting(holders)
         denials = {}
         for holder in holders:
             may_wait = must_have_place or is_complete
@@ -155,10 +242,15 @@
         self.pressure.record_full(service)
         if not (must_have_place or is_complete):
             return _NO_HOLDER
-        nearest = NoPlace(min(denials.values()))
+        nearest = min(denials, key=denials.get)
+        refusal = NoPlace(denials[nearest])
         denials.pop(waits_at, None)
         found = await self._wait_in_turn(question, denials, asked_at + longest)
-        return found or nearest
+        if found is None and self._reads_order(nearest, question):
+            found = await self._ask(nearest, question, 0.0, is_last=True)
+            if isinstance(found, NoPlace) and not found.is_known:
+                found = None
+        return found or refusal
 
     async def _wait_in_turn(self, question, denials, until):
         """Return a Place for which a request had to wait, or None.
@@ -174,7 +266,8 @@
             if denials[holder] > wait:
                 continue
             if holder != holders[-1]:
-                wait *= FIRST_WAIT_SHARE
+                is_ordered = question.client is not None
+                wait *= (FIRST_WAIT_SHARE, ORDERED_FIRST_SHARE)[is_ordered]
             found = await self._ask(holder, question, wait)
             if isinstance(found, Place):
                 return found
@@ -204,13 +297,65 @@
             found = found[1:] + found[:1]
         return found
 
-    async def _ask(self, holder, question, wait):
+    def _reads_order(self, holder, question):
+        """Return whether a holder is to order a question by all it says."""
+        if question.client is None:
+            return False
+        heard_at = self._order_heard_at.get(holder, -math.inf)
+        if self._now() - heard_at < ORDER_KNOWN_SECONDS:
+            return True
+        inquired_at = self._inquired_at.get(holder, -math.inf)
+        if self._now() - inquired_at >= INQUIRY_SECONDS and self._nursery:
+            self._inquired_at[holder] = self._now()
+            self._nursery.start_soon(self._inquire, holder)
+        return False
+
+    async def _inquire(self, holder):
+        """Find out whether a holder reads ordered questions."""
+        message = wire.AcquireOrderedPlace(self._name, 0, "", [], 0, 0, 0)
+        try:
+            await self._transport.call(
+                holder, message, RELEASE_TIMEOUT_SECONDS
+            )
+        except errors.UnreachableError as error:
+            logs.log("info", error.format(), step="inquire about order")
+            return
+        self._order_heard_at[holder] = self._now()
+        self._inquired_at.pop(holder, None)
+
+    async def _ask(self, holder, question, wait, is_last=False):
         """Ask a holder; return a Place or a NoPlace.
 
         Args:
             holder: name of the holder.
             question: the _Question.
             wait: longest time in seconds to wait for a place.
+            is_last: whether a refusal is passed on to the client.
+        """
+        if not self._reads_order(holder, question):
+            return await self._ask_once(holder, question, wait, None)
+        heard_at = self._order_heard_at[holder]
+        found = await self._ask_once(holder, question, wait, is_last)
+        if found is not _NO_HOLDER:
+            self._order_heard_at[holder] = self._now()
+            return found
+        self._order_heard_at.pop(holder, None)
+        if self._now() - heard_at < wait + ORDER_HEARD_SECONDS or is_last:
+            return found
+        # An older build may have replaced it.
+        found = await self._ask_once(holder, question, wait, None)
+        if found is not _NO_HOLDER:
+            self._silent_until.pop(holder, None)
+        return found
+
+    async def _ask_once(self, holder, question, wait, is_last):
+        """Ask a holder in one form; return a Place or a NoPlace.
+
+        Args:
+            holder: name of the holder.
+            question: the _Question.
+            wait: longest time in seconds to wait for a place.
+            is_last: as in _ask; None for the form that older builds read.
         """
         number = next(self._numbers)
         service = question.service
@@ -226,6 +371,15 @@
             int(wait / SECONDS_PER_MS),
             int((question.left + LEASE_MARGIN_SECONDS) / SECONDS_PER_MS),
         )
+        if is_last is not None:
+            target = max(0.0, question.target_at - self._now())
+            message = wire.AcquireOrderedPlace(
+                *message,
+                question.client.account,
+                int(target / SECONDS_PER_MS),
+                is_last,
+                _hash_request(question.client.request),
+            )
         reply = None
         try:
             reply = await self._transport.call(
@@ -269,7 +423,7 @@
     # --- granting --------------------------------------------------------
 
     async def grant(self, message):
-        """Return the wire.PlaceReply to a wire.AcquirePlace."""
+        """Return the wire.PlaceReply to a question for a place."""
         return await self._grants.grant(message)
 
     def handle_release(self, message):
@@ -288,8 +442,26 @@
             for name, until in self._silent_until.items()
             if until > now
         }
-        self._heard_at = {
-            name: at
-            for name, at in self._heard_at.items()
-            if now - at < HEARD_SECONDS
-        }
+        self._heard_at = _keep_since(self._heard_at, now - HEARD_SECONDS)
+        self._order_heard_at = _keep_since(
+            self._order_heard_at, now - ORDER_KNOWN_SECONDS
+        )
+        self._inquired_at = _keep_since(
+            self._inquired_at, now - INQUIRY_SECONDS
+        )
+
+    def count_waiting(self):
+        """Return the number of requests that wait here for a place."""
+        return self._grants.count_waiting()
+
+
+def _keep_since(times, start):
+    """Return the entries of a mapping of times that are after a start."""
+    return {name: at for name, at in times.items() if at > start}
+
+
+def _hash_request(request):
+    """Return a hash of a request's id for another instance; 0 for none."""
+    if not request:
+        return 0
+    return xxhash.xxh3_64_intdigest(request.encode())
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -267,6 +267,11 @@
                 request.priority,
                 request.route.objective,
                 request.deadline - now,
+                place_grants.Client(
+                    request.account,
+                    request.request,
+                    now - request.received_at,
+                ),
             )
             if isinstance(place, place_grants.NoPlace):
                 if place.is_known or self.places.pressure.is_brittle(service):
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -261,6 +261,8 @@
             lambda name: self.loads.sum_load(name)[0],
             self.transport,
             trio.current_time,
+            lambda service: False,
+            self.counts,
         )
         self.notices = notices.NoticeExchange(
             settings.name,
@@ -353,6 +355,7 @@
         watch("instances_heard", self.loads.count_reporting_instances)
         watch("upstreams_known", lambda: len(self.catalog.registrations))
         watch("connections_opened", lambda: self.pool.opened)
+        watch("places_waiting", self.places.count_waiting)
         watch("requests_active", self.count_active)
         watch("links_cut_off", lambda: self.links.is_cut_off)
         self._listen(settings.callers, app.handle, self._read_limits)
--- a/tests/harness/place_holders.py
+++ b/tests/harness/place_holders.py
@@ -3,6 +3,8 @@
 import trio
 
 from camphorhook_common import errors
+from camphorhook_common import wire
+from camphorhook_daemon.adapters import metrics
 from camphorhook_daemon.domain.routing import places
 from camphorhook_daemon.domain.routing import pressure
 from tests.harness import routers
@@ -17,11 +19,21 @@
     Attributes:
         places: its places.Places.
         is_silent: it answers no message.
+        is_ordered: its questions tell accounts and target times.
+        is_old: it is of a build that does not read such questions.
+        delay_seconds: time that a message takes.
+        dropped: number of messages that it could not read.
+        counts: its metrics.
     """
 
     def __init__(self, name, holders):
         self.name = name
         self.is_silent = False
+        self.is_ordered = False
+        self.is_old = False
+        self.delay_seconds = 0.0
+        self.dropped = 0
+        self.counts = metrics.Metrics()
         self._holders = holders
         self.places = places.Places(
             name,
@@ -30,11 +42,16 @@
             lambda upstream: 0,
             self,
             trio.current_time,
+            lambda service: self.is_ordered,
+            self.counts,
         )
 
     def refresh(self):
         """Note which instances came and went."""
 
+    def retain(self, _services):
+        """Forget the holders of all other services."""
+
     def find(self, _service, _failure_domain):
         """Return the names of the holders."""
         return list(self._holders)
@@ -47,8 +64,12 @@
         """Send a message to a holder."""
         other = self._holders[peer]
         with trio.move_on_after(timeout):
+            await trio.sleep(self.delay_seconds)
             if other.is_silent:
                 await trio.sleep_forever()
+            if other.is_old and isinstance(message, wire.AcquireOrderedPlace):
+                other.dropped += 1
+                await trio.sleep_forever()
             if hasattr(message, "candidates"):
                 return await other.places.grant(message)
             return other.places.handle_release(message)
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -10,6 +10,7 @@
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import handover
 from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.adapters import metrics
 from camphorhook_daemon.adapters import request_app
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import attempts
@@ -246,6 +247,8 @@
             lambda one: 0,
             self,
             now,
+            lambda service: False,
+            metrics.Metrics(),
         )
         self.permits = rate_permits.RatePermits(
             rate_permits.Holders(
@@ -390,7 +393,7 @@
 
     async def call(self, _peer, message, _timeout):
         """Answer a message of this instance, the only one, to itself."""
-        if isinstance(message, wire.AcquirePlace):
+        if isinstance(message, wire.AcquirePlace | wire.AcquireOrderedPlace):
             return await self.places.grant(message)
         return self.permits.grant(message)
 
--- a/tools/emulator/fleet.py
+++ b/tools/emulator/fleet.py
@@ -7,6 +7,7 @@
 
 from camphorhook_common import settings
 from camphorhook_common import wire
+from camphorhook_daemon.adapters import metrics
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain.routing import budgets
 from camphorhook_daemon.domain.routing import cache_index
@@ -168,6 +169,8 @@
             lambda one: self.loads.sum_load(one)[0],
             transport,
             now,
+            lambda service: False,
+            metrics.Metrics(),
         )
         self.origins = stream_origins.StreamOrigins(
             name, self.catalog.map_instances, transport, now
@@ -244,8 +247,9 @@
     async def _(self, message: wire.AcquireRatePermit):
         return self.permits.grant(message)
 
-    @answer.register
-    async def _(self, message: wire.AcquirePlace):
+    @answer.register(wire.AcquirePlace)
+    @answer.register(wire.AcquireOrderedPlace)
+    async def _(self, message):
         return await self.places.grant(message)
 
     @answer.register
