Order scarce places where upstreams tell their speed

The order by target time and account was built with a stub that left it off. It takes effect for a service while any of its upstreams reported its speed lately; other services keep the order by priority and arrival.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -209,6 +209,11 @@
         slowdowns = {name: self.speeds.estimate(name, now) for name in names}
         return choices.Forecast(slowdowns, estimate, spec.copy_rate)
 
+    def reports_speed(self, service, now):
+        """Return whether any upstream of a service told its speed lately."""
+        names = [one.name for one in self._catalog.list_service(service)]
+        return self.speeds.are_reported(names, now)
+
     def describe_upstreams(self, service, now):
         """Return the figures by which each upstream of a service is chosen.
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -265,7 +265,7 @@
             lambda name: self.loads.sum_load(name)[0],
             self.transport,
             trio.current_time,
-            lambda service: False,
+            self.is_ordered,
             self.counts,
         )
         self.notices = notices.NoticeExchange(
@@ -425,6 +425,13 @@
             and not self.withdrawals.is_leaving(one)
         ]
 
+    def is_ordered(self, service):
+        """Return whether accounts and target times order its scarce places.
+
+        It takes a service whose upstreams tell their speed.
+        """
+        return self.selector.reports_speed(service, trio.current_time())
+
     def preview_placement(self, host, path, parts, request):
         """Return placement_preview.preview of a request.
 
