Roll out versions of services step by step

Change: commands for rollouts at replicas are rows of the log. Entry instances send the share in force to the target by a hash of the request's id, and report outcomes to the leader, which completes the rollout or rolls it back. Without Bounds.ExposureShare nothing changes.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -624,6 +624,56 @@
     versions: list[SeenVersion]
 
 
+class RolloutCounts(typing.NamedTuple):
+    """Outcomes of one class of requests since a rollout was seen.
+
+    Attributes:
+        route: name of the route.
+        is_target: whether they went to the target version.
+        upstream: name of the upstream; empty for the old versions, whose
+            upstreams are summed.
+        sent: requests sent.
+        served: outcomes that are no failures.
+        failed: failures of the upstream itself.
+        times: numbers of comparable answers by class of the time to the
+            first byte or event; pairs of class and number.
+    """
+
+    route: str
+    is_target: bool
+    upstream: str
+    sent: int
+    served: int
+    failed: int
+    times: list[tuple[int, int]]
+
+
+class ReportRollout(typing.NamedTuple):
+    """Tells the leader what an entry instance counted of a rollout.
+
+    Attributes:
+        service: name of the service.
+        rollout: id of the command that began the rollout.
+        instance: name of the entry instance.
+        run: id of its process, whose counts these are.
+        targets: upstreams of the target version that it knows.
+        counts: totals since the process saw the rollout.
+    """
+
+    service: str
+    rollout: str
+    instance: str
+    run: str
+    targets: int
+    counts: list[RolloutCounts]
+
+
+class ReportReply(typing.NamedTuple):
+    """Answers ReportRollout; `leader` leads the log, or is empty."""
+
+    leader: str
+
+
 class FindOrigin(typing.NamedTuple):
     """Asks an instance where the stream with this key began."""
 
@@ -1097,6 +1147,8 @@
     "os": SyncOrigins,
     "rv": ReadVersions,
     "vs": VersionsReply,
+    "ro": ReportRollout,
+    "oy": ReportReply,
     "fo": FindOrigin,
     "or": OriginReply,
     "pn": PressureNews,
--- a/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/message_handler.py
@@ -125,6 +125,11 @@
     async def _(self, message: wire.StoreOrigin):
         return self._components.origins.store(message)
 
+    @handle.register
+    async def _(self, message: wire.ReportRollout):
+        self._get_replica()
+        return self._components.rollouts.receive(message)
+
     @handle.register
     async def _(self, message: wire.FindOrigin):
         return self._components.origins.answer(message)
--- a/packages/daemon/src/camphorhook_daemon/adapters/metrics.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/metrics.py
@@ -29,6 +29,7 @@
         self._counters = collections.defaultdict(collections.Counter)
         self._histograms = {}
         self._gauges = {}
+        self._gauge_sets = []
 
     def add(self, name, amount=1, **labels):
         """Add an amount to a counter.
@@ -71,6 +72,17 @@
         """
         self._gauges[name] = read
 
+    def register_gauges(self, prefix, label, read):
+        """Register gauges with one label each.
+
+        Args:
+            prefix: start of the gauges' names, without PREFIX.
+            label: name of the label.
+            read: function without arguments that returns, by the rest of a
+                gauge's name, {value of the label: number}.
+        """
+        self._gauge_sets.append((prefix, label, read))
+
     def count_control(self, kind, direction, size):
         """Count the bytes of a message between instances.
 
@@ -91,6 +103,13 @@
         for name, read in sorted(self._gauges.items()):
             lines.append(f"# TYPE {PREFIX}{name} gauge")
             lines.append(f"{PREFIX}{name} {int(read())}")
+        for prefix, label, read in self._gauge_sets:
+            for rest, numbers in sorted(read().items()):
+                name = f"{PREFIX}{prefix}_{rest}"
+                lines.append(f"# TYPE {name} gauge")
+                for value, number in sorted(numbers.items()):
+                    key = _format_labels(((label, value),))
+                    lines.append(f"{name}{key} {number:g}")
         for (name, key), (buckets, total) in sorted(self._histograms.items()):
             lines += _render_histogram(name, key, buckets, total)
         return "\n".join(lines) + "\n"
--- a/packages/daemon/src/camphorhook_daemon/domain/orders.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/orders.py
@@ -1,6 +1,7 @@
-"""Operators' orders for failure domains, none of which takes effect late."""
+"""Operators' orders, none of which takes effect late."""
 
 import time
+import typing
 import uuid
 
 import trio
@@ -16,6 +17,20 @@
 MAX_DELAY_SECONDS = 0.5  # from the acceptance to the complete order
 
 
+class Done(typing.NamedTuple):
+    """A change that an order made.
+
+    Attributes:
+        operation: id of the change.
+        index: its index in the log.
+        code: code of its outcome.
+    """
+
+    operation: str
+    index: int
+    code: str
+
+
 class Orders:
     """Carries out orders that a replica receives."""
 
@@ -47,41 +62,66 @@
             errors.UnreachableError: the order came late or is overtaken, its
                 caller has left, or there was no outcome in time.
         """
+        # Read before anything is awaited.
+        version = self._replica.state.get_version(states.DOMAINS_TABLE, domain)
+        check_age(caller)
+        outcome = await self.submit(
+            caller,
+            (states.DOMAINS_TABLE, domain),
+            version,
+            {"state": state},
+            "set failure domain",
+        )
+        logs.log(
+            "info",
+            f"failure domain {domain} is {state}",
+            operation=outcome.operation,
+            step="set failure domain",
+            inputs={"index": outcome.index, "code": outcome.code},
+        )
+        # Otherwise the caller's next order here would be overtaken.
+        with trio.move_on_after(measure_time_left(caller)):
+            await self._replica.wait_until_applied(outcome.index)
+
+    async def submit(self, caller, place, version, cells, step):
+        """Change a row as it was when an order arrived.
+
+        Args:
+            caller: the listeners.Exchange of the order.
+            place: table and row.
+            version: version of the row when the order arrived.
+            cells: cells by column.
+            step: what is done, for errors.
+
+        Returns:
+            Done.
+
+        Raises:
+            errors.UnreachableError: the order is overtaken, its caller has
+                left, or there was no outcome in time.
+        """
         command = commands.SetCells(
             f"{self._name}/{uuid.uuid4().hex}",
-            states.DOMAINS_TABLE,
-            domain,
-            # Read before anything is awaited.
-            self._replica.state.get_version(states.DOMAINS_TABLE, domain),
-            {"state": state},
+            *place,
+            version,
+            cells,
             time.time(),
         )
-        _check_age(caller)
         outcome = await self._submitter.submit(
             command,
-            _measure_time_left(caller),
+            measure_time_left(caller),
             lambda: (
-                _measure_time_left(caller) > 0 and not caller.has_client_left()
+                measure_time_left(caller) > 0 and not caller.has_client_left()
             ),
         )
         if outcome.code != "done":
             raise errors.UnreachableError(
-                f"another order came first: {outcome.detail}",
-                step="set failure domain",
+                f"another order came first: {outcome.detail}", step=step
             )
-        logs.log(
-            "info",
-            f"failure domain {domain} is {state}",
-            operation=command.operation,
-            step="set failure domain",
-            inputs={"index": outcome.index, "code": outcome.code},
-        )
-        # Otherwise the caller's next order here would be overtaken.
-        with trio.move_on_after(_measure_time_left(caller)):
-            await self._replica.wait_until_applied(outcome.index)
+        return Done(command.operation, outcome.index, outcome.code)
 
 
-def _check_age(caller):
+def check_age(caller):
     """Check that an order came with its connection.
 
     Raises:
@@ -93,10 +133,10 @@
         raise errors.UnreachableError(
             f"the order came {age:.3f} s after its connection, over "
             f"{MAX_DELAY_SECONDS:g} s",
-            step="set failure domain",
+            step="check age of order",
         )
 
 
-def _measure_time_left(caller):
+def measure_time_left(caller):
     """Return the seconds for which the caller of an order still waits."""
     return max(0.0, TIMEOUT_SECONDS - caller.measure_age())
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/answer_relay.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/answer_relay.py
@@ -89,9 +89,17 @@
             inputs={"bytes": size},
         )
 
-    async def relay_stream(self, request, answer, progress, reply):
+    async def relay_stream(
+        self, request, answer, progress, reply, on_first=None
+    ):
         """Relay the events of a stream as they arrive.
 
+        Args:
+            on_first: function to call as the first event arrives, or None.
+
+        Returns:
+            The mean seconds between events; None for too few.
+
         Raises:
             ports.AttemptError: the stream broke off; it may be resumed.
             StreamBroken: the deadline passed.
@@ -103,7 +111,7 @@
             )
             progress.has_started = True
         progress.position.begin()
-        timing = events.StreamTiming(request.received_at, self._now)
+        timing = events.StreamTiming(request.received_at, self._now, on_first)
         with trio.move_on_at(request.deadline):
             await self._relay_all(request, answer, progress, reply, timing)
             await reply.finish()
@@ -116,7 +124,7 @@
                     **timing.describe(),
                 },
             )
-            return
+            return timing.measure_pace()
         raise StreamBroken("the route's timeout or the deadline was reached")
 
     async def _relay_all(self, request, answer, progress, reply, timing):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -129,6 +129,7 @@
         place: the places.Place of the last attempt, or None.
         version: software version that began the stream; None before that.
         upstream: wire.Registration of the upstream of the last attempt.
+        observation: the rollout_shares.Observation of the last attempt.
         handed_over_to: service that must serve the request, if another
             instance handed it over; then this one may not do so again.
         unreached: attempts for which no connection could be opened.
@@ -149,6 +150,7 @@
         self.place = None
         self.version = None
         self.upstream = None
+        self.observation = None
         self.handed_over_to = ""
         self.unreached = 0
         self.failed_gateways = set()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/events.py
@@ -7,6 +7,7 @@
 # Two line ends; the group is atomic, so that a CRLF counts as one of them.
 _EVENT_END = re.compile(rb"(?>\r\n|\r|\n){2}")
 _MAX_EVENT_END_BYTES = 4
+MIN_PACED_EVENTS = 4  # fewer say little of a server's speed
 MAX_EVENT_BYTES = 256 * 1024  # held in memory until an event is complete
 
 
@@ -16,11 +17,20 @@
     Times are in seconds.
     """
 
-    def __init__(self, received_at, now):
+    def __init__(self, received_at, now, on_first=None):
+        """Create the object.
+
+        Args:
+            received_at: time of the request's receipt.
+            now: function that returns the time.
+            on_first: function to call as the first event arrives, or None.
+        """
+        self._on_first = on_first
         self._received_at = received_at
         self._now = now
         self._last = None
         self._first = 0.0
+        self._first_at = 0.0
         self._pause = 0.0
         self._send = 0.0
         self._events = 0
@@ -31,6 +41,9 @@
         now = self._now()
         if self._last is None:
             self._first = now - self._received_at
+            self._first_at = now
+            if self._on_first is not None:
+                self._on_first()
         else:
             self._pause = max(self._pause, now - self._last)
         self._events += 1
@@ -44,6 +57,12 @@
         """Record the bytes after the last complete event of an answer."""
         self._rest_bytes = size
 
+    def measure_pace(self):
+        """Return the mean time between events; None for fewer than 4."""
+        if self._events < MIN_PACED_EVENTS:
+            return None
+        return (self._last - self._first_at) / (self._events - 1)
+
     def describe(self):
         """Return the figures for a log line; times are in milliseconds."""
         return {
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -264,6 +264,7 @@
         )
         progress.sends += 1
         progress.upstream = target
+        progress.observation = self._selector.observe(request, choice, now)
         pending_prefill = attempts.PendingPrefill(
             self._loads, target.name, request, choice
         )
@@ -318,6 +319,7 @@
                 now,
                 progress.failed,
                 progress.version,
+                progress.sends > 0,
             )
             if isinstance(choice, selection.Refusal):
                 return refusal or choice
@@ -387,8 +389,16 @@
         if error.sent and error.connection_broken and not is_brittle:
             # Told at once, as such a request may be on its way elsewhere.
             self._crash_guard.record_crash(request, target, progress.sent_at)
+        observation = progress.observation
+
+        def tell():
+            self._outcomes.record(target.name, False)
+            # A request may crash a sound upstream.
+            if error.sent and not error.connection_broken:
+                observation.record_failed()
+
         self._links.report(
-            lambda: self._outcomes.record(target.name, False),
+            tell,
             lambda: self._crash_guard.retract_crash(target),
         )
         if error.connection_broken or not error.sent:
@@ -470,9 +480,14 @@
             )
             if is_stream:
                 await self._record_origin(request, target, progress)
-                await self._relay.relay_stream(
-                    request, answer, progress, reply
+                pace = await self._relay.relay_stream(
+                    request,
+                    answer,
+                    progress,
+                    reply,
+                    progress.observation.record_served,
                 )
+                progress.observation.record_pace(pace)
             else:
                 body = await self._relay.read_body(
                     request, answer, progress, reply
@@ -519,6 +534,7 @@
             # its failure rate is compared with others on selection.
             progress.failed.add(answer.upstream)
             self._outcomes.record(answer.upstream, False)
+            progress.observation.record_failed()
             self._counts.add("attempts_total", outcome="server error")
             answer_relay.log_step(
                 request,
@@ -530,6 +546,7 @@
                 return attempts.AttemptResult.RETRY
         else:
             self._record_success(answer.upstream)
+            progress.observation.record_served()
         if progress.has_started:
             return attempts.Failure(
                 502, f"the upstream answered {head.status}"
@@ -578,6 +595,8 @@
                 request, choice.upstream, progress.permit
             )
             wait.is_sent = not obstacle
+            if not obstacle:
+                progress.observation.record_sent()
             return obstacle
 
         now = self._now()
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -8,6 +8,7 @@
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import places as place_grants
 from camphorhook_daemon.domain.routing import rate_permits
+from camphorhook_daemon.domain.routing import rollout_shares
 
 # Of the latency objective or the time left: longest wait for the prefill of a
 # part, which would take as long if repeated.
@@ -58,6 +59,7 @@
         permits: the rate_permits.RatePermits for upstreams that take few
             requests per second.
         places: the places.Places at upstreams that take few at once.
+        rollouts: the rollout_shares.VersionShares.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         places,
         rules,
         instance,
+        rollouts=None,
     ):
         """Create a selector.
 
@@ -87,6 +90,8 @@
             rules: the configuration in force: `get_table`,
                 `list_excluded_domains`.
             instance: (name, failure domain) of this instance.
+            rollouts: the rollout_shares.VersionShares; without it, versions
+                play no role.
         """
         self._catalog = catalog
         self._cache_index = cache_index
@@ -96,6 +101,7 @@
         self.limits = limits
         self.permits = permits
         self.places = places
+        self.rollouts = rollouts or rollout_shares.NoRollouts()
         self._rules = rules
         self._failure_domain = instance[1]
         self.health = collections.defaultdict(choices.UpstreamHealth)
@@ -109,7 +115,16 @@
         """Return the number of instances that share the upstreams."""
         return self._catalog.count_instances()
 
-    def choose(self, request, service, excluded, now, failed=(), version=None):
+    def choose(
+        self,
+        request,
+        service,
+        excluded,
+        now,
+        failed=(),
+        version=None,
+        is_retry=False,
+    ):
         """Return a Choice, or a Refusal if no upstream can be selected.
 
         Args:
@@ -122,6 +137,7 @@
                 other upstreams, all others are preferred.
             version: software version that the upstream must have; None for
                 any.
+            is_retry: whether an attempt was made before.
         """
         known = self._catalog.list_service(service)
         candidates = [
@@ -132,12 +148,33 @@
             if not self.withdrawals.is_leaving(one)
             and version in (None, one.version)
         ]
-        if version is not None and not candidates:
+        groups = self.rollouts.split(
+            service, candidates, request.request, version, is_retry
+        )
+        if version is not None and not groups[0]:
             return Refusal(
                 f"no upstream of {service} has version {version}, which "
                 "began the stream",
                 is_final=True,
             )
+        for candidates in groups:
+            choice = self._choose_among(
+                request, service, known, candidates, excluded, now, failed
+            )
+            if not isinstance(choice, Refusal):
+                break
+        return choice
+
+    def _choose_among(
+        self, request, service, known, candidates, excluded, now, failed
+    ):
+        """Return a Choice among candidates, or a Refusal.
+
+        Args:
+            known: wire.Registrations of all upstreams of the service.
+            candidates: those that may be chosen.
+            request, service, excluded, now, failed: as for `choose`.
+        """
         spec = self._rules.get_table().services.get(service)
         if spec is None:
             return Refusal(f"service {service} is no longer configured")
@@ -324,6 +361,9 @@
             return obstacle
         if upstream.failure_domain in self._rules.list_excluded_domains():
             return "the upstream's failure domain is out of service"
+        obstacle = self.rollouts.find_obstacle(upstream)
+        if obstacle:
+            return obstacle
         table = self._rules.get_table()
         spec = table.services.get(upstream.service) if table else None
         if self._find_rate(upstream, spec, now) == math.inf:
@@ -332,6 +372,21 @@
             return ""
         return "the upstream takes few requests, and there is no permit"
 
+    def observe(self, request, choice, now):
+        """Return the rollout_shares.Observation of an attempt.
+
+        Args:
+            request: request with `parts` and `route`.
+            choice: the Choice.
+            now: current time in seconds.
+        """
+        upstream = choice.upstream
+        is_cold = self._catalog.cold_until.get(upstream.name, 0) > now
+        has_prompt = choice.is_cached or not request.parts
+        return self.rollouts.observe(
+            upstream, request.route.name, has_prompt and not is_cold
+        )
+
     def _find_rate(self, upstream, spec, now):
         """Return the requests per second that an upstream takes, or inf.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/state.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/state.py
@@ -27,6 +27,7 @@
 DOMAINS_TABLE = "failure_domains"
 DEPARTURES_TABLE = "upstream_departures"
 VERSIONS_TABLE = "upstream_versions"
+ROLLOUTS_TABLE = "rollouts"
 # Only replicas read these; watchers are not told of changes.
 _REPLICAS_TABLES = frozenset({DEPARTURES_TABLE})
 ROUTING_DOCUMENT_ROW = "routing"
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -11,12 +11,16 @@
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import document_import
 from camphorhook_daemon.domain import orders
+from camphorhook_daemon.domain import rollout_orders
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import registrations
+from camphorhook_daemon.platform import rollout_commands
 
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
+ROLLOUTS_TARGET = "/-/rollouts"
+ROLLOUTS_PREFIX = "/-/rollouts/"
 SUBMIT_TIMEOUT_SECONDS = 2.5  # operators wait longer for large documents
 RETRY_AFTER_SECONDS = "0.3"
 OUT, IN = "out", "in"
@@ -55,6 +59,9 @@
         self._submitter = submitter
         self._watch_server = watch_server
         self._orders = orders.Orders(settings.name, replica, submitter)
+        self._rollouts = rollout_orders.RolloutOrders(
+            settings, replica, self._orders, self._confirm
+        )
         self._imports = document_import.DocumentImporter(
             documents, self._read_last, self._submit_document
         )
@@ -62,7 +69,9 @@
     async def handle(self, exchange):
         """Answer one request."""
         path, _, query = exchange.target.partition("?")
-        if path == CONFIG_TARGET or path.startswith(EVACUATIONS_PREFIX):
+        if path in (CONFIG_TARGET, ROLLOUTS_TARGET) or path.startswith(
+            EVACUATIONS_PREFIX
+        ):
             # The age of a connection then tells the age of an order.
             exchange.close_after_answer()
         try:
@@ -108,6 +117,8 @@
         if path.startswith(EVACUATIONS_PREFIX):
             domain = path[len(EVACUATIONS_PREFIX) :]
             return await self._set_domain(exchange, domain)
+        if (path + "/").startswith(ROLLOUTS_PREFIX):
+            return await self._answer_rollouts(exchange, path)
         return 404, {}
 
     async def _register(self, method, name, body):
@@ -168,13 +179,17 @@
             version, delta, time.time(), last.version
         )
 
+    async def _confirm(self):
+        """Return whether a leader confirmed the local state just now."""
+        return await self._watch_server.wait_until_current()
+
     async def _read_last(self):
         """Return the newest Document, or None if there is none.
 
         Raises:
             errors.UnreachableError: no leader confirmed the state.
         """
-        if not await self._watch_server.wait_until_current():
+        if not await self._confirm():
             raise errors.UnreachableError(
                 "no leader confirms the state: "
                 f"{self._replica.describe_outage()}",
@@ -200,6 +215,38 @@
         await self._orders.set_domain(exchange, domain, state)
         return 200, {}
 
+    async def _answer_rollouts(self, exchange, path):
+        """Begin a rollout, or tell the state of one."""
+        if self._settings.exposure_share is None:
+            return 404, {}
+        if path == ROLLOUTS_TARGET:
+            if exchange.method != "POST":
+                return 405, {}
+            return await self._begin_rollout(exchange)
+        if exchange.method != "GET":
+            return 405, {}
+        service = rollout_commands.read_service(path[len(ROLLOUTS_PREFIX) :])
+        rollout = await self._rollouts.read(service)
+        if rollout is None:
+            return 404, {}
+        return 200, rollout_commands.make_state(rollout)
+
+    async def _begin_rollout(self, exchange):
+        command = rollout_commands.read(exchange.body)
+        last = self._replica.state.documents.get_latest()
+        if last is None:
+            raise errors.UnreachableError(
+                "there is no document yet", step="begin rollout"
+            )
+        if command.service not in documents.read(last.raw).services:
+            last = await self._read_last()
+            rollout_commands.check_service(
+                command, documents.read(last.raw).services
+            )
+        if await self._rollouts.begin(exchange, command):
+            return 200, {}
+        return 409, {"error": "another rollout of the service is running"}
+
 
 def _make_whole_import(version, body):
     return commands.ImportDocument(version, deltas.pack(body), time.time())
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -36,6 +36,9 @@
     retry_window_s: float = 10
     retry_slack: float = 50
     grace_s: float = 8
+    exposure_share: float | None = None
+    exposure_slack: float = 50
+    rollback_ms: float = 5000
 
 
 class _File(msgspec.Struct, rename="pascal"):
@@ -90,6 +93,11 @@
         stop_seconds: longest duration of a graceful shutdown.
         timing: the Timing.
         peers: always empty, as instances are known by their address alone.
+        exposure_share: share of a service's requests that a bad version may
+            get during a rollout; None if there are no rollouts.
+        exposure_slack: requests that it may get beyond that.
+        rollback_seconds: from the 50th bad response of a version until it
+            gets no more requests.
     """
 
     name: str
@@ -113,6 +121,9 @@
     stop_seconds: float
     timing: Timing = Timing()
     peers: tuple = ()
+    exposure_share: float | None = None
+    exposure_slack: float = 0.0
+    rollback_seconds: float = 5.0
 
     def list_replicas(self):
         """Return the names of the replicas known at the start."""
@@ -213,6 +224,9 @@
         retry_slack=bounds.retry_slack,
         retry_window=bounds.retry_window_s,
         stop_seconds=bounds.grace_s * GRACE_SHARE,
+        exposure_share=bounds.exposure_share,
+        exposure_slack=bounds.exposure_slack,
+        rollback_seconds=bounds.rollback_ms * SECONDS_PER_MS,
     )
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -28,6 +28,7 @@
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain import replica
+from camphorhook_daemon.domain import rollouts
 from camphorhook_daemon.domain.routing import announced_versions
 from camphorhook_daemon.domain.routing import bodies
 from camphorhook_daemon.domain.routing import cache_index
@@ -46,6 +47,8 @@
 from camphorhook_daemon.domain.routing import publishing
 from camphorhook_daemon.domain.routing import rate_permits
 from camphorhook_daemon.domain.routing import registry
+from camphorhook_daemon.domain.routing import rollout_reports
+from camphorhook_daemon.domain.routing import rollout_shares
 from camphorhook_daemon.domain.routing import rules
 from camphorhook_daemon.domain.routing import selection
 from camphorhook_daemon.domain.routing import stream_origins
@@ -198,6 +201,13 @@
         watch("log_leads", lambda: self.replica.role == "leader")
         watch("log_votes", lambda: self.replica.is_voter)
         watch("upstreams_heard", lambda: len(self.registry.list_names()))
+        self.rollouts = rollouts.Rollouts(
+            settings.name, self.replica, settings, now
+        )
+        if settings.exposure_share is not None:
+            self.counts.register_gauges(
+                "rollout", "service", self.rollouts.list_gauges
+            )
         app = control.ControlApp(
             settings,
             self.registry,
@@ -276,6 +286,17 @@
             self.catalog.list_replicas,
         )
         self.pool = connection_pool.ConnectionPool()
+        self.version_shares = rollout_shares.VersionShares(
+            settings, self.configuration, now
+        )
+        self.rollout_reporter = rollout_reports.Reporter(
+            settings.name,
+            self.version_shares,
+            self.catalog,
+            self.configuration,
+            self.transport,
+            now,
+        )
         self.selector = selection.Selector(
             self.catalog,
             self.cache_index,
@@ -287,6 +308,7 @@
             self.places,
             self.rules,
             (settings.name, settings.failure_domain),
+            self.version_shares,
         )
         self.gateways = gateways.Gateways(
             settings.name,
@@ -589,6 +611,7 @@
         nursery.start_soon(components.departures.follow)
         nursery.start_soon(components.departures.evict_expired)
         nursery.start_soon(components.announced_versions.evict_unseen)
+        nursery.start_soon(components.rollouts.run)
     if components.forwarder is not None:
         nursery.start_soon(components.watcher.run)
         nursery.start_soon(components.rules.follow)
@@ -611,6 +634,7 @@
         )
         nursery.start_soon(components.origins.run)
         nursery.start_soon(components.places.run)
+        nursery.start_soon(components.rollout_reporter.run)
         nursery.start_soon(components.links.run)
         nursery.start_soon(components.gateways.run)
         nursery.start_soon(
--- a/tools/emulator/policies.py
+++ b/tools/emulator/policies.py
@@ -10,7 +10,16 @@
 class _HealthySelector(selection.Selector):
     """Chooses among the servers that are not avoided after failures."""
 
-    def choose(self, request, service, excluded, now, failed=(), version=None):
+    def choose(
+        self,
+        request,
+        service,
+        excluded,
+        now,
+        failed=(),
+        version=None,
+        is_retry=False,
+    ):
         """Return a Choice or a Refusal; see selection.Selector."""
         registrations = [
             one
