Leave decisions on rollouts out of the platform's package

Reports grew with the number of upstreams, and too few outcomes came at low rates. One upstream's failures hid those of the others from the verdict. Change: the checks of commands are in domain/, the calls in adapters/. Reports leave out what the leader has. The trial share is higher at low rates. A second score finds small rates of failures; upstreams are scored one by one.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -657,7 +657,8 @@
         instance: name of the entry instance.
         run: id of its process, whose counts these are.
         targets: upstreams of the target version that it knows.
-        counts: totals since the process saw the rollout.
+        counts: totals since the process saw the rollout; those that are the
+            same as in a report that was taken may be left out.
     """
 
     service: str
@@ -669,9 +670,15 @@
 
 
 class ReportReply(typing.NamedTuple):
-    """Answers ReportRollout; `leader` leads the log, or is empty."""
+    """Answers ReportRollout.
+
+    Attributes:
+        leader: leads the log, or is empty.
+        taken_by: id of the sums that took the counts; empty if none did.
+    """
 
     leader: str
+    taken_by: str = ""
 
 
 class FindOrigin(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/rollout_orders.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/rollout_orders.py
@@ -1,5 +1,6 @@
 """Operators' commands for rollouts, none of which takes effect late."""
 
+import math
 import time
 import typing
 
@@ -10,10 +11,21 @@
 from camphorhook_daemon.domain import orders
 from camphorhook_daemon.domain import rollouts
 from camphorhook_daemon.domain.routing import announced_versions
+from camphorhook_daemon.domain.routing import registry
 from camphorhook_daemon.domain import state as states
 
 # Callers repeat a command for at most 5 s; it may have ended meanwhile.
 REPEAT_SECONDS = 6.0
+MAX_QUOTED = 80  # characters of an unknown name in an error
+MAX_DURATION_SECONDS = 7 * 86400.0  # longer ones are mistakes
+
+
+class CommandError(errors.CamphorhookError):
+    """The command is invalid; the message says why."""
+
+
+def _make_error(text):
+    return CommandError(text, step="read rollout")
 
 
 class Command(typing.NamedTuple):
@@ -29,6 +41,30 @@
     target: str
     duration: float
 
+    def check(self):
+        """Check what can be told without the configuration.
+
+        Raises:
+            CommandError: the command is invalid.
+        """
+        target = self.target
+        if (
+            not target
+            or len(target) > registry.MAX_TEXT_CHARACTERS
+            or not target.isprintable()
+            or target != target.strip()
+            or max(target) > registry.LAST_LATIN_1
+        ):
+            raise _make_error("the target is no version that upstreams have")
+        if not (
+            math.isfinite(self.duration)
+            and 0 < self.duration <= MAX_DURATION_SECONDS
+        ):
+            raise _make_error(
+                f"the duration of {self.duration:g} s is not over 0 s and up "
+                f"to {MAX_DURATION_SECONDS:g} s"
+            )
+
 
 def is_repeated(command, rollout, now):
     """Return whether a command is the one that began a rollout.
@@ -64,6 +100,10 @@
         self._orders = domain_orders
         self._confirm = confirm
 
+    def is_enabled(self):
+        """Return whether rollouts are in use here."""
+        return self._settings.exposure_share is not None
+
     def _find(self, service):
         """Return the Rollout of a service in the local state, or None."""
         rows = self._replica.state.tables[states.ROLLOUTS_TABLE]
@@ -79,7 +119,7 @@
         await self._check_current()
         return self._find(service)
 
-    async def begin(self, caller, command):
+    async def begin(self, caller, command, read_services):
         """Begin a rollout.
 
         It takes effect only over the row as it was when the command arrived.
@@ -88,12 +128,15 @@
             caller: the listeners.Exchange of the command; its connection
                 carries no other.
             command: the Command.
+            read_services: async function that returns the names of the
+                configured services, as a leader confirms them.
 
         Returns:
             Whether the rollout has begun, by this command or an earlier copy
             of it; False if another one is running.
 
         Raises:
+            CommandError: the service is unknown.
             errors.UnreachableError: the command came late or is overtaken,
                 its caller has left, or there was no outcome in time.
         """
@@ -103,7 +146,11 @@
         )
         orders.check_age(caller)
         with trio.move_on_after(orders.measure_time_left(caller)):
-            await self._check_current()
+            # A read that is confirmed covers the rows as well.
+            if command.service not in await read_services():
+                raise _make_error(
+                    f"service {command.service[:MAX_QUOTED]!r} is unknown"
+                )
             return await self._begin(caller, command, version)
         raise errors.UnreachableError(
             "no leader confirmed the state in time", step="begin rollout"
--- a/packages/daemon/src/camphorhook_daemon/domain/rollouts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/rollouts.py
@@ -5,6 +5,7 @@
 the share of it is bounded by what may still go wrong until the deadline.
 """
 
+import collections
 import math
 import time
 import typing
@@ -25,6 +26,12 @@
 # Of the exposure: reports are late, and rates of requests change.
 MOVE_PART = 0.8
 REPORT_LAG_SECONDS = 1.0  # requests sent that are not reported yet
+TRIAL_SLACK_PART = 0.4
+# A burst of requests finds this share in force for up to 1.5 s, until it is
+# reported and answered by a lower one.
+MAX_TRIAL_SHARE = 0.15
+CHANGE_FACTOR = 1.5  # smaller changes are not worth a change of the row
+MIN_RATE_SECONDS = 1.5  # the first reports have arrived
 MIN_OUTCOMES = 30  # of the target, before all requests move to it
 # Between the completion and the deadline, so that it is known by then: a
 # commit takes some hundredths of a second. Of short rollouts a part.
@@ -54,6 +61,7 @@
         before: versions that were served when it began.
         denied: versions that get no request.
         reason: why it ended, or an empty text.
+        base_share: share that it began with.
     """
 
     command: str
@@ -65,6 +73,7 @@
     before: tuple[str, ...]
     denied: tuple[str, ...]
     reason: str = ""
+    base_share: float = 0.0
 
 
 def read_cells(cells):
@@ -110,6 +119,8 @@
         duration,
         tuple(sorted(versions - denied - {target})),
         tuple(sorted(denied)),
+        "",
+        TRIAL_PART * share,
     )
 
 
@@ -164,17 +175,47 @@
         return roll_back(rollout, finding.reason)
     if situation.led < MIN_LED_SECONDS:
         return rollout
-    if situation.left <= compute_completion_seconds(rollout.duration):
+    if is_last_step(rollout, situation.left):
         return _conclude(rollout, situation)
     if rollout.share < 1.0 and _may_move(situation, share, slack):
         return rollout._replace(share=1.0)
+    trial_share = _compute_trial_share(rollout, situation, slack)
+    is_other = (
+        trial_share > CHANGE_FACTOR * rollout.share
+        or rollout.share > CHANGE_FACTOR * trial_share
+    )
+    if is_other and finding.outcomes and rollout.share < 1.0:
+        return rollout._replace(share=trial_share)
     return rollout
 
 
-def compute_completion_seconds(duration):
-    """Return the seconds between the completion and the deadline."""
-    part = COMPLETION_PART * duration
-    return min(COMPLETION_SECONDS, max(MIN_COMPLETION_SECONDS, part))
+def _compute_trial_share(rollout, situation, slack):
+    """Return the share at which few requests are still some evidence.
+
+    With few requests, a part of the slack is more than a part of the share.
+    """
+    exposure = situation.exposure
+    elapsed = rollout.duration - situation.left
+    if elapsed < MIN_RATE_SECONDS or not exposure.sent:
+        return rollout.base_share
+    # A pause of the clients says nothing about the time after it.
+    rate = max(exposure.rate, exposure.sent / elapsed)
+    expected = exposure.sent + rate * situation.left
+    more = TRIAL_SLACK_PART * slack / expected
+    return max(
+        rollout.base_share, min(MAX_TRIAL_SHARE, rollout.base_share + more)
+    )
+
+
+def is_last_step(rollout, left):
+    """Return whether a rollout must end now.
+
+    Args:
+        rollout: the Rollout.
+        left: seconds until its deadline.
+    """
+    part = COMPLETION_PART * rollout.duration
+    return left <= min(COMPLETION_SECONDS, max(MIN_COMPLETION_SECONDS, part))
 
 
 def _conclude(rollout, situation):
@@ -251,6 +292,7 @@
         watched = self._watched.get(report.service)
         if watched is not None and watched.rollout == report.rollout:
             watched.sums.apply(report)
+            return wire.ReportReply(self._name, watched.sums.name)
         return wire.ReportReply(self._name)
 
     async def run(self):
@@ -277,10 +319,11 @@
             del self._watched[service]
         for service, (version, rollout) in running.items():
             watched = self._watch(service, rollout, now)
-            finding = watched.sums.evaluate(now)
+            left = watched.deadline - now
+            finding = watched.sums.evaluate(now, is_last_step(rollout, left))
             exposure = watched.sums.measure_exposure()
             situation = Situation(
-                watched.deadline - now,
+                left,
                 now - self._led_since,
                 finding,
                 exposure,
@@ -347,15 +390,17 @@
 
     def list_gauges(self):
         """Return {name: {service: number}} of the rollouts in the log."""
-        found = {
-            name: {}
-            for name in ("share", "running", "completed", "score", "bad")
-        }
+        found = collections.defaultdict(dict)
         for service, (_, rollout) in self.list_rollouts().items():
             found["share"][service] = rollout.share
             found["running"][service] = int(rollout.state == RUNNING)
             found["completed"][service] = int(rollout.state == COMPLETED)
         for service, watched in self._watched.items():
-            found["score"][service] = watched.sums.finding.score
-            found["bad"][service] = watched.sums.finding.bad
+            finding = watched.sums.finding
+            exposure = watched.sums.measure_exposure()
+            found["score"][service] = finding.score
+            found["outcomes"][service] = finding.outcomes
+            found["bad"][service] = finding.bad
+            found["sent"][service] = exposure.sent
+            found["sent_to_target"][service] = exposure.to_target
         return found
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rollout_evidence.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rollout_evidence.py
@@ -9,6 +9,7 @@
 import collections
 import math
 import typing
+import uuid
 
 from camphorhook_common import wire
 
@@ -21,6 +22,7 @@
 MIN_COMPARED = 30  # times of the old versions, for a quantile
 
 EVALUATION_SECONDS = 0.5  # as often as instances report
+TICK_SECONDS = 0.1  # least time over which a rate is taken
 DECAY_SECONDS = 10.0  # of the old versions' counts, which show the present
 
 # A rate of bad responses above the old versions' by MIN_EXCESS shows within
@@ -28,7 +30,11 @@
 BACKGROUND_RATE = 0.01
 BACKGROUND_FACTOR = 1.3  # the old versions' rate is an estimate as well
 PRIOR_BAD, PRIOR_ALL = 0.2, 20.0  # assumed of the old versions
-MIN_EXCESS, MAX_EXCESS = 0.05, 0.2
+MAX_EXCESS = 0.2
+# Kind of outcome, and least excess of the rate. The smaller one finds a
+# version of which 3 in 100 answers fail before 50 have; it takes some hundred
+# answers. Times differ between sound servers more than that.
+KINDS = (("failed", 0.05), ("failed", 0.02), ("slow", 0.05))
 MAX_RATE = 0.9
 
 # Of a sum of log-likelihood ratios. A sound version exceeds it once in about
@@ -169,7 +175,14 @@
 class _Score:
     """Cumulative sum of log-likelihood ratios, never below 0."""
 
-    def __init__(self):
+    def __init__(self, excess):
+        """Create a score of 0.
+
+        Args:
+            excess: least rate of bad outcomes, beyond the expected one, that
+                the score is to detect.
+        """
+        self._excess = excess
         self.value = 0.0
 
     def add(self, bad, total, rate):
@@ -180,15 +193,43 @@
             total: number of outcomes.
             rate: expected rate of bad ones if the version is sound.
         """
-        excess = min(MAX_EXCESS, max(MIN_EXCESS, rate))
-        bad_rate = min(MAX_RATE + (1 - MAX_RATE) / 2, rate + excess)
+        excess = min(MAX_EXCESS, max(self._excess, rate))
+        bad_rate = min((1 + MAX_RATE) / 2, rate + excess)
         change = bad * math.log(bad_rate / rate)
         change += (total - bad) * math.log((1 - bad_rate) / (1 - rate))
         self.value = max(0.0, self.value + min(MAX_RISE, change))
 
 
+class _Scores:
+    """Scores of one kind of outcome on a route, or on all.
+
+    Attributes:
+        whole: the _Score of all upstreams together.
+        single: the _Score of each upstream.
+    """
+
+    def __init__(self, excess):
+        self.whole = _Score(excess)
+        self.single = collections.defaultdict(lambda: _Score(excess))
+
+    def measure_rest(self):
+        """Return the sum of all upstreams' scores but the highest."""
+        values = [one.value for one in self.single.values()]
+        return sum(values) - max(values, default=0.0)
+
+
+def _count_events(one):
+    """Return the number of events in wire.RolloutCounts; it only grows."""
+    return one.sent + one.served + one.failed + sum(n for _, n in one.times)
+
+
 class Sums:
-    """Counts of a rollout over instances, and the verdict on its target."""
+    """Counts of a rollout over instances, and the verdict on its target.
+
+    Attributes:
+        name: id of these sums; others know nothing of their counts.
+        finding: the last Finding.
+    """
 
     def __init__(self, now):
         """Create sums without counts.
@@ -196,14 +237,14 @@
         Args:
             now: time in seconds.
         """
+        self.name = uuid.uuid4().hex[:12]
         self._reports = {}
         self._targets = {}
         self._old = collections.defaultdict(_Tally)
         self._new = (
             {}
         )  # since the last evaluation: (route, upstream) to counts
-        self._scores = collections.defaultdict(lambda: (_Score(), _Score()))
-        self._bad_by_upstream = collections.Counter()
+        self._scores = {}
         self._evaluated_at = now
         self._sent = self._to_target = self._sent_before = 0
         self._rate = 0.0
@@ -222,7 +263,7 @@
             key = one[:3]
             last = known.get(key)
             # Reports may arrive in another order than they were sent in.
-            if last is not None and one.sent < last.sent:
+            if last is not None and _count_events(one) <= _count_events(last):
                 continue
             known[key] = one
             self._add(
@@ -254,20 +295,21 @@
         """Return the Exposure."""
         return Exposure(self._sent, self._to_target, self._rate)
 
-    def evaluate(self, now):
+    def evaluate(self, now, is_last=False):
         """Judge what was added since the last evaluation, if it is due.
 
         Args:
             now: time in seconds.
+            is_last: whether the rollout ends now, so that it is due.
 
         Returns:
             The Finding.
         """
         elapsed = now - self._evaluated_at
-        if elapsed < EVALUATION_SECONDS:
+        if elapsed < EVALUATION_SECONDS and not (is_last and self._new):
             return self.finding
         self._evaluated_at = now
-        rate = (self._sent - self._sent_before) / elapsed
+        rate = (self._sent - self._sent_before) / max(elapsed, TICK_SECONDS)
         # A burst of late reports counts half, so does their absence.
         self._rate = (self._rate + rate) / 2 if self._sent_before else rate
         self._sent_before = self._sent
@@ -285,29 +327,24 @@
             for (route, upstream), counts in self._new.items()
             for kind, bad, total in self._count_bad(route, counts)
         ]
-        for kind, _, upstream, bad, total in rows:
-            self._bad_by_upstream[upstream] += bad
+        groups = collections.defaultdict(dict)
+        for kind, route, upstream, bad, total in rows:
             self._bad += bad
             self._outcomes += total if kind == "failed" else 0
-        worst = max(
-            self._bad_by_upstream,
-            key=self._bad_by_upstream.get,
-            default="",
-        )
-        groups = collections.defaultdict(lambda: [0, 0, 0, 0])
-        for kind, route, upstream, bad, total in rows:
             for group in (route, ALL_ROUTES):
-                sums = groups[kind, group]
-                sums[0] += bad
-                sums[1] += total
-                if upstream != worst:
-                    sums[2] += bad
-                    sums[3] += total
-        for (kind, route), sums in groups.items():
+                counts = groups[kind, group]
+                before = counts.get(upstream, (0, 0))
+                counts[upstream] = before[0] + bad, before[1] + total
+        for (kind, route), counts in groups.items():
             expected = self._estimate_rate(kind, route)
-            whole, rest = self._scores[kind, route]
-            whole.add(sums[0], sums[1], expected)
-            rest.add(sums[2], sums[3], expected)
+            whole = [sum(one) for one in zip(*counts.values())]
+            for one in KINDS:
+                if one[0] != kind:
+                    continue
+                scores = self._scores.setdefault((one, route), _Scores(one[1]))
+                scores.whole.add(*whole, expected)
+                for upstream, sums in counts.items():
+                    scores.single[upstream].add(*sums, expected)
         self.finding = self._conclude()
 
     def _count_bad(self, route, counts):
@@ -344,14 +381,15 @@
         targets = max(self._targets.values(), default=0)
         is_bad = is_suspect = False
         score, reason = 0.0, ""
-        for (kind, route), (whole, rest) in self._scores.items():
+        for ((kind, _), route), scores in self._scores.items():
+            whole, rest = scores.whole.value, scores.measure_rest()
             # A single failing upstream is no fault of the version.
-            may_judge = targets < 2 or rest.value >= REST_SCORE
-            is_bad |= may_judge and whole.value >= BAD_SCORE
-            has_rest = targets < 2 or rest.value > 0
-            is_suspect |= has_rest and whole.value >= SUSPECT_SCORE
-            if whole.value > score:
-                score = whole.value
+            is_bad |= whole >= BAD_SCORE and (
+                targets < 2 or rest >= REST_SCORE
+            )
+            is_suspect |= whole >= SUSPECT_SCORE and (targets < 2 or rest > 0)
+            if whole > score:
+                score = whole
                 reason = f"{kind} on {route or 'all routes'}"
         return Finding(
             is_bad, is_suspect, score, reason, self._outcomes, self._bad
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/rollout_reports.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/rollout_reports.py
@@ -41,6 +41,8 @@
         self._configuration = configuration
         self._transport = transport
         self._now = now
+        # Counts that the leader has, by service, route, class and upstream.
+        self._taken = {}
 
     async def run(self):
         """Report until cancelled."""
@@ -49,7 +51,10 @@
             await trio.sleep(
                 max(INTERVAL_SECONDS, instances / FLEET_REPORTS_PER_SECOND)
             )
-            for service, own in self._shares.list_running().items():
+            running = self._shares.list_running()
+            for service in self._taken.keys() - running.keys():
+                del self._taken[service]
+            for service, own in running.items():
                 report = self._make_report(service, own)
                 own.judge(report, self._now())
                 await self._send(report)
@@ -72,13 +77,34 @@
         for _ in range(TRIES):
             if not leader:
                 return
+            taken_by, taken = self._taken.get(report.service, ("", {}))
             try:
                 reply = await self._transport.call(
-                    leader, report, TIMEOUT_SECONDS
+                    leader, leave_out(report, taken), TIMEOUT_SECONDS
                 )
             except errors.CamphorhookError as error:
                 logs.log("debug", error.format(), step="report", peer=leader)
                 return
-            if reply.leader == leader:
+            if reply.taken_by and reply.taken_by == taken_by:
+                self._taken[report.service] = (
+                    taken_by,
+                    {one[:3]: one for one in report.counts},
+                )
+                return
+            # Other sums know nothing: the next report is whole.
+            self._taken[report.service] = (reply.taken_by, {})
+            if reply.leader == leader and not taken:
                 return
             leader = reply.leader
+
+
+def leave_out(report, taken):
+    """Return a report without the counts that the leader has.
+
+    Args:
+        report: the wire.ReportRollout.
+        taken: wire.RolloutCounts by route, class and upstream.
+    """
+    return report._replace(
+        counts=[one for one in report.counts if taken.get(one[:3]) != one]
+    )
--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -10,6 +10,7 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import document_import
+from camphorhook_daemon.adapters import rollout_calls
 from camphorhook_daemon.domain import orders
 from camphorhook_daemon.domain import rollout_orders
 from camphorhook_daemon.platform import documents
@@ -59,8 +60,15 @@
         self._submitter = submitter
         self._watch_server = watch_server
         self._orders = orders.Orders(settings.name, replica, submitter)
-        self._rollouts = rollout_orders.RolloutOrders(
-            settings, replica, self._orders, self._confirm
+        self._rollouts = rollout_calls.RolloutCalls(
+            rollout_commands,
+            rollout_orders.RolloutOrders(
+                settings,
+                replica,
+                self._orders,
+                lambda: self._watch_server.wait_until_current(),
+            ),
+            self._read_services,
         )
         self._imports = document_import.DocumentImporter(
             documents, self._read_last, self._submit_document
@@ -117,8 +125,9 @@
         if path.startswith(EVACUATIONS_PREFIX):
             domain = path[len(EVACUATIONS_PREFIX) :]
             return await self._set_domain(exchange, domain)
-        if (path + "/").startswith(ROLLOUTS_PREFIX):
-            return await self._answer_rollouts(exchange, path)
+        if path == ROLLOUTS_TARGET or path.startswith(ROLLOUTS_PREFIX):
+            service = path[len(ROLLOUTS_PREFIX) :]
+            return await self._rollouts.answer(exchange, service)
         return 404, {}
 
     async def _register(self, method, name, body):
@@ -179,17 +188,13 @@
             version, delta, time.time(), last.version
         )
 
-    async def _confirm(self):
-        """Return whether a leader confirmed the local state just now."""
-        return await self._watch_server.wait_until_current()
-
     async def _read_last(self):
         """Return the newest Document, or None if there is none.
 
         Raises:
             errors.UnreachableError: no leader confirmed the state.
         """
-        if not await self._confirm():
+        if not await self._watch_server.wait_until_current():
             raise errors.UnreachableError(
                 "no leader confirms the state: "
                 f"{self._replica.describe_outage()}",
@@ -205,6 +210,10 @@
             )
         return 200, last.raw
 
+    async def _read_services(self):
+        _, raw = await self._get_document()
+        return documents.read(raw).services
+
     async def _set_domain(self, exchange, domain):
         """Take a failure domain out of service, or back."""
         if domain not in self._settings.failure_domains:
@@ -215,38 +224,6 @@
         await self._orders.set_domain(exchange, domain, state)
         return 200, {}
 
-    async def _answer_rollouts(self, exchange, path):
-        """Begin a rollout, or tell the state of one."""
-        if self._settings.exposure_share is None:
-            return 404, {}
-        if path == ROLLOUTS_TARGET:
-            if exchange.method != "POST":
-                return 405, {}
-            return await self._begin_rollout(exchange)
-        if exchange.method != "GET":
-            return 405, {}
-        service = rollout_commands.read_service(path[len(ROLLOUTS_PREFIX) :])
-        rollout = await self._rollouts.read(service)
-        if rollout is None:
-            return 404, {}
-        return 200, rollout_commands.make_state(rollout)
-
-    async def _begin_rollout(self, exchange):
-        command = rollout_commands.read(exchange.body)
-        last = self._replica.state.documents.get_latest()
-        if last is None:
-            raise errors.UnreachableError(
-                "there is no document yet", step="begin rollout"
-            )
-        if command.service not in documents.read(last.raw).services:
-            last = await self._read_last()
-            rollout_commands.check_service(
-                command, documents.read(last.raw).services
-            )
-        if await self._rollouts.begin(exchange, command):
-            return 200, {}
-        return 409, {"error": "another rollout of the service is running"}
-
 
 def _make_whole_import(version, body):
     return commands.ImportDocument(version, deltas.pack(body), time.time())
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -96,8 +96,7 @@
         exposure_share: share of a service's requests that a bad version may
             get during a rollout; None if there are no rollouts.
         exposure_slack: requests that it may get beyond that.
-        rollback_seconds: from the 50th bad response of a version until it
-            gets no more requests.
+        rollback_seconds: from its 50th bad response to its last request.
     """
 
     name: str
