--- a/packages/daemon/src/camphorhook_daemon/platform/control.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/control.py
@@ -10,13 +10,18 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_daemon.adapters import document_import
+from camphorhook_daemon.adapters import rollout_calls
 from camphorhook_daemon.domain import orders
+from camphorhook_daemon.domain import rollout_orders
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import registrations
+from camphorhook_daemon.platform import rollout_commands
 
 CONFIG_TARGET = "/-/config"
 INSTANCES_PREFIX = "/-/instances/"
 EVACUATIONS_PREFIX = "/-/evacuations/"
+ROLLOUTS_TARGET = "/-/rollouts"
+ROLLOUTS_PREFIX = "/-/rollouts/"
 SUBMIT_TIMEOUT_SECONDS = 2.5  # operators wait longer for large documents
 RETRY_AFTER_SECONDS = "0.3"
 OUT, IN = "out", "in"
@@ -55,6 +60,16 @@
         self._submitter = submitter
         self._watch_server = watch_server
         self._orders = orders.Orders(settings.name, replica, submitter)
+        self._rollouts = rollout_calls.RolloutCalls(
+            rollout_commands,
+            rollout_orders.RolloutOrders(
+                settings,
+                replica,
+                self._orders,
+                lambda: self._watch_server.wait_until_current(),
+            ),
+            self._read_services,
+        )
         self._imports = document_import.DocumentImporter(
             documents, self._read_last, self._submit_document
         )
@@ -62,7 +77,9 @@
     async def handle(self, exchange):
         """Answer one request."""
         path, _, query = exchange.target.partition("?")
-        if path == CONFIG_TARGET or path.startswith(EVACUATIONS_PREFIX):
+        if path in (CONFIG_TARGET, ROLLOUTS_TARGET) or path.startswith(
+            EVACUATIONS_PREFIX
+        ):
             # The age of a connection then tells the age of an order.
             exchange.close_after_answer()
         try:
@@ -108,6 +125,9 @@
         if path.startswith(EVACUATIONS_PREFIX):
             domain = path[len(EVACUATIONS_PREFIX) :]
             return await self._set_domain(exchange, domain)
+        if path == ROLLOUTS_TARGET or path.startswith(ROLLOUTS_PREFIX):
+            service = path[len(ROLLOUTS_PREFIX) :]
+            return await self._rollouts.answer(exchange, service)
         return 404, {}
 
     async def _register(self, method, name, body):
@@ -190,6 +210,10 @@
             )
         return 200, last.raw
 
+    async def _read_services(self):
+        _, raw = await self._get_document()
+        return documents.read(raw).services
+
     async def _set_domain(self, exchange, domain):
         """Take a failure domain out of service, or back."""
         if domain not in self._settings.failure_domains:
