Complete a rollout to the only version in service at once

Cause: a command for the version that is served already left 95 of 100 requests without an upstream until the deadline. Change: such a rollout is completed as it begins. Result: the 8 new examples of "What a command makes of the versions before it" pass.

--- a/packages/daemon/src/camphorhook_daemon/domain/rollouts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/rollouts.py
@@ -110,18 +110,23 @@
     denied = set(last.denied) if last else set()
     # Versions that no upstream has had for a while are not kept for ever.
     denied = (denied & versions) - {target}
-    return Rollout(
+    before = versions - denied - {target}
+    begun = Rollout(
         uuid.uuid4().hex,
         target,
         RUNNING,
         TRIAL_PART * share,
         now,
         duration,
-        tuple(sorted(versions - denied - {target})),
+        tuple(sorted(before)),
         tuple(sorted(denied)),
         "",
         TRIAL_PART * share,
     )
+    if target in versions and not before:
+        # Most requests would find no upstream, and none is to be moved.
+        return complete(begun)
+    return begun
 
 
 def complete(rollout):
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -60,6 +60,23 @@
     Then the second leader knows as many requests as the first one
     And the last report to each held only what had changed
 
+  # Guards against a command that takes the only version out of service, and
+  # against versions that come back by a later command for another one.
+  Scenario Outline: What a command makes of the versions before it
+    When <target> is rolled out after <last>, with <versions> in the log
+    Then it is <state>, and denies <denied>
+
+    Examples:
+      | target | last           | versions    | state     | denied  |
+      | v2     | nothing        | v1          | running   | nothing |
+      | v2     | nothing        | v1 v2       | running   | nothing |
+      | v1     | nothing        | v1          | completed | nothing |
+      | v3     | v2 completed   | v1 v2       | running   | v1      |
+      | v1     | v2 completed   | v1 v2       | running   | nothing |
+      | v2     | v2 rolled_back | v1 v2       | running   | nothing |
+      | v3     | v2 rolled_back | v1 v2       | running   | v2      |
+      | v3     | v2 rolled_back | v1          | running   | nothing |
+
   # Guards against a deadline that a clock which steps moves without bound.
   Scenario Outline: A leader whose clock differs
     When a leader whose clock is <offset> s off takes up a rollout of 12 s
--- a/tests/features/steps/rollouts.py
+++ b/tests/features/steps/rollouts.py
@@ -171,6 +171,25 @@
         assert not any("v3" in group for group in groups), groups
 
 
+@behave.when(
+    "{target:Word} is rolled out after {last}, with {versions} in the log"
+)
+def begin_after(context, target, last, versions):
+    before = None
+    if last != "nothing":
+        before = _make_rollout(last.partition(" ")[2])
+    context.begun = rollouts.begin(
+        before, set(versions.split()), target, 12.0, 0.1, 0.0
+    )
+
+
+@behave.then("it is {state:Word}, and denies {denied}")
+def check_begun(context, state, denied):
+    assert context.begun.state == state, context.begun
+    found = " ".join(context.begun.denied) or "nothing"
+    assert found == denied, context.begun
+
+
 class _Leaders:
     """Two leaders' sums, the second one of which leads in the end."""
 
