--- a/tests/harness/platforms.py
+++ b/tests/harness/platforms.py
@@ -81,13 +81,14 @@
         base = {"replica": 10, "entry": 30, "server": 50}[kind]
         return f"{self._net}.{base + int(number)}"
 
-    def start(self, name, first=True, program=None):
+    def start(self, name, first=True, program=None, limits=None):
         """Start an instance: a replica or an entry instance.
 
         Args:
             name: `replica-N` or `entry-N`.
             first: whether the whole system starts for the first time.
             program: command line of the daemon; None runs the installed one.
+            limits: the fields of `Limits`; None leaves it out.
         """
         kind, _, number = name.rpartition("-")
         address = self.find_address(name)
@@ -113,6 +114,8 @@
             "FaultTolerance": {"Machines": 1},
             "Bounds": {"RevokeMs": 3000, "GraceS": 8, "RetrySlack": 50},
         }
+        if limits is not None:
+            settings["Limits"] = limits
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.running[name] = processes.Process(
@@ -237,7 +240,9 @@
         return []
 
 
-def make_document(version, keys=("key-1", "key-2"), service="plain"):
+def make_document(
+    version, keys=("key-1", "key-2"), service="plain", limits=None
+):
     """Return an encoded document with safe, unsafe and streaming routes."""
     common = {"Host": "h.example", "TimeoutMs": 5000, "Attempts": 2}
 
@@ -261,5 +266,6 @@
                 {"Name": "engine", "MaxConnections": 50, "Engine": {}},
             ],
             "Tenants": [{"Name": "account-1", "ApiKeys": list(keys)}],
+            "Limits": limits or {},
         }
     ).encode()
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -188,6 +188,10 @@
         """Return the only version that the catalog knows."""
         return self._catalog.find_sole_version(service)
 
+    def has_several(self, service):
+        """Return whether the catalog knows several versions."""
+        return len(self._catalog.list_recent_versions(service)) > 1
+
     def is_in_step(self):
         """Return that changes are known."""
         return True
