--- a/tests/features/steps/placement_preview.py
+++ b/tests/features/steps/placement_preview.py
@@ -5,7 +5,7 @@
 
 import behave
 
-from camphorhook_daemon.platform import settings as platform_settings
+from camphorhook_daemon.domain import instance_settings
 from tests.features.steps import platform as platform_steps
 from tests.harness import processes
 
@@ -18,7 +18,7 @@
     address = context.platform.find_address("entry-1")
     command = processes.run_program(
         "camphorhook",
-        f"--server={address}:{platform_settings.METRICS_PORT}",
+        f"--server={address}:{instance_settings.METRICS_PORT}",
         "where",
         host,
         TARGET.partition("?")[0],
--- a/tests/features/steps/silent_links.py
+++ b/tests/features/steps/silent_links.py
@@ -3,7 +3,7 @@
 import behave
 import trio
 
-from camphorhook_daemon.platform import settings
+from camphorhook_daemon.domain import instance_settings
 from tests.harness import silent_links
 
 
@@ -16,5 +16,5 @@
 
 @behave.then("it answers again within the longest election timeout")
 def check_silence(context):
-    longest = 2 * settings.Timing().election_ms / 1000
+    longest = 2 * instance_settings.Timing().election_ms / 1000
     assert context.silent_seconds <= longest, context.silent_seconds
