Bound what clients can make a process hold

Cause: bodies were kept as lists of chunks without a bound in common; while a request was served, bytes of next ones were read without end; heads, unread answers and connections were not bounded. 60 clients took an entry instance to 1,167 MB, and 40 took one to 200 MB on a machine of 96 MB.

Change: all listeners of a process share a ClientGuard with the memory and the connections that follow from Limits.MemoryMb and Limits.MaxFds. At most 4 KiB are read ahead of a request that is served; has_ended is polled from then on. A body is kept in one buffer, an announced one that is too large is refused after its head. Chunks after the 256th are decoded in turns of 64, and pipelined requests in turns of one, so that others wait for one turn only. A client that takes nothing of its answer for Limits.ClientReadTimeoutMs is closed. Refusals are counted and logged once a second each.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -6,6 +6,8 @@
 """
 
 import contextlib
+import fcntl
+import math
 import select
 import socket as sockets
 import struct
@@ -13,6 +15,11 @@
 import trio
 
 RECEIVE_BYTES = 16384
+TIOCOUTQ = 0x5411  # of the Linux headers; the module termios is not loaded
+
+
+class UnreadError(trio.BrokenResourceError):
+    """The peer has read nothing for too long."""
 
 
 class Connection:
@@ -39,16 +46,19 @@
         # SocketStream also sets TCP_NODELAY, so small writes are not delayed.
         self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
 
-    async def receive(self):
+    async def receive(self, most=RECEIVE_BYTES):
         """Return the next bytes received; b"" once the peer has sent all.
 
+        Args:
+            most: maximum number of bytes.
+
         Raises:
             trio.BrokenResourceError: the connection was reset.
         """
         while True:
             await trio.lowlevel.wait_readable(self._raw)
             try:
-                return self._raw.recv(RECEIVE_BYTES)
+                return self._raw.recv(most)
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError as error:
@@ -57,25 +67,49 @@
     def send_now(self, data):
         """Send as much as fits without waiting; return the unsent rest.
 
+        The rest is a view, as large bodies must not be copied again.
+
         Raises:
             trio.BrokenResourceError: the connection was reset.
         """
         try:
-            return data[self._raw.send(data) :]
+            sent = self._raw.send(data)
+            return memoryview(data)[sent:] if sent < len(data) else b""
         except (BlockingIOError, InterruptedError):
             return data
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
 
-    async def send(self, data):
+    async def send(self, data, unread_seconds=math.inf):
         """Send bytes; wait only if the socket's buffer is full.
 
+        Args:
+            data: the bytes.
+            unread_seconds: longest time for which the peer may take none of
+                the bytes that were sent.
+
         Raises:
             trio.BrokenResourceError: the connection was reset.
+            UnreadError: the peer has taken nothing for unread_seconds.
         """
         rest = self.send_now(data)
-        if rest:
-            await self._stream.send_all(rest)
+        while rest:
+            unsent = self._measure_unsent()
+            with trio.move_on_after(unread_seconds) as scope:
+                await trio.lowlevel.wait_writable(self._raw)
+            # A socket becomes writable only once a third of its buffer is
+            # free, which a slow peer may take longer for.
+            if scope.cancelled_caught and self._measure_unsent() >= unsent:
+                raise UnreadError(f"nothing read for {unread_seconds:g} s")
+            rest = self.send_now(rest)
+
+    def _measure_unsent(self):
+        """Return the bytes that were sent and that the peer has not taken."""
+        try:
+            size = fcntl.ioctl(self._raw, TIOCOUTQ, bytes(4))
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+        return int.from_bytes(size, "little")
 
     async def send_eof(self):
         """Close the sending direction; receiving remains possible."""
--- a/packages/daemon/src/camphorhook_daemon/adapters/document_import.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/document_import.py
@@ -34,7 +34,7 @@
         """Return (status, body) of the answer to an import.
 
         Args:
-            exchange: the listeners.Exchange, with the document as its body.
+            exchange: the exchanges.Exchange, with the document as its body.
             query: query string; `version` replaces the document's version,
                 `dry_run` requests a dry run.
         """
--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -27,6 +27,8 @@
 REFUSAL = PREFIX + "refusal"
 _CUT_OFF = "cut off"  # the instance reaches no upstream and sent nothing
 _OTHER = "other"
+# Of a refusal by the listener, before the request is read completely.
+REFUSAL_HEADERS = ((REFUSAL, _OTHER),)
 RETRY_AFTER = "retry-after"
 MAX_WAIT_SECONDS = 3600.0  # a longer one is taken for an error
 SECONDS_PER_MS = 0.001
@@ -79,7 +81,7 @@
 
 
 def read_arrival(exchange):
-    """Return the intake.Arrival of a listeners.Exchange."""
+    """Return the intake.Arrival of an exchanges.Exchange."""
     get = exchange.get_header
     dropped = header_codec.list_hop_by_hop(exchange.headers)
     deadline_ms = numerals.parse_unsigned(get(DEADLINE_MS)) or 1
--- a/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
@@ -35,7 +35,7 @@
         """Answer one request.
 
         Args:
-            exchange: the listeners.Exchange.
+            exchange: the exchanges.Exchange.
         """
         arrival = self._protocol.read_arrival(exchange)
         request = intake.authorize(arrival, self._rules)
--- a/packages/daemon/src/camphorhook_daemon/domain/orders.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/orders.py
@@ -38,7 +38,7 @@
         so that none that comes late undoes one that was acknowledged since.
 
         Args:
-            caller: the listeners.Exchange of the order; its connection
+            caller: the exchanges.Exchange of the order; its connection
                 carries no other.
             domain: the failure domain.
             state: `out` or `in`.
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -10,7 +10,7 @@
 
 
 def read_arrival(exchange):
-    """Return the intake.Arrival of a client's listeners.Exchange."""
+    """Return the intake.Arrival of a client's exchanges.Exchange."""
     get = exchange.get_header
     return intake.Arrival(
         get(protocol.REQUEST_ID),
--- a/packages/daemon/src/camphorhook_daemon/platform/settings.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/settings.py
@@ -13,10 +13,12 @@
 from camphorhook_common import jsontext
 from camphorhook_common import logs
 from camphorhook_common import settings as settings_module
+from camphorhook_daemon.domain import machine_limits
 
 METRICS_PORT = 9464  # as in deploy/system.toml
 FILE_VARIABLE = "CAMPHORHOOK_BOOT"
 SECONDS_PER_MS = 0.001
+BYTES_PER_MB = 1_000_000
 
 
 class _Listen(msgspec.Struct, rename="pascal"):
@@ -38,6 +40,14 @@
     grace_s: float = 8
 
 
+class _Limits(msgspec.Struct, rename="pascal"):
+    memory_mb: float | None = None
+    max_fds: float | None = None
+    client_memory_mb: float | None = None
+    client_connections: int | None = None
+    client_read_timeout_ms: float = 15000
+
+
 class _File(msgspec.Struct, rename="pascal"):
     """The fields of the settings file that are used; others are ignored."""
 
@@ -54,6 +64,7 @@
     heartbeat_ms: float = 1200
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class Timing(typing.NamedTuple):
@@ -89,6 +100,7 @@
         retry_ratio, retry_slack, retry_window: the retry budget.
         stop_seconds: longest duration of a graceful shutdown.
         timing: the Timing.
+        machine: the machine_limits.MachineLimits.
         peers: always empty, as instances are known by their address alone.
     """
 
@@ -112,6 +124,7 @@
     retry_window: float
     stop_seconds: float
     timing: Timing = Timing()
+    machine: machine_limits.MachineLimits = machine_limits.MachineLimits()
     peers: tuple = ()
 
     def list_replicas(self):
@@ -190,6 +203,7 @@
 
 def _make_settings(file):
     bounds = file.bounds
+    limits = file.limits
     seeds = tuple(text.rpartition(":")[0] for text in file.seeds)
     return Settings(
         name=file.ip,
@@ -213,6 +227,13 @@
         retry_slack=bounds.retry_slack,
         retry_window=bounds.retry_window_s,
         stop_seconds=bounds.grace_s * GRACE_SHARE,
+        machine=machine_limits.MachineLimits(
+            (limits.memory_mb or 0) * BYTES_PER_MB,
+            limits.max_fds or 0,
+            (limits.client_memory_mb or 0) * BYTES_PER_MB,
+            limits.client_connections or 0,
+            limits.client_read_timeout_ms * SECONDS_PER_MS,
+        ),
     )
 
 
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -10,6 +10,7 @@
 from camphorhook_common import logs
 from camphorhook_common import timeline
 from camphorhook_common import wire
+from camphorhook_daemon.adapters import client_guard
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import exposition
 from camphorhook_daemon.adapters import handover
@@ -27,6 +28,7 @@
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import joining
 from camphorhook_daemon.domain import leaving
+from camphorhook_daemon.domain import machine_limits
 from camphorhook_daemon.domain import replica
 from camphorhook_daemon.domain.routing import announced_versions
 from camphorhook_daemon.domain.routing import bodies
@@ -118,6 +120,18 @@
         clock = clocks.HybridClock()
         self.counts = metrics.Metrics()
         self.recorder = timeline.Recorder(settings.label, clock)
+        bounds = machine_limits.calculate_bounds(
+            settings.machine, client_guard.measure_resident_bytes()
+        )
+        self.guard = client_guard.ClientGuard(
+            bounds, self.counts, settings.machine.unread_seconds
+        )
+        logs.log(
+            "info",
+            "bounds of all clients",
+            step="start",
+            inputs=bounds._asdict(),
+        )
         self.transport = peers.PeerTransport(
             settings.name,
             settings.peers_listener,
@@ -346,6 +360,8 @@
             settings.locate_gateway(settings.name),
             gateway_app.handle,
             self._read_gateway_limits,
+            is_internal=True,
+            refusal_headers=handover.REFUSAL_HEADERS,
         )
         watch = self.counts.register_gauge
         watch("document_version", self.rules.get_version)
@@ -375,10 +391,15 @@
             trio.current_time,
         )
 
-    def _listen(self, address, handle, read_limits):
+    def _listen(self, address, handle, read_limits, **options):
         self.listeners.append(
             listeners.Listener(
-                address, handle, read_limits, lambda: self.is_stopping
+                address,
+                handle,
+                read_limits,
+                lambda: self.is_stopping,
+                self.guard,
+                **options,
             )
         )
 
--- a/tests/features/connections.feature
+++ b/tests/features/connections.feature
@@ -61,6 +61,7 @@
       | two requests at once      | 200    | 2        |
       | a head of 2000 bytes      | 431    | 0        |
       | a body of 200 bytes       | 413    | 0        |
+      | a length of 200 bytes     | 413    | 0        |
       | two lengths               | 400    | 0        |
       | a bad chunk               | 400    | 0        |
       | no HTTP                   | 400    | 0        |
@@ -74,6 +75,18 @@
     When a client sends a slow request and disconnects
     Then the request is cancelled within 0.5 seconds
 
+  # The end of a connection is behind bytes that are left unread.
+  Scenario: A client that leaves behind unread bytes cancels its request
+    Given a server that accepts heads of 1000 bytes and bodies of 100 bytes
+    When a client pipelines more than is read ahead and disconnects
+    Then the request is cancelled within 0.5 seconds
+
+  # An answer that nobody reads kept its memory and its upstream.
+  Scenario: A client that does not read its answer is closed
+    Given a server that accepts heads of 1000 bytes and bodies of 100 bytes
+    When a client does not read a large answer
+    Then the request is cancelled within 2.0 seconds
+
   Scenario: Closing leaves requests and takes idle connections
     Given a server that accepts heads of 1000 bytes and bodies of 100 bytes
     When it closes with an idle connection and a slow request open
--- a/tests/features/steps/connections.py
+++ b/tests/features/steps/connections.py
@@ -8,6 +8,7 @@
 from trio import testing
 
 from camphorhook_common import settings as settings_module
+from camphorhook_daemon.adapters import client_guard
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain.routing import events
@@ -17,6 +18,9 @@
 
 LIMITS = listeners.Limits(1000, 100, 0.3, 0.6)
 TIMEOUT_SECONDS = 5.0
+UNREAD_SECONDS = 0.3
+UNREAD_ANSWER = b"x" * 16_000_000  # above what sockets buffer
+PIPELINED_BYTES = 40_000  # more than is read ahead; fits the socket's buffer
 HTTP = b"HTTP/1.1 "
 
 
@@ -171,6 +175,8 @@
     + b"\r\n\r\n",
     "a body of 200 bytes": b"POST / HTTP/1.1\r\nHost: h\r\n"
     b"Content-Length: 200\r\n\r\n" + b"x" * 200,
+    "a length of 200 bytes": b"POST / HTTP/1.1\r\nHost: h\r\n"
+    b"Content-Length: 200\r\n\r\n",
     "two lengths": b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
     b"Content-Length: 3\r\n\r\nabc",
     "a bad chunk": b"POST / HTTP/1.1\r\nHost: h\r\n"
@@ -181,11 +187,13 @@
     "a body that ends early": GOOD_REQUEST[:-1],
     "nothing": b"",
     "a slow request": b"GET /slow HTTP/1.1\r\nHost: h\r\n\r\n",
+    "an unread request": b"GET /unread HTTP/1.1\r\nHost: h\r\n\r\n",
     "a brief request": b"GET /brief HTTP/1.1\r\nHost: h\r\n\r\n",
 }
 HANDLING_SECONDS = {
     "/slow": 1.0,
     "/brief": 0.02,
+    "/unread": 0.0,
 }  # by path
 
 
@@ -206,6 +214,8 @@
         if exchange.target in HANDLING_SECONDS:
             try:
                 await trio.sleep(HANDLING_SECONDS[exchange.target])
+                if exchange.target == "/unread":
+                    await exchange.send_answer(200, [], UNREAD_ANSWER)
             except trio.Cancelled:
                 self.cancelled_at = trio.current_time()
                 raise
@@ -223,6 +233,7 @@
             self.handle,
             lambda: LIMITS,
             lambda: False,
+            client_guard.ClientGuard(unread_seconds=UNREAD_SECONDS),
         )
         await nursery.start(self.listener.run)
 
@@ -308,6 +319,35 @@
     run_with_server(context, act)
 
 
+@behave.when("a client pipelines more than is read ahead and disconnects")
+def pipeline_and_leave(context):
+    async def act(server):
+        stream = await server.connect(CLIENT_BYTES["a slow request"])
+        with trio.move_on_after(0.2):
+            await stream.send_all(b"x" * PIPELINED_BYTES)
+        left_at = trio.current_time()
+        await stream.aclose()
+        while server.cancelled_at is None:
+            await trio.sleep(0.01)
+        return server.cancelled_at - left_at
+
+    run_with_server(context, act)
+
+
+@behave.when("a client does not read a large answer")
+def leave_unread(context):
+    async def act(server):
+        stream = await server.connect(CLIENT_BYTES["an unread request"])
+        began = trio.current_time()
+        while server.cancelled_at is None:
+            await trio.sleep(0.01)
+        await stream.aclose()
+        assert server.cancelled_at - began >= UNREAD_SECONDS
+        return server.cancelled_at - began
+
+    run_with_server(context, act)
+
+
 @behave.then("the request is cancelled within {seconds:f} seconds")
 def check_cancelled(context, seconds):
     assert context.outcome < seconds, context.outcome
--- a/tests/features/steps/malformed.py
+++ b/tests/features/steps/malformed.py
@@ -13,7 +13,7 @@
 from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import connection_pool
-from camphorhook_daemon.adapters import listeners
+from camphorhook_daemon.adapters import exchanges
 from camphorhook_daemon.domain.routing import attempts
 from camphorhook_daemon.domain.routing import intake
 from camphorhook_daemon.platform import documents
@@ -223,7 +223,7 @@
     http = h11.Connection(h11.SERVER)
     http.receive_data(b"POST /safe/a HTTP/1.1\r\n" + b"".join(lines) + b"\r\n")
     try:
-        return listeners.Exchange(None, http.next_event())
+        return exchanges.Exchange(None, http.next_event())
     except h11.RemoteProtocolError:
         return None
 
--- a/tests/soak/broken.py
+++ b/tests/soak/broken.py
@@ -12,8 +12,8 @@
 import sys
 import time
 
+from camphorhook_daemon.adapters import exchanges
 from camphorhook_daemon.adapters import journal
-from camphorhook_daemon.adapters import listeners
 from camphorhook_daemon.domain import crash_evidence
 from camphorhook_daemon.domain import leaving
 from camphorhook_daemon.domain.routing import choice
@@ -57,12 +57,12 @@
 
 def _cut_answers():
     """Omit the last byte of each answer that is sent in one piece."""
-    send_answer = listeners.Exchange.send_answer
+    send_answer = exchanges.Exchange.send_answer
 
     async def send(self, status, headers, body):
         await send_answer(self, status, headers, body[:-1])
 
-    listeners.Exchange.send_answer = send
+    exchanges.Exchange.send_answer = send
 
 
 def _deliver_parts():
