Count what a copied prompt part evicts

Engines that lack a prompt's part were chosen almost as readily as holders where parts are copied: 9,500 tokens counted as 1,100, less than one step of the comparison.

Change: a part that an engine takes on counts once more in full, as what it evicts is read again.

Scenarios of request_cost.feature pass.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/choice.py
@@ -30,9 +30,9 @@
 # Smaller differences in work are ignored, so that prompts that arrive at the
 # same time do not all choose the same engine.
 WORK_STEP_TOKENS = 4000
-# Work for each prompt token that a cached part would have saved: prefilling
-# it delays the streams that run on the engine besides the request.
-PREFILL_WORK = 2.0
+# Work for each prompt token of a part that an engine takes on, besides that of
+# reading or copying it: caches are full, and what it evicts is read again.
+EVICTION_WORK = 1.0
 MIN_COPY_TOKENS = 512  # fewer are prefilled before a copy would start
 MIN_COPY_RATE = 200.0  # tokens per millisecond; three times the prefill rate
 FAILURE_COST = 4.0  # weight of the failure rate against relative load
@@ -367,10 +367,10 @@
         work += demand.parts[-1][1]
     if not is_cached:
         _, tokens = find_shared_part(demand.parts)
-        rate = costs.PREFILL_TOKENS_PER_MS / PREFILL_WORK
+        rate = costs.PREFILL_TOKENS_PER_MS
         if tokens >= MIN_COPY_TOKENS:
             rate = max(rate, forecast.copy_rate)
-        work += tokens * costs.PREFILL_TOKENS_PER_MS / rate
+        work += tokens * (EVICTION_WORK + costs.PREFILL_TOKENS_PER_MS / rate)
     own_steps = costs.STEP_WORK * forecast.estimate.output
     return work + speeds.estimate_delay(
         work + own_steps, forecast.slowdowns[name], costs.PREFILL_TOKENS_PER_MS
