Learn the time in a slot at the upstream that answered

Cause: a request with a place goes to another upstream than the first choice, whose load and slowdown were used then.

Change: both are those of the upstream that answered, at the end of the answer.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -491,10 +491,14 @@
             kind, expected = "output", estimate.output
             actual = progress.output_tokens
             self._selector.costs.record_output(route, request.hint, actual)
-        elif estimate.slot_ms and choice.load < choice.upstream.capacity:
+        elif estimate.slot_ms and self._has_free_slots(choice.upstream):
             kind, expected = "slot time", estimate.slot_ms
-            seconds = self._now() - progress.sent_at
-            actual = 1000 * seconds / choice.slowdown
+            # The answer has just told the speed.
+            now = self._now()
+            slowdown = self._selector.speeds.estimate(
+                choice.upstream.name, now
+            )
+            actual = 1000 * (now - progress.sent_at) / slowdown
             self._selector.costs.record_slot_ms(route, actual)
         else:
             return
@@ -505,6 +509,10 @@
             within=costs.classify_error(expected, actual),
         )
 
+    def _has_free_slots(self, upstream):
+        """Return whether no request waits at an upstream, as far as known."""
+        return self._loads.sum_load(upstream.name)[0] <= upstream.capacity
+
     def record_load(self, target, head_info):
         """Record the load and the speed that an upstream reports.
 
