Know a refused client's request by its digest when it returns

Holders are told the digest of account, method, target and body instead.

Rollouts of a version that fails one time in ten are checked again; they pass.

--- a/packages/common/src/camphorhook_common/wire.py
+++ b/packages/common/src/camphorhook_common/wire.py
@@ -548,7 +548,7 @@
         account: name of the client account; empty on a public route.
         target_ms: milliseconds until the target time of the answer.
         is_last: the client is told to return if there is no place.
-        request: hash of the client's id of the request; 0 if it has none.
+        request: digest of the request; 0 if it has none.
     """
 
     sender: str
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/places.py
@@ -14,7 +14,6 @@
 import typing
 
 import trio
-import xxhash
 
 from camphorhook_common import errors
 from camphorhook_common import logs
@@ -80,16 +79,17 @@
 
     Attributes:
         account: name of the client account; empty on a public route.
-        request: request id as given by the client.
+        digest: digest of the request, by which a client that was refused is
+            known when it returns; it has another request id then.
         spent: seconds since the request was received.
     """
 
     account: str
-    request: str
+    digest: int
     spent: float
 
 
-_NO_CLIENT = Client("", "", 0.0)
+_NO_CLIENT = Client("", 0, 0.0)
 
 
 class _Question(typing.NamedTuple):
@@ -378,7 +378,7 @@
                 question.client.account,
                 int(target / SECONDS_PER_MS),
                 is_last,
-                _hash_request(question.client.request),
+                question.client.digest,
             )
         reply = None
         try:
@@ -458,10 +458,3 @@
 def _keep_since(times, start):
     """Return the entries of a mapping of times that are after a start."""
     return {name: at for name, at in times.items() if at > start}
-
-
-def _hash_request(request):
-    """Return a hash of a request's id for another instance; 0 for none."""
-    if not request:
-        return 0
-    return xxhash.xxh3_64_intdigest(request.encode())
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/selection.py
@@ -5,6 +5,7 @@
 import typing
 
 from camphorhook_daemon.domain import hashing
+from camphorhook_daemon.domain import request_traits
 from camphorhook_daemon.domain.routing import choice as choices
 from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import places as place_grants
@@ -366,7 +367,12 @@
                 request.deadline - now,
                 place_grants.Client(
                     request.account,
-                    request.request,
+                    request_traits.hash_request(
+                        request.account,
+                        request.method,
+                        request.target,
+                        request.body,
+                    ),
                     now - request.received_at,
                 ),
             )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/turns.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/turns.py
@@ -29,7 +29,7 @@
         priority: 0 is the most urgent.
         tag: its tag; see waiting.py.
         account: name of the client account.
-        request: hash of the client's id of the request; 0 if it has none.
+        request: digest of the request; 0 if it has none.
     """
 
     due_at: float
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/waiting.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/waiting.py
@@ -47,7 +47,7 @@
             that does not tell it. Such requests keep the order of arrival.
         target_at: time in seconds by which it should be answered; inf if
             unknown.
-        request: hash of the client's id of the request; 0 if it has none.
+        request: digest of the request; 0 if it has none.
     """
 
     priority: int
--- a/tests/features/queueing_order.feature
+++ b/tests/features/queueing_order.feature
@@ -38,16 +38,17 @@
   Scenario Outline: Who is refused is served when told to return
     Guards against times to return at which a client is refused again.
     Given a load of 1.3 of the room by 8 accounts for 3 seconds, <kind>
-    When refused clients return when told, <id>, with seed <seed>
-    Then at least <share> of those that returned are served in time
+    When refused clients return when told, <as>, with seed <seed>
+    Then at least 0.9 of those that returned are served
+    And at least <share> of those that returned are served in time
     And no 0.1 seconds have more than <most> of the times to return
     And no upstream ever has more requests than places
 
     Examples:
-      | kind                       | id                     | seed | share | most |
-      | equal service times        | with the same id       | 6    | 0.95  | 40   |
-      | equal service times        | with another id        | 7    | 0.65  | 40   |
-      | heavy-tailed service times | with the same id       | 8    | 0.85  | 40   |
+      | kind                       | as                     | seed | share | most |
+      | equal service times        | with the same request  | 6    | 0.95  | 40   |
+      | equal service times        | with another request   | 7    | 0.65  | 40   |
+      | heavy-tailed service times | with the same request  | 8    | 0.85  | 40   |
 
   Scenario: A holder is lost under load
     Guards against requests that wait at a lost holder, and against new questions that cost more than old ones.
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -14,6 +14,7 @@
       | failing at once          | 300  | rolled_back |
       | failing at once          | 2000 | rolled_back |
       | failing seldom           | 300  | rolled_back |
+      | failing one time in ten  | 300  | rolled_back |
       | failing rarely           | 300  | any         |
       | failing later            | 300  | rolled_back |
       | failing at the end       | 300  | any         |
--- a/tests/features/steps/queueing_order.py
+++ b/tests/features/steps/queueing_order.py
@@ -83,7 +83,9 @@
     context.play = play(context, seed, True, **context.options)
 
 
-@behave.when("refused clients return when told, with {an} id, with seed {n:d}")
+@behave.when(
+    "refused clients return when told, with {an} request, with seed {n:d}"
+)
 def play_returns(context, an, n):
     context.play = play(
         context,
@@ -195,6 +197,14 @@
     assert count > 50 and found >= share, (count, found)
 
 
+@behave.then("at least {share:g} of those that returned are served")
+def check_returned_served(context, share):
+    found = measure(context.play, "in time", is_return=True)
+    found += measure(context.play, "late", is_return=True)
+    print(f"{found:.3f} of those that returned were served")
+    assert found >= share, found
+
+
 @behave.then(
     "no {seconds:g} seconds have more than {most:d} of the times to return"
 )
--- a/tests/harness/rollouts.py
+++ b/tests/harness/rollouts.py
@@ -41,6 +41,9 @@
     "failing seldom": History(
         lambda new, up, route, at, draw: new and draw < 0.15
     ),
+    "failing one time in ten": History(
+        lambda new, up, route, at, draw: new and draw < 0.1
+    ),
     "failing rarely": History(
         lambda new, up, route, at, draw: new and draw < 0.04
     ),
--- a/tests/harness/scarce_places.py
+++ b/tests/harness/scarce_places.py
@@ -6,6 +6,7 @@
 
 import trio
 from trio import testing
+import xxhash
 
 from camphorhook_daemon.domain.routing import places
 from tests.harness import place_holders
@@ -168,7 +169,9 @@
             source.priority,
             OBJECTIVE_SECONDS,
             DEADLINE_SECONDS,
-            places.Client(source.account, request, 0.0),
+            places.Client(
+                source.account, xxhash.xxh3_64_intdigest(request.encode()), 0.0
+            ),
         )
         told = 0.0
         if isinstance(found, places.Place):
