--- a/packages/daemon/src/camphorhook_daemon/domain/routing/turns.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/turns.py
@@ -13,7 +13,7 @@
 # an account at ten times its rate has some 1,500 in 5 s.
 MAX_TURNS = 3000
 EARLY_SECONDS = 0.05  # by which a client may return before its time
-# After it, a client that returns has probably given the request another id.
+# After it, a client that returns has probably changed its request.
 OTHER_SECONDS = 0.1
 # Later, a client has probably given up; its turn holds up others.
 KEPT_SECONDS = 2.0
--- a/tests/harness/scarce_places.py
+++ b/tests/harness/scarce_places.py
@@ -79,7 +79,7 @@
             is_ordered: whether the new order is on; a share of the senders
                 if it is a number.
             **options: `returns`: refused clients come back when told;
-                `renames`: under another id; `is_heavy`: service times are
+                `renames`: with another request; `is_heavy`: service times are
                 heavy-tailed; `is_slow`: upstreams are slow in turn;
                 `lost_at`: seconds after which a holder is lost; `are_old`:
                 number of holders of older builds.
