--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import json
+import math
 import os
 import pathlib
 import random
@@ -28,6 +29,7 @@
 LIMIT_SECONDS = 110.0
 ZONES = ("oslo-a", "oslo-b", "oslo-c")
 HEARTBEAT_MS = 1200
+BACK_SECONDS = 4.0  # from a server's crash to its next boot
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, UNUSABLE = 0, 1, 2
 
@@ -81,6 +83,7 @@
         self.began = time.monotonic()
         self._record = open(self.case / "record.txt", "w")
         self.processes = {}
+        self.sent = {}
         self.addresses = {}
         self.zones = {}
         self.tasks = set()
@@ -379,6 +382,8 @@
         self.work = options.get("work", 0.06)
         self.reports_speed = options.get("reports_speed", False)
         self.cold_seconds = options.get("cold_seconds", 0.0)
+        # Requests in one second above which it crashes while it is cold.
+        self.cold_most = options.get("cold_most", math.inf)
         self.is_engine = options.get("is_engine", False)
         self.keep_alive = options.get("keep_alive", 5)
         self.cold_until = 0.0
@@ -417,13 +422,19 @@
 
     def crash(self):
         """End at once; all channels are reset."""
-        self.rig.record("server crashes", id=self.id)
+        self.rig.record("server crashes", id=self.id, running=self.running)
         self.state = "crashed"
         self.beats.cancel()
         self._listener.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def _come_back(self):
+        """Start again some seconds after a crash, with another id."""
+        await asyncio.sleep(BACK_SECONDS)
+        self.id = f"i-{random.getrandbits(32):08x}"
+        await self.start()
+
     def _describe(self):
         self.sequence += 1
         cold = max(0.0, self.cold_until - self.rig.now())
@@ -478,6 +489,13 @@
         self.gone_at = self.rig.now()
         self.rig.record("server says that it is gone", id=self.id)
 
+    def exit(self):
+        """End the process after a planned stop; its channels end with it."""
+        self.rig.record("server exits", id=self.id, running=self.running)
+        self._listener.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -517,6 +535,14 @@
             + body
         )
 
+    def _count_cold(self):
+        """Return the requests of the last second, if it is cold."""
+        now = self.rig.now()
+        if self.cold_until <= now:
+            return 0
+        recent = [one for at, one in self.arrivals[-200:] if at > now - 1.0]
+        return sum(self.rig.sent[one] > now - 1.0 for one in recent)
+
     async def _answer(self, request, reader, writer):
         """Answer one request; return whether the channel lives on."""
         path = request.first.split()[1]
@@ -552,6 +578,10 @@
             born=self.born,
             cold=self.cold_until > self.rig.now(),
         )
+        if self._count_cold() > self.cold_most:
+            self.crash()
+            self.rig.spawn(self._come_back())
+            return False
         if self.running >= self.slots and len(self.waiting) >= self.queue:
             self.rig.record("rejected", id=self.id, request=request_id)
             not_run = ("X-Not-Executed", "1")
@@ -621,6 +651,7 @@
         target, request_id, key, deadline_ms, body, method,
         options.get("more", ()),
     )
+    rig.sent[request_id] = rig.now()
     rig.record("sent", request=request_id, to=front, target=target)
     reply = Reply(error="no answer")
     try:
