--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -84,6 +84,9 @@
         self._record = open(self.case / "record.txt", "w")
         self.processes = {}
         self.sent = {}
+        self.inner = {}  # first internal port, where it is not inner_port
+        self.seeds = ("core-1", "core-2", "core-3")
+        self.cut = set()  # fronts that are partitioned from all servers
         self.addresses = {}
         self.zones = {}
         self.tasks = set()
@@ -134,11 +137,13 @@
             "Region": "oslo",
             "Zones": dict.fromkeys(ZONES, "oslo"),
             "Listen": listen,
-            "InternalPorts": [self.inner_port, self.inner_port + 15],
+            "InternalPorts": [
+                self.inner.get(name, self.inner_port),
+                self.inner.get(name, self.inner_port) + 15,
+            ],
             "Seeds": [
                 f"{self.addresses[one]}:{self.control_port}"
-                for one in self.addresses
-                if one.startswith("core")
+                for one in self.seeds
             ],
             "Bootstrap": first,
             "InTolerance": not is_front,
@@ -205,13 +210,18 @@
     def read_log(self, name):
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
+    def place(self, name):
+        """Give a machine its address and its zone."""
+        kind, _, number = name.partition("-")
+        base = {"core": 10, "front": 30}[kind]
+        self.addresses[name] = f"{self.net}.{base + int(number)}"
+        self.zones[name] = ZONES[(int(number) - 1) % len(ZONES)]
+
     async def start_all(self, cores=3, fronts=2):
-        """Start the machines; return once a leader is there."""
-        for kind, count, base in (("core", cores, 10), ("front", fronts, 30)):
+        """Start all machines for the first time."""
+        for kind, count in (("core", cores), ("front", fronts)):
             for number in range(1, count + 1):
-                name = f"{kind}-{number}"
-                self.addresses[name] = f"{self.net}.{base + number}"
-                self.zones[name] = ZONES[(number - 1) % len(ZONES)]
+                self.place(f"{kind}-{number}")
         for name in self.addresses:
             self.start(name)
 
@@ -233,6 +243,8 @@
 
     async def call_control(self, name, method, path, body=b"", seconds=1.0):
         """Return the status of a call to `control`; 0 without an answer."""
+        if name not in self.processes:
+            return 0
         address = self.addresses[name]
         try:
             async with asyncio.timeout(seconds):
@@ -274,6 +286,33 @@
             return False
         return head.split()[1] == b"200"
 
+    def find_owner(self, near_port, far_port):
+        """Return the process that holds a connection, of those started here.
+
+        Args:
+            near_port: its port at the process.
+            far_port: its port at the other end.
+        """
+        inode = ""
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            words = line.split()
+            ports = [int(one.split(":")[1], 16) for one in words[1:3]]
+            if ports == [near_port, far_port]:
+                inode = f"socket:[{words[9]}]"
+        for name, process in self.processes.items():
+            for link in pathlib.Path(f"/proc/{process.pid}/fd").iterdir():
+                try:
+                    if os.readlink(link) == inode:
+                        return name
+                except OSError:
+                    continue  # closed meanwhile
+        return ""
+
+    async def pass_link(self, front):
+        """Wait as long as a front is partitioned from all servers."""
+        while front in self.cut:
+            await asyncio.sleep(0.02)
+
     def spawn(self, work):
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -381,6 +420,8 @@
         self.queue = options.get("queue", 24)
         self.work = options.get("work", 0.06)
         self.reports_speed = options.get("reports_speed", False)
+        # Whether it finds out from which front each channel comes.
+        self.knows_fronts = options.get("knows_fronts", False)
         self.cold_seconds = options.get("cold_seconds", 0.0)
         # Requests in one second above which it crashes while it is cold.
         self.cold_most = options.get("cold_most", math.inf)
@@ -499,10 +540,14 @@
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
+            if self.knows_fronts:
+                near = writer.get_extra_info("peername")[1]
+                writer.front = self.rig.find_owner(near, self.port)
             while True:
                 request = await read_request(reader)
                 if request is None:
                     return
+                await self.rig.pass_link(getattr(writer, "front", ""))
                 if not await self._answer(request, reader, writer):
                     return
         except (
@@ -607,6 +652,7 @@
     async def run(self, request, writer):
         """Run a request and answer it."""
         await asyncio.sleep(self.work)
+        await self.rig.pass_link(getattr(writer, "front", ""))
         request_id = request.get("x-request-id")
         body = f"{self.id} ran {request_id}\n".encode()
         seal = ("X-Response-Seal", f"{self.id}.{request_id}.{len(body)}")
