--- a/review/10/case.py
+++ b/review/10/case.py
@@ -84,7 +84,11 @@
     for turn in range(TIMES):
         for front in HIT:
             await rigs.send(
-                rig, front, "/booking/2f", KEY, DEADLINE_MS,
+                rig,
+                front,
+                "/booking/2f",
+                KEY,
+                DEADLINE_MS,
                 more=[("X-Prompt-Prefix", PREFIX)],
                 request_id=f"prefix-{turn}-{front}",
             )
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -66,9 +66,7 @@
     while rig.now() < until:
         front = random.choice(FRONTS)
         sent.append(
-            rig.spawn(
-                rigs.send(rig, front, "/booking/2f", KEY, DEADLINE_MS)
-            )
+            rig.spawn(rigs.send(rig, front, "/booking/2f", KEY, DEADLINE_MS))
         )
         await asyncio.sleep(random.expovariate(PER_SECOND))
     return await asyncio.gather(*sent)
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -90,9 +90,9 @@
         self.addresses = {}
         self.zones = {}
         self.tasks = set()
-        self._roles = tomllib.loads(
-            (ROOT / "deploy/system.toml").read_text()
-        )["roles"]
+        self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())[
+            "roles"
+        ]
         rng = random.Random(time.time_ns())
         while True:
             self.net = f"127.{rng.randint(16, 250)}.{rng.randint(1, 250)}"
@@ -422,6 +422,7 @@
         self.reports_speed = options.get("reports_speed", False)
         # Whether it finds out from which front each channel comes.
         self.knows_fronts = options.get("knows_fronts", False)
+        self.fronts = set()  # those from which channels came
         self.cold_seconds = options.get("cold_seconds", 0.0)
         # Requests in one second above which it crashes while it is cold.
         self.cold_most = options.get("cold_most", math.inf)
@@ -543,6 +544,7 @@
             if self.knows_fronts:
                 near = writer.get_extra_info("peername")[1]
                 writer.front = self.rig.find_owner(near, self.port)
+                self.fronts.add(writer.front)
             while True:
                 request = await read_request(reader)
                 if request is None:
@@ -674,7 +676,9 @@
         self.error = error
 
 
-def make_request(target, request_id, key, deadline_ms, body, method="POST", more=()):
+def make_request(
+    target, request_id, key, deadline_ms, body, method="POST", more=()
+):
     lines = [
         f"{method} {target} HTTP/1.1",
         "Host: ficu95.example",
@@ -694,7 +698,12 @@
     method = options.get("method", "POST")
     body = options.get("body", b"x" * 600)
     data = make_request(
-        target, request_id, key, deadline_ms, body, method,
+        target,
+        request_id,
+        key,
+        deadline_ms,
+        body,
+        method,
         options.get("more", ()),
     )
     rig.sent[request_id] = rig.now()
@@ -711,7 +720,12 @@
                 reply = await read_reply(reader)
             finally:
                 writer.close()
-    except (OSError, EOFError, asyncio.IncompleteReadError, ValueError) as error:
+    except (
+        OSError,
+        EOFError,
+        asyncio.IncompleteReadError,
+        ValueError,
+    ) as error:
         reply = Reply(error=repr(error))
     except TimeoutError:
         reply = Reply(error="deadline")
