--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -543,7 +543,10 @@
         try:
             if self.knows_fronts:
                 near = writer.get_extra_info("peername")[1]
-                writer.front = self.rig.find_owner(near, self.port)
+                for _ in range(3):  # the list may change as it is read
+                    writer.front = self.rig.find_owner(near, self.port)
+                    if writer.front:
+                        break
                 self.fronts.add(writer.front)
             while True:
                 request = await read_request(reader)
