--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
-"""A client names absurd numbers of tokens in X-Prompt-Prefix."""
+"""A desired state adds a tenant whose name is not written in Latin-1."""
 
 import asyncio
+import copy
 import pathlib
 import sys
 
@@ -9,16 +10,12 @@
 
 import rig as rigs  # noqa: E402
 
-FRONTS = ("front-1", "front-2", "front-3")
-HIT = FRONTS[:2]
-TIMES = 3
+FRONTS = ("front-1", "front-2")
 DEADLINE_MS = 4000
-KEY = "n2ctnfzs989anu6wsjnb"
-PARTS = 20
-TOKENS = 999_999_999_999_999_999 if rigs.TROUBLE else 250
-PREFIX = ",".join(f"{n:08x}:{TOKENS}" for n in range(1, PARTS + 1))
-RESTART_SECONDS = 0.5  # "restarted after a short delay"
-WATCH_SECONDS = 3.0  # after each of the client's requests
+OLD_KEY, NEW_KEY = "n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"
+NAME = "高雄補習班" if rigs.TROUBLE else "kaohsiung"
+APPLY_SECONDS = rigs.BOUNDS["ConfigApplyMs"] / 1000
+CLOSED = ("closed without an answer", "ConnectionResetError")
 
 DOCUMENT = {
     "Version": 7,
@@ -55,61 +52,74 @@
         "HeaderTimeoutMs": 3000,
         "IdleTimeoutMs": 15000,
     },
-    "Tenants": [{"Name": "hule930", "ApiKeys": [KEY], "Priority": 1}],
+    "Tenants": [{"Name": "hule930", "ApiKeys": [OLD_KEY], "Priority": 1}],
 }
 
 
-async def press(rig, front, replies, stop):
-    """Send ordinary requests to one front until told to stop."""
-    while not stop.is_set():
-        reply = await rigs.send(rig, front, "/booking/2f", KEY, DEADLINE_MS)
-        replies.append(reply)
-        await asyncio.sleep(0.1)
+async def press(rig, key, seconds, interval=0.1):
+    """Send requests with a key; return (seconds taken, Reply) of each."""
+    found = []
+
+    async def one(front):
+        began = rig.now()
+        reply = await rigs.send(rig, front, "/booking/2f", key, DEADLINE_MS)
+        found.append((rig.now() - began, reply))
+
+    tasks = []
+    end = rig.now() + seconds
+    while rig.now() < end:
+        tasks.append(rig.spawn(one(FRONTS[len(tasks) % 2])))
+        await asyncio.sleep(interval)
+    await asyncio.gather(*tasks)
+    return found
+
+
+def count_cut(found):
+    """Return how many channels ended without an answer."""
+    return sum(
+        reply.status == 0 and any(text in reply.error for text in CLOSED)
+        for _, reply in found
+    )
+
+
+def count_served(found):
+    return sum(reply.status == 200 for _, reply in found)
 
 
 async def play(rig):
-    await rig.start_all(cores=3, fronts=3)
+    await rig.start_all(cores=3, fronts=2)
     await rig.put_document(DOCUMENT)
-    for number in range(3):
-        zone = rigs.ZONES[number]
-        await rigs.Server(rig, "koebok", number, zone, work=0.2).start()
+    servers = [rigs.Server(rig, "koebok", n, rigs.ZONES[n]) for n in range(3)]
+    for server in servers:
+        await server.start()
     await rig.wait_ready(FRONTS)
-    replies, stop = [], asyncio.Event()
-    callers = [rig.spawn(press(rig, one, replies, stop)) for one in FRONTS]
-    await asyncio.sleep(3.0)
-    before = sum(one.status == 200 for one in replies)
-    if before < 10:
-        raise rigs.Unusable(f"only {before} ordinary requests were served")
-    ends = dict.fromkeys(HIT, 0)
-    for turn in range(TIMES):
-        for front in HIT:
-            await rigs.send(
-                rig,
-                front,
-                "/booking/2f",
-                KEY,
-                DEADLINE_MS,
-                more=[("X-Prompt-Prefix", PREFIX)],
-                request_id=f"prefix-{turn}-{front}",
-            )
-            await asyncio.sleep(WATCH_SECONDS)
-            code = rig.processes[front].poll()
-            if code is None:
-                continue
-            ends[front] += 1
-            lines = rig.read_log(front).splitlines()
-            why = [one.strip(" |") for one in lines if "Error: " in one][-1:]
-            rig.record("ended by itself", process=front, code=code, log=why)
-            print(f"{front} ended by itself with {code}: {why}")
-            await asyncio.sleep(RESTART_SECONDS)
-            rig.start(front, first=False)
-            await rig.wait_ready([front])
-    stop.set()
-    await asyncio.gather(*callers)
-    lost = sum(one.status == 0 for one in replies)
-    print(f"{lost} of {len(replies)} ordinary requests got no answer")
-    if all(count >= TIMES for count in ends.values()):
-        return [f"Fault: processes ended by themselves, {ends}"]
+    before = await press(rig, OLD_KEY, 4.0)
+    if count_served(before) < 0.9 * len(before):
+        raise rigs.Unusable(
+            f"{count_served(before)} of {len(before)} were served before"
+        )
+    changed = copy.deepcopy(DOCUMENT)
+    changed["Version"] = 12
+    changed["Tenants"].append(
+        {"Name": NAME, "ApiKeys": [NEW_KEY], "Priority": 1}
+    )
+    await rig.put_document(changed)
+    await asyncio.sleep(APPLY_SECONDS)
+    old, new = await asyncio.gather(
+        press(rig, OLD_KEY, 8.0), press(rig, NEW_KEY, 8.0)
+    )
+    print(
+        f"new tenant: {count_served(new)} of {len(new)} served, "
+        f"{count_cut(new)} channels ended without an answer; old tenant: "
+        f"{count_served(old)} of {len(old)} served, {count_cut(old)} ended so"
+    )
+    share = count_served(new) / len(new)
+    share_of_all = count_served(old + new) / len(old + new)
+    if share < share_of_all / 4:
+        return [
+            f"Starved: {share:.0%} of the new tenant's requests were served, "
+            f"of all {share_of_all:.0%}"
+        ]
     return []
 
 
--- a/review/lib2/rig.py
+++ b/review/lib2/rig.py
@@ -576,6 +576,8 @@
         if self.reports_speed:
             load += ",100"
         lines.append(f"X-Server-Load: {load}")
+        if self.state == "draining":
+            lines.append("Server-Leaving: 1")
         lines += [f"{name}: {value}" for name, value in more]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
