Count a reset that was found when sending as the end of no answer

What callers saw: a server answered a long upload at once with 200 and without length, sent a part of the body and reset the connection. The client got the part as a complete answer, of requests, bookings and streams, also by way of another instance. Cause: the system reports a reset once. The task that sent the request met it and dropped it; the one that reads then got an orderly end, which ends a body without length. Change: Connection keeps an error of sending, and receive raises it in place of the end. Data that came before is still returned, so that a whole answer with a length or chunks is not lost.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -25,7 +25,9 @@
 class Connection:
     """A connected TCP socket.
 
-    One task may receive while another one sends.
+    One task may receive while another one sends. The system reports a reset
+    once, to either of them, and an orderly end from then on. An error that
+    sending met is therefore kept, and receiving reports it as well.
     """
 
     def __init__(self, raw, user_timeout_ms):
@@ -43,6 +45,7 @@
             sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, user_timeout_ms
         )
         self._raw = raw
+        self._send_error = None
         # SocketStream also sets TCP_NODELAY, so small writes are not delayed.
         self._stream = trio.SocketStream(trio.socket.from_stdlib_socket(raw))
 
@@ -53,16 +56,21 @@
             most: maximum number of bytes.
 
         Raises:
-            trio.BrokenResourceError: the connection was reset.
+            trio.BrokenResourceError: the connection was reset, which may
+                have been found when sending.
         """
         while True:
             await trio.lowlevel.wait_readable(self._raw)
             try:
-                return self._raw.recv(most)
+                data = self._raw.recv(most)
             except (BlockingIOError, InterruptedError):
                 continue
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
+            if not data and self._send_error is not None:
+                text = f"found when sending: {self._send_error}"
+                raise trio.BrokenResourceError(text)
+            return data
 
     def send_now(self, data):
         """Send as much as fits without waiting; return the unsent rest.
@@ -78,6 +86,7 @@
         except (BlockingIOError, InterruptedError):
             return data
         except OSError as error:
+            self._send_error = str(error)
             raise trio.BrokenResourceError(str(error)) from error
 
     async def send(self, data, unread_seconds=math.inf):
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -109,6 +109,7 @@
     drops_body=False,
     request="r1",
     more="",
+    upload=b"",
 ):
     """Send a request; return (status, body, whether it ended completely).
 
@@ -119,16 +120,20 @@
         drops_body: whether to keep nothing of the body; it may have no end.
         request: id of the request.
         more: additional header lines.
+        upload: body of the request.
     """
     http = h11.Connection(h11.CLIENT)
     stream = await trio.open_tcp_stream("127.0.0.1", port)
     http.send(h11.Request(method="GET", target="/", headers=[("Host", HOST)]))
     http.send(h11.EndOfMessage())
+    if upload:
+        more += f"Content-Length: {len(upload)}\r\n"
     async with stream:
         await stream.send_all(
             f"GET / HTTP/{version}\r\nHost: {HOST}\r\n"
             f"X-Request-Id: {request}\r\nAuthorization: Bearer key\r\n"
             f"X-Deadline-Ms: {int(seconds * 1000)}\r\n{more}\r\n".encode()
+            + upload
         )
         status, body = 0, b""
         try:
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -317,7 +317,7 @@
             self.counts,
             gateway_attempts.GatewayAttempts(
                 self.gateways,
-                connection_pool.ConnectionPool(),
+                connection_pool.ConnectionPool(requires_id=False),
                 handover,
                 self.counts,
                 now,
@@ -349,11 +349,17 @@
             1, routes, [self._service], limits, accounts
         )
 
-    async def listen(self, nursery):
-        """Serve clients over HTTP on the route; return the port."""
+    async def listen(self, nursery, headers=entry):
+        """Serve clients over HTTP on the route; return the port.
+
+        Args:
+            nursery: runs the listener.
+            headers: module that reads and writes the headers: `entry` for
+                clients, `handover` for other instances.
+        """
         self.table = self._make_table([self.route])
         app = request_app.RequestApp(
-            entry, self.forwarder, self.rules, self.counts, self.shutdown
+            headers, self.forwarder, self.rules, self.counts, self.shutdown
         )
         with trio.socket.socket() as probe:
             await probe.bind(("127.0.0.1", 0))
@@ -367,6 +373,16 @@
         await nursery.start(listener.run)
         return port
 
+    def use_gateway(self, port):
+        """Have all requests go by way of the instance at a port."""
+        gateway = gateways.Gateway("gateway", "127.0.0.1", port)
+
+        async def choose(_excluded):
+            return gateway
+
+        self.gateways.choose = choose
+        self.gateways.links.may_send = lambda request: False
+
     async def open(self, nursery):
         """Start the upstreams and register them."""
         for upstream in self.upstreams:
