Wait for the request to be taken before an end counts as the answer's

What callers saw: as with a reset, a part of an early answer without length came as a whole one, where the upstream closed its side of the connection first and the system reset it once the rest of the upload arrived. Cause: the orderly end is read while bytes of the request are still on their way; the error that shows what the end was comes after it. Change: where the end of the connection ends a body, the reader waits until the peer has acknowledged all that was sent, or an error shows, for .5 s at most. Ordinary requests have been acknowledged by then and do not wait.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -16,6 +16,7 @@
 
 RECEIVE_BYTES = 16384
 TIOCOUTQ = 0x5411  # of the Linux headers; the module termios is not loaded
+TAKEN_POLL_SECONDS = 0.002  # acknowledgments wake no task
 
 
 class UnreadError(trio.BrokenResourceError):
@@ -120,6 +121,26 @@
             raise trio.BrokenResourceError(str(error)) from error
         return int.from_bytes(size, "little")
 
+    async def wait_until_taken(self, most_seconds):
+        """Wait until the peer has taken all bytes that were sent.
+
+        A peer that closes the connection earlier resets it, but only as the
+        rest arrives.
+
+        Args:
+            most_seconds: longest time to wait.
+
+        Raises:
+            trio.BrokenResourceError: the connection was reset.
+        """
+        with trio.move_on_after(most_seconds):
+            while self._measure_unsent() and not self._has_failed():
+                await trio.sleep(TAKEN_POLL_SECONDS)
+        if self._has_failed():
+            raise trio.BrokenResourceError(
+                "reset before all that was sent had been taken"
+            )
+
     async def send_eof(self):
         """Close the sending direction; receiving remains possible."""
         await self._stream.send_eof()
@@ -140,9 +161,18 @@
         Unlike `receive`, this tells it without a switch of tasks, and also
         while bytes are unread.
         """
+        return bool(self._poll(select.POLLRDHUP))
+
+    def _has_failed(self):
+        """Return whether there is an error that was not reported yet."""
+        return bool(self._poll(0) & select.POLLERR)
+
+    def _poll(self, events):
+        """Return the flags of the socket, for errors and given events."""
         poll = select.poll()
-        poll.register(self._raw, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        poll.register(self._raw, events)
+        found = poll.poll(0)
+        return found[0][1] if found else 0
 
     def reset(self):
         """Close the connection so that the peer sees an error, not an end."""
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -23,6 +23,9 @@
 KEEPALIVE_MARGIN_SECONDS = 0.5  # not reused this close to the timeout
 MAX_IDLE_CONNECTIONS = 24  # per upstream
 MAX_HEAD_BYTES = 65536
+# For the rest of a request to be taken after the connection's end. It is many
+# round trips within a region, and more than the delay of an acknowledgment.
+REQUEST_TAKEN_SECONDS = 0.5
 MAX_SKIPPED_BYTES = 256 * 1024  # of an answer to another request
 EVENT_STREAM = "text/event-stream"
 
@@ -422,13 +425,29 @@
                 )
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._pooled.connection.receive()
-            except trio.BrokenResourceError as error:
-                raise self._make_error("the connection was reset", error)
-            if data:
-                self._heard_at[self.upstream] = trio.current_time()
-            self._pooled.http.receive_data(data)
+            self._pooled.http.receive_data(await self._receive())
+
+    async def _receive(self):
+        """Return the next bytes of the connection; b"" at its end.
+
+        Raises:
+            ports.AttemptError: the connection was reset.
+        """
+        connection = self._pooled.connection
+        try:
+            data = await connection.receive()
+            if not data and self._ends_with_connection():
+                await connection.wait_until_taken(REQUEST_TAKEN_SECONDS)
+        except trio.BrokenResourceError as error:
+            raise self._make_error("the connection was reset", error)
+        if data:
+            self._heard_at[self.upstream] = trio.current_time()
+        return data
+
+    def _ends_with_connection(self):
+        """Return whether the connection's end is all that ends the body."""
+        head = self.head
+        return head is not None and head.describe_framing() == "close"
 
     async def read_chunk(self):
         """Return the next part of the body; b"" at its end.
--- a/tests/features/early_answers.feature
+++ b/tests/features/early_answers.feature
@@ -28,6 +28,13 @@
       | chunks without end | a close      | booking    | directly |
       | chunks without end | an end       | repeatable | directly |
 
+    Examples: with an orderly end before the reset
+      | framing   | ending                     | kind       | way                        |
+      | no length | a half-close, then a close | repeatable | directly                   |
+      | no length | a half-close, then a close | booking    | directly                   |
+      | no length | a half-close, then a close | stream     | directly                   |
+      | no length | a half-close, then a close | booking    | by way of another instance |
+
     Examples: by way of another instance
       | framing   | ending  | kind       | way                        |
       | no length | a reset | repeatable | by way of another instance |
--- a/tests/standins/broken_answers.py
+++ b/tests/standins/broken_answers.py
@@ -56,7 +56,8 @@
         stream: the trio.SocketStream.
         data: the bytes of the answer.
         ending: `a reset` at once, `a late reset`, `a close` with the body
-            unread, or `an end` after the body was read.
+            unread, `a half-close, then a close` with the body unread, or `an
+            end` after the body was read.
     """
     # Without a switch of tasks, so that the end follows the answer at once
     # also for a client in the same process.
@@ -65,6 +66,9 @@
         socket.sendall(data)
         if ending == "an end":
             await _read_on(stream)
+        elif "half-close" in ending:
+            socket.shutdown(sockets.SHUT_WR)
+            await trio.sleep(RESET_DELAY_SECONDS)
         elif ending == "a late reset":
             await trio.sleep(RESET_DELAY_SECONDS)
         if "reset" in ending:
