Refuse heads of answers that h11 takes though they are not valid

What callers saw: answers whose head has a line that begins with a blank or a tab came as answers, with a body that was not the server's: with a Content-Length there the bytes behind it as well, with Transfer-Encoding: chunked the chunks themselves as the body. HTTP/2.0 in the status line and control bytes in the reason phrase were taken too. Cause: h11 joins such a line to the one before, where the field that it holds is lost, and takes any version and any byte but white space in a reason. Change: connection_pool checks the bytes of each head that h11 has read, also of interim answers: HTTP/1.x, a reason without control bytes, and no line that begins with a blank. Such an answer counts as invalid HTTP, as others do.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -12,6 +12,7 @@
 import h11
 import trio
 
+from camphorhook_common import answer_heads
 from camphorhook_common import numerals
 from camphorhook_daemon.adapters import connection
 from camphorhook_daemon.adapters import header_codec
@@ -414,8 +415,8 @@
         """
         while True:
             try:
-                event = self._pooled.http.next_event()
-            except h11.RemoteProtocolError as error:
+                event = _read_event(self._pooled.http)
+            except (h11.RemoteProtocolError, answer_heads.HeadError) as error:
                 raise self._make_error(
                     f"answer is not valid HTTP: {error}", error
                 )
@@ -494,6 +495,23 @@
     )
 
 
+def _read_event(http):
+    """Return the next event of an h11 connection whose heads are checked.
+
+    Raises:
+        answer_heads.HeadError: a head is not valid, though h11 takes it.
+        h11.RemoteProtocolError: the answer is not valid.
+    """
+    if http.their_state is not h11.SEND_RESPONSE:
+        return http.next_event()
+    unread = http.trailing_data[0]
+    event = http.next_event()
+    if isinstance(event, (h11.InformationalResponse, h11.Response)):
+        rest = http.trailing_data[0]
+        answer_heads.check_head(unread[: len(unread) - len(rest)])
+    return event
+
+
 def _find_failure(group):
     """Return the first AttemptError of an exception group.
 
--- a/tests/features/steps/early_answers.py
+++ b/tests/features/steps/early_answers.py
@@ -5,17 +5,16 @@
 import behave
 import trio
 
-from camphorhook_daemon.adapters import handover
 from tests.features.steps import connections
 from tests.features.steps import endings
 from tests.harness import routers
+from tests.harness import ways
 from tests.standins import broken_answers
 
 UPLOAD = b"u" * broken_answers.UPLOAD_BYTES
 PART = b"the begin of an answer that does not go on"
 EVENTS = 3
-TIMEOUT_SECONDS = 20.0
-INTERRUPTED = "an instance that fails so"
+INTERRUPTED = "by way of an instance that fails so"
 
 
 class EarlyUpstream(routers.ScriptedUpstream):
@@ -46,54 +45,6 @@
             await broken_answers.answer_early(stream, data, self.ending)
 
 
-def make_router(upstreams, kind):
-    """Return a Router whose route is for a kind of request.
-
-    Args:
-        upstreams: its upstreams.
-        kind: `repeatable`, `booking` or `stream`.
-    """
-    router = routers.Router(len(upstreams), kind == "stream")
-    router.upstreams = upstreams
-    router.route = router.route._replace(
-        is_stream=kind == "stream",
-        is_idempotent=kind == "repeatable",
-        can_resume=False,
-        timeout=TIMEOUT_SECONDS,
-    )
-    return router
-
-
-async def open_way(nursery, upstreams, kind, way, attempts):
-    """Start one or two instances; return the port for clients.
-
-    Args:
-        nursery: runs the instances.
-        upstreams: the upstreams, of the instance next to them.
-        kind: kind of the requests, as in `make_router`.
-        way: how requests reach the upstreams, as the steps name it.
-        attempts: collections.Counter of the attempts' outcomes at the
-            upstreams.
-    """
-
-    def count(name, outcome="", **_attributes):
-        if name == "attempts_total":
-            attempts[outcome] += 1
-
-    router = make_router(upstreams, kind)
-    router.counts.add = count
-    await router.open(nursery)
-    if way == "directly":
-        return await router.listen(nursery)
-    gateway = upstreams[0].port
-    if INTERRUPTED not in way:
-        gateway = await router.listen(nursery, handover)
-    front = make_router([], kind)
-    front.use_gateway(gateway)
-    await front.open(nursery)
-    return await front.listen(nursery)
-
-
 @behave.given(
     "upstreams that answer uploads with {framing} and end with {ending}"
 )
@@ -117,9 +68,14 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            port = await open_way(
-                nursery, context.upstreams, kind, way, context.attempts
-            )
+            if way == INTERRUPTED:
+                await routers.start_upstreams(nursery, context.upstreams)
+                port = context.upstreams[0].port
+                port = await ways.open_front(nursery, port, kind)
+            else:
+                port = await ways.open_way(
+                    nursery, context.upstreams, kind, way, context.attempts
+                )
             for number in range(count):
                 outcome = await endings.exchange(
                     port, request=f"r{number}", upload=UPLOAD
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -134,6 +134,17 @@
         )
 
 
+async def start_upstreams(nursery, upstreams):
+    """Have ScriptedUpstreams listen; set the port of each."""
+    for upstream in upstreams:
+        opened = await nursery.start(
+            functools.partial(trio.serve_tcp, host="127.0.0.1"),
+            upstream.serve,
+            0,
+        )
+        upstream.port = opened[0].socket.getsockname()[1]
+
+
 class Client:
     """Receives the answer to one request."""
 
@@ -385,13 +396,7 @@
 
     async def open(self, nursery):
         """Start the upstreams and register them."""
-        for upstream in self.upstreams:
-            opened = await nursery.start(
-                functools.partial(trio.serve_tcp, host="127.0.0.1"),
-                upstream.serve,
-                0,
-            )
-            upstream.port = opened[0].socket.getsockname()[1]
+        await start_upstreams(nursery, self.upstreams)
         self.register()
         nursery.start_soon(self._keep_contact)
         nursery.start_soon(self.origins.run)
--- a/tests/standins/broken_answers.py
+++ b/tests/standins/broken_answers.py
@@ -83,3 +83,85 @@
                 return
         if scope.cancelled_caught:
             return
+
+
+_STATUS_LINES = {
+    "the status 000": b"HTTP/1.1 000 Status",
+    "the status 001": b"HTTP/1.1 001 Status",
+    "the status 020": b"HTTP/1.1 020 Status",
+    "the status 099": b"HTTP/1.1 099 Status",
+    "the status 20": b"HTTP/1.1 20 Status",
+    "the status 2000": b"HTTP/1.1 2000 Status",
+    "the status -20": b"HTTP/1.1 -20 Status",
+    "the status 101": b"HTTP/1.1 101 Status",
+    "no status": b"HTTP/1.1",
+    "the version 2.0": b"HTTP/2.0 200 OK",
+    "the version 0.9": b"HTTP/0.9 200 OK",
+    "a control byte in the reason": b"HTTP/1.1 200 OK\x01",
+    "DEL in the reason": b"HTTP/1.1 200 OK\x7f",
+}
+_FIELD_LINES = {
+    "a blank in a name": b"X Broken: 1",
+    "a tab in a name": b"X\tBroken: 1",
+    "NUL in a name": b"X\x00Broken: 1",
+    "01 in a name": b"X\x01Broken: 1",
+    "0B in a name": b"X\x0bBroken: 1",
+    "7F in a name": b"X\x7fBroken: 1",
+    "E9 in a name": b"X\xe9Broken: 1",
+    "CR in a name": b"X\rBroken: 1",
+    "a blank behind a name": b"X-Broken : 1",
+    "a control byte behind a name": b"X-Broken\x01: 1",
+    "CR behind a name": b"X-Broken\r: 1",
+    "no colon": b"X-Broken",
+    "no name": b": 1",
+}
+# Lines that would give the body another end, each with the body behind it.
+_FRAMING_LINES = {
+    "a blank behind Content-Length": (b"Content-Length : 4", b"more"),
+    "a blank in Content-Length": (b"Content Length: 4", b"more"),
+    "01 behind Content-Length": (b"Content-Length\x01: 4", b"more"),
+    "a length with a sign": (b"Content-Length: +4", b""),
+    "two lengths": (b"Content-Length: 4, 9", b""),
+    "a blank behind Transfer-Encoding": (b"Transfer-Encoding : chunked", b""),
+    "a blank before Content-Length": (
+        b"X-A: 1\r\n Content-Length: 4",
+        b"more",
+    ),
+    "a tab before Transfer-Encoding": (
+        b"X-A: 1\r\n\tTransfer-Encoding: chunked",
+        b"",
+    ),
+    "a blank before another field": (b"X-A: 1\r\n  X-B: 2", b""),
+    "a line of blanks": (b"X-A: 1\r\n  \t", b""),
+    "a blank before the first field": (b"", b""),
+    "a blank in a trailer's name": (b"Transfer-Encoding: chunked", b""),
+    "a control byte in a trailer's name": (b"Transfer-Encoding: chunked", b""),
+}
+_TRAILERS = {
+    "a blank in a trailer's name": b"X Trailer: 1\r\n",
+    "a control byte in a trailer's name": b"X\x01Trailer: 1\r\n",
+}
+MALFORMED_HEADS = (*_STATUS_LINES, *_FIELD_LINES, *_FRAMING_LINES)
+
+
+def make_malformed_answer(what, body, headers=b""):
+    """Return the bytes of an answer whose head is not valid HTTP/1.1.
+
+    Args:
+        what: one of MALFORMED_HEADS.
+        body: the body; more may follow it.
+        headers: further header lines of the answer.
+    """
+    status_line = _STATUS_LINES.get(what, b"HTTP/1.1 200 OK")
+    line, more = _FRAMING_LINES.get(what, (b"", b""))
+    if what in _TRAILERS or "Transfer-Encoding" in what:
+        body = b"%x\r\n%b\r\n0\r\n" % (len(body), body)
+        body += _TRAILERS.get(what, b"") + b"\r\n"
+    if what == "a blank before the first field":
+        headers = b" " + headers
+    if what not in _FRAMING_LINES:
+        line = _FIELD_LINES.get(what, b"X-Sound: 1")
+        line += b"\r\nContent-Length: %d" % len(body)
+    if line:
+        line += b"\r\n"
+    return status_line + b"\r\n" + headers + line + b"\r\n" + body + more
