Report a reset found when sending in answers to chats and services too

What callers saw: on the product's own interface, a part of an early answer without length came as a whole one, as on the platform. Cause: httpcore ignores errors of writing a request, so that a server may answer early, and goes on to read; the reset that it has ignored then shows as an orderly end, which ends a body without length. Change: a network backend for httpcore keeps an error of writing and raises it at the end of the connection, and waits at an end until the request has been taken, as connection_pool does. What the two share is in tcp.py now. A whole early answer is taken as before.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import fcntl
 import math
 import select
 import socket as sockets
@@ -14,9 +13,9 @@
 
 import trio
 
+from camphorhook_common import tcp
+
 RECEIVE_BYTES = 16384
-TIOCOUTQ = 0x5411  # of the Linux headers; the module termios is not loaded
-TAKEN_POLL_SECONDS = 0.002  # acknowledgments wake no task
 
 
 class UnreadError(trio.BrokenResourceError):
@@ -116,30 +115,22 @@
     def _measure_unsent(self):
         """Return the bytes that were sent and that the peer has not taken."""
         try:
-            size = fcntl.ioctl(self._raw, TIOCOUTQ, bytes(4))
+            return tcp.measure_unsent(self._raw)
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
-        return int.from_bytes(size, "little")
-
-    async def wait_until_taken(self, most_seconds):
-        """Wait until the peer has taken all bytes that were sent.
 
-        A peer that closes the connection earlier resets it, but only as the
-        rest arrives.
-
-        Args:
-            most_seconds: longest time to wait.
+    async def wait_until_taken(self):
+        """Wait until the peer has taken all that was sent, but not for long.
 
         Raises:
             trio.BrokenResourceError: the connection was reset.
         """
-        with trio.move_on_after(most_seconds):
-            while self._measure_unsent() and not self._has_failed():
-                await trio.sleep(TAKEN_POLL_SECONDS)
-        if self._has_failed():
-            raise trio.BrokenResourceError(
-                "reset before all that was sent had been taken"
-            )
+        with trio.move_on_after(tcp.TAKEN_SECONDS):
+            try:
+                while not tcp.is_all_taken(self._raw):
+                    await trio.sleep(tcp.TAKEN_POLL_SECONDS)
+            except OSError as error:
+                raise trio.BrokenResourceError(str(error)) from error
 
     async def send_eof(self):
         """Close the sending direction; receiving remains possible."""
@@ -161,18 +152,7 @@
         Unlike `receive`, this tells it without a switch of tasks, and also
         while bytes are unread.
         """
-        return bool(self._poll(select.POLLRDHUP))
-
-    def _has_failed(self):
-        """Return whether there is an error that was not reported yet."""
-        return bool(self._poll(0) & select.POLLERR)
-
-    def _poll(self, events):
-        """Return the flags of the socket, for errors and given events."""
-        poll = select.poll()
-        poll.register(self._raw, events)
-        found = poll.poll(0)
-        return found[0][1] if found else 0
+        return bool(tcp.poll(self._raw, select.POLLRDHUP))
 
     def reset(self):
         """Close the connection so that the peer sees an error, not an end."""
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -24,9 +24,6 @@
 KEEPALIVE_MARGIN_SECONDS = 0.5  # not reused this close to the timeout
 MAX_IDLE_CONNECTIONS = 24  # per upstream
 MAX_HEAD_BYTES = 65536
-# For the rest of a request to be taken after the connection's end. It is many
-# round trips within a region, and more than the delay of an acknowledgment.
-REQUEST_TAKEN_SECONDS = 0.5
 MAX_SKIPPED_BYTES = 256 * 1024  # of an answer to another request
 EVENT_STREAM = "text/event-stream"
 
@@ -438,7 +435,7 @@
         try:
             data = await connection.receive()
             if not data and self._ends_with_connection():
-                await connection.wait_until_taken(REQUEST_TAKEN_SECONDS)
+                await connection.wait_until_taken()
         except trio.BrokenResourceError as error:
             raise self._make_error("the connection was reset", error)
         if data:
--- a/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -6,6 +6,7 @@
 
 import httpcore
 
+from camphorhook_daemon.adapters import checked_network
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.ports import upstreams as ports
 
@@ -53,16 +54,19 @@
             context = ssl.create_default_context(
                 cafile=str(certificate_authority)
             )
+        backend = checked_network.CheckedBackend()
         self._keepalive_pool = httpcore.AsyncConnectionPool(
             ssl_context=context,
             max_connections=None,
             max_keepalive_connections=MAX_KEEPALIVE_CONNECTIONS,
             keepalive_expiry=KEEPALIVE_SECONDS,
+            network_backend=backend,
         )
         self._single_use_pool = httpcore.AsyncConnectionPool(
             ssl_context=context,
             max_connections=None,
             max_keepalive_connections=0,
+            network_backend=backend,
         )
 
     def _make_request(self, record, call):
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -1,5 +1,6 @@
 """Step definitions for answers of upstreams at the own interface."""
 
+import collections
 import types
 
 import behave
@@ -9,6 +10,7 @@
 from camphorhook_daemon.domain import answers
 from camphorhook_daemon.ports import upstreams as ports
 from tests.features.steps import endings
+from tests.standins import broken_answers
 from tests.standins import resets
 
 DOCUMENT = b'{"id": "chat", "choices": [{"message": {"content": "whole"}}]}'
@@ -48,14 +50,20 @@
             resets.set_reset_on_close(stream)
 
 
-def _run_attempt(context, attempt):
-    """Run an async function of (client, record, call); keep its result."""
+def _run_attempt(context, attempt, serve=None):
+    """Run an async function of (client, record, call); keep its result.
+
+    Args:
+        context: behave's context.
+        attempt: the function.
+        serve: async function of a stream that serves a connection; by
+            default, it sends the answer that the scenario names.
+    """
+    serve = serve or (lambda stream: _serve(stream, context.what))
 
     async def run():
         async with trio.open_nursery() as nursery:
-            opened = await nursery.start(
-                trio.serve_tcp, lambda one: _serve(one, context.what), 0
-            )
+            opened = await nursery.start(trio.serve_tcp, serve, 0)
             port = opened[0].socket.getsockname()[1]
             record = types.SimpleNamespace(
                 name="engine", address="127.0.0.1", port=port
@@ -113,3 +121,42 @@
 @behave.then("the attempt is {seen:Word}, after {count:d} events")
 def check_seen_events(context, seen, count):
     assert context.outcome == (seen, count), context.outcome
+
+
+@behave.given(
+    "an engine that answers uploads with {framing} and ends with {ending}"
+)
+def set_early_answer(context, framing, ending):
+    context.early = (framing, ending)
+
+
+@behave.when("{count:d} uploads are sent to it")
+def send_uploads(context, count):
+    framing, ending = context.early
+
+    async def serve(stream):
+        async with stream:
+            await broken_answers.read_head(stream)
+            data = broken_answers.make_answer(framing, DOCUMENT)
+            await broken_answers.answer_early(stream, data, ending)
+
+    async def attempt(client, record, call):
+        upload = b"u" * broken_answers.UPLOAD_BYTES
+        call = call._replace(method="POST", body=upload)
+        outcomes = collections.Counter()
+        for _ in range(count):
+            try:
+                answer = await client.fetch(record, call)
+                assert answer.body == DOCUMENT, answer.body
+                outcomes["whole"] += 1
+            except ports.AttemptError as error:
+                assert error.sent
+                outcomes["broken"] += 1
+        return outcomes
+
+    _run_attempt(context, attempt, serve)
+
+
+@behave.then("all attempts are {seen:Word}")
+def check_all_seen(context, seen):
+    assert list(context.outcome) == [seen], context.outcome
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -27,3 +27,18 @@
       | three events and a part  | ended  | 3     |
       | an event without end     | broken | 0     |
       | an event that is no text | broken | 0     |
+
+  Scenario Outline: A part of an early answer is not taken as whole
+    Given an engine that answers uploads with <framing> and ends with <ending>
+    When 12 uploads are sent to it
+    Then all attempts are <seen>
+
+    Examples: by ending
+      | framing            | ending                     | seen   |
+      | no length          | a reset                    | broken |
+      | no length          | a close                    | broken |
+      | no length          | a half-close, then a close | broken |
+      | no length          | a late reset               | broken |
+      | a length too long  | a reset                    | broken |
+      | chunks without end | a close                    | broken |
+      | no length          | an end                     | whole  |
