Refuse malformed heads in answers to chats and services too

What callers saw: on the product's own interface, answers with a line that begins with a blank, HTTP/2.0 or a control byte in the reason came as answers, with a body that was not the server's. Cause: httpcore reads heads with h11, which takes them. Change: the network backend finds the heads in the bytes that it receives and checks them as connection_pool does.

--- a/packages/common/src/camphorhook_common/answer_heads.py
+++ b/packages/common/src/camphorhook_common/answer_heads.py
@@ -32,3 +32,41 @@
         raise HeadError(f"illegal status line: {line!r}")
     if _CONTINUATION.search(head):
         raise HeadError("a line of the head begins with a blank")
+
+
+_HEAD_END = re.compile(rb"\n\r?\n")
+_MAX_END_BYTES = 3
+_INFORMATIONAL = re.compile(rb"HTTP/1\.[0-9] 1")
+
+
+class HeadFinder:
+    """Finds the heads in the bytes of a connection, and checks them.
+
+    It is for clients that leave the reading of answers to a library.
+    """
+
+    def __init__(self):
+        self._head = None
+
+    def expect_answer(self):
+        """Treat the next bytes as the begin of an answer's head."""
+        self._head = bytearray()
+
+    def feed(self, data):
+        """Check each head that ends within received bytes.
+
+        Raises:
+            HeadError: a head is not valid.
+        """
+        if self._head is None:
+            return
+        begin = max(0, len(self._head) - _MAX_END_BYTES + 1)
+        self._head += data
+        while end := _HEAD_END.search(self._head, begin):
+            head = bytes(self._head[: end.end()])
+            check_head(head)
+            if not _INFORMATIONAL.match(head):
+                self._head = None
+                return
+            del self._head[: end.end()]
+            begin = 0
--- a/packages/daemon/src/camphorhook_daemon/adapters/checked_network.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/checked_network.py
@@ -1,12 +1,13 @@
 """Network backend of httpcore that reports broken answers as errors.
 
 httpcore ignores errors of writing a request and goes on to read the answer,
-whose end such an error may be.
+whose end such an error may be. h11 takes heads that are not valid.
 """
 
 import httpcore
 import trio
 
+from camphorhook_common import answer_heads
 from camphorhook_common import tcp
 
 
@@ -26,9 +27,11 @@
 
     def __init__(self, stream):
         self._stream = stream
+        self._heads = answer_heads.HeadFinder()
         self._write_error = None
 
     async def write(self, buffer, timeout=None):
+        self._heads.expect_answer()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
@@ -37,6 +40,10 @@
 
     async def read(self, max_bytes, timeout=None):
         data = await self._stream.read(max_bytes, timeout)
+        try:
+            self._heads.feed(data)
+        except answer_heads.HeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         if not data:
             await self._check_end()
         return data
--- a/tests/features/malformed_heads.feature
+++ b/tests/features/malformed_heads.feature
@@ -7,6 +7,7 @@
     When clients send a request of each kind on each way
     Then each is answered 502, and no booking reached two upstreams
     And a probe of an upstream finds no answer
+    And the client for chats and services takes it for no answer
 
     Examples: by status line
       | what                         |
@@ -58,6 +59,7 @@
     Given upstreams that answer with <what>
     When clients send a request of each kind on each way
     Then streams are cut off, the others answered 502, and no booking reached two upstreams
+    And the client for chats and services takes it for no answer
 
     Examples: by trailer
       | what                               |
@@ -68,6 +70,7 @@
     Given upstreams whose answers follow the interim answer <head>
     When clients send a request of each kind on each way
     Then each is answered 502, and no booking reached two upstreams
+    And the client for chats and services takes it for no answer
 
     Examples: by interim answer
       | head                                    |
@@ -78,6 +81,7 @@
     Given upstreams whose status line is <line>
     When clients send a request of each kind on each way
     Then each gets the whole answer
+    And so does the client for chats and services
 
     Examples: by status line
       | line                       |
--- a/tests/features/steps/malformed_heads.py
+++ b/tests/features/steps/malformed_heads.py
@@ -1,13 +1,16 @@
 """Step definitions for answers whose heads are not valid HTTP."""
 
 import collections
+import contextlib
 import itertools
 import types
 
 import behave
 import trio
 
+from camphorhook_daemon.adapters import upstreams
 from camphorhook_daemon import platform_composition
+from camphorhook_daemon.ports import upstreams as ports
 from tests.features.steps import connections
 from tests.features.steps import endings
 from tests.harness import routers
@@ -16,6 +19,7 @@
 
 EVENTS = connections.make_events(1, 3)
 PROBE_SECONDS = 2.0
+TIMEOUT_SECONDS = 5.0
 SEAL = b"X-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
 
 
@@ -83,15 +87,15 @@
     context.asked = collections.Counter()
 
     async def run(kind, way):
-        upstreams = [RawUpstream(n, context.make_answer) for n in (1, 2)]
+        scripted = [RawUpstream(n, context.make_answer) for n in (1, 2)]
         async with trio.open_nursery() as nursery:
             port = await ways.open_way(
-                nursery, upstreams, kind, way, collections.Counter()
+                nursery, scripted, kind, way, collections.Counter()
             )
             outcome = await endings.exchange(port)
             nursery.cancel_scope.cancel()
         context.outcomes[kind, way] = outcome
-        context.asked[kind] += sum(len(one.requests) for one in upstreams)
+        context.asked[kind] += sum(len(one.requests) for one in scripted)
 
     for kind, way in itertools.product(ways.KINDS, ways.WAYS):
         trio.run(run, kind, way)
@@ -142,3 +146,52 @@
         assert upstream.requests and not found
 
     trio.run(run)
+
+
+async def _fetch(client, upstream):
+    """Return the body that the client for chats and services fetches."""
+    call = ports.Call("GET", "/", [], b"", TIMEOUT_SECONDS)
+    return (await client.fetch(upstream, call)).body
+
+
+async def _read_events(client, upstream):
+    """Return the data of the events that the same client reads."""
+    call = ports.Call("GET", "/", [], b"", TIMEOUT_SECONDS)
+    async with client.stream(upstream, call) as (_, _, events):
+        return [event.data async for event in events]
+
+
+def _run_client(context, read):
+    """Return what a function of (client, upstream) reads; None for no answer.
+
+    It is run with an HttpUpstreamClient and an upstream of the scenario.
+    """
+
+    async def run():
+        upstream = RawUpstream(1, context.make_answer)
+        client = upstreams.HttpUpstreamClient()
+        found = None
+        async with trio.open_nursery() as nursery:
+            await routers.start_upstreams(nursery, [upstream])
+            with trio.fail_after(TIMEOUT_SECONDS):
+                with contextlib.suppress(ports.AttemptError):
+                    found = await read(client, upstream.register())
+            nursery.cancel_scope.cancel()
+        await client.close()
+        assert upstream.requests
+        return found
+
+    return trio.run(run)
+
+
+@behave.then("the client for chats and services takes it for no answer")
+def check_client(context):
+    for read in (_fetch, _read_events):
+        found = _run_client(context, read)
+        assert found is None, (read, found)
+
+
+@behave.then("so does the client for chats and services")
+def check_client_whole(context):
+    assert _run_client(context, _fetch) == EVENTS
+    assert len(_run_client(context, _read_events)) == 3
