Report a reset found when sending in answers to the operators' client too

What callers saw: camphorhook import-document printed that the document is in force, though the control port had reset the connection within the upload. Cause: as on the product's own interface, httpcore ignores errors of writing and takes the end of the connection for the end of a body without length. Change: the same checks in a blocking network backend for httpcore.

--- a/packages/client/src/camphorhook/api_client.py
+++ b/packages/client/src/camphorhook/api_client.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from camphorhook import checked_network
 from camphorhook_common import errors
 from camphorhook_common import jsontext
 
@@ -37,7 +38,9 @@
         """
         self._servers = list(servers)
         self._key = key
-        self._pool = httpcore.ConnectionPool()
+        self._pool = httpcore.ConnectionPool(
+            network_backend=checked_network.CheckedBackend()
+        )
 
     def call(self, method, path, body=None):
         """Send a request to the first server that can be reached.
