Refuse malformed heads in answers to the operators' client too

What callers saw: the operators' client took answers with a line that begins with a blank, HTTP/2.0 or a control byte in the reason. Cause: httpcore reads heads with h11, which takes them. Change: its network backend checks the heads, as that for upstreams does.

--- a/packages/client/src/camphorhook/checked_network.py
+++ b/packages/client/src/camphorhook/checked_network.py
@@ -7,6 +7,7 @@
 
 import httpcore
 
+from camphorhook_common import answer_heads
 from camphorhook_common import tcp
 
 
@@ -26,9 +27,11 @@
 
     def __init__(self, stream):
         self._stream = stream
+        self._heads = answer_heads.HeadFinder()
         self._write_error = None
 
     def write(self, buffer, timeout=None):
+        self._heads.expect_answer()
         try:
             self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
@@ -37,6 +40,10 @@
 
     def read(self, max_bytes, timeout=None):
         data = self._stream.read(max_bytes, timeout)
+        try:
+            self._heads.feed(data)
+        except answer_heads.HeadError as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         if not data:
             self._check_end()
         return data
--- a/packages/common/src/camphorhook_common/answer_heads.py
+++ b/packages/common/src/camphorhook_common/answer_heads.py
@@ -28,7 +28,7 @@
         HeadError: the status line is invalid, or a line begins with a blank.
     """
     if not _STATUS_LINE.match(head):
-        line = head.partition(b"\n")[0][:_SHOWN_BYTES]
+        line = head.partition(b"\n")[0].rstrip(b"\r")[:_SHOWN_BYTES]
         raise HeadError(f"illegal status line: {line!r}")
     if _CONTINUATION.search(head):
         raise HeadError("a line of the head begins with a blank")
--- a/tests/features/malformed_heads.feature
+++ b/tests/features/malformed_heads.feature
@@ -8,6 +8,7 @@
     Then each is answered 502, and no booking reached two upstreams
     And a probe of an upstream finds no answer
     And the client for chats and services takes it for no answer
+    And the operators' client takes it for no answer
 
     Examples: by status line
       | what                         |
@@ -60,6 +61,7 @@
     When clients send a request of each kind on each way
     Then streams are cut off, the others answered 502, and no booking reached two upstreams
     And the client for chats and services takes it for no answer
+    And the operators' client takes it for no answer
 
     Examples: by trailer
       | what                               |
@@ -71,6 +73,7 @@
     When clients send a request of each kind on each way
     Then each is answered 502, and no booking reached two upstreams
     And the client for chats and services takes it for no answer
+    And the operators' client takes it for no answer
 
     Examples: by interim answer
       | head                                    |
@@ -82,6 +85,7 @@
     When clients send a request of each kind on each way
     Then each gets the whole answer
     And so does the client for chats and services
+    And so does the operators' client
 
     Examples: by status line
       | line                       |
--- a/tests/features/steps/malformed_heads.py
+++ b/tests/features/steps/malformed_heads.py
@@ -3,11 +3,14 @@
 import collections
 import contextlib
 import itertools
+import json
 import types
 
 import behave
 import trio
 
+from camphorhook import api_client
+from camphorhook_common import errors
 from camphorhook_daemon.adapters import upstreams
 from camphorhook_daemon import platform_composition
 from camphorhook_daemon.ports import upstreams as ports
@@ -18,6 +21,7 @@
 from tests.standins import broken_answers
 
 EVENTS = connections.make_events(1, 3)
+STATUS = b'{"instances": []}'
 PROBE_SECONDS = 2.0
 TIMEOUT_SECONDS = 5.0
 SEAL = b"X-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
@@ -52,33 +56,36 @@
     return text.encode().decode("unicode-escape").encode("latin-1")
 
 
-def _make_sound_answer(status_line, headers):
-    length = b"Content-Length: %d\r\n\r\n" % len(EVENTS)
-    return status_line + b"\r\n" + headers + length + EVENTS
+def _make_sound_answer(status_line, headers, body):
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    return status_line + b"\r\n" + headers + length + body
 
 
 @behave.given("upstreams that answer with {what}")
 def set_malformed(context, what):
     assert what in broken_answers.MALFORMED_HEADS, what
-    context.make_answer = lambda headers: broken_answers.make_malformed_answer(
-        what, EVENTS, headers
-    )
+
+    def make_answer(headers, body=EVENTS):
+        return broken_answers.make_malformed_answer(what, body, headers)
+
+    context.make_answer = make_answer
 
 
 @behave.given("upstreams whose status line is {line}")
 def set_status_line(context, line):
-    context.make_answer = lambda headers: _make_sound_answer(
-        _decode_escapes(line), headers
-    )
+    def make_answer(headers, body=EVENTS):
+        return _make_sound_answer(_decode_escapes(line), headers, body)
+
+    context.make_answer = make_answer
 
 
 @behave.given("upstreams whose answers follow the interim answer {head}")
 def set_interim(context, head):
-    context.make_answer = lambda headers: (
-        _decode_escapes(head)
-        + b"\r\n\r\n"
-        + _make_sound_answer(b"HTTP/1.1 200 OK", headers)
-    )
+    def make_answer(headers, body=EVENTS):
+        interim = _decode_escapes(head) + b"\r\n\r\n"
+        return interim + _make_sound_answer(b"HTTP/1.1 200 OK", headers, body)
+
+    context.make_answer = make_answer
 
 
 @behave.when("clients send a request of each kind on each way")
@@ -195,3 +202,39 @@
 def check_client_whole(context):
     assert _run_client(context, _fetch) == EVENTS
     assert len(_run_client(context, _read_events)) == 3
+
+
+def _read_status(context):
+    """Return the status that the operators' client reads; None for none."""
+
+    def read(address):
+        client = api_client.Client([address], "")
+        try:
+            return client.read("/status")
+        except errors.UnreachableError:
+            return None
+
+    async def run():
+        upstream = RawUpstream(
+            1, lambda headers: context.make_answer(headers, STATUS)
+        )
+        async with trio.open_nursery() as nursery:
+            await routers.start_upstreams(nursery, [upstream])
+            address = f"127.0.0.1:{upstream.port}"
+            found = await trio.to_thread.run_sync(read, address)
+            nursery.cancel_scope.cancel()
+        assert upstream.requests
+        return found
+
+    return trio.run(run)
+
+
+@behave.then("the operators' client takes it for no answer")
+def check_operators_client(context):
+    found = _read_status(context)
+    assert found is None, found
+
+
+@behave.then("so does the operators' client")
+def check_operators_client_whole(context):
+    assert _read_status(context) == json.loads(STATUS)
