Bound the answers that the own interface holds together

What callers saw: an engine or a service that sent a body without end to 20 requests at a time made the instance hold 1.3 GB and more, which ends the process on most machines, and the requests of other clients with it. Cause: each body may take 64 MiB, whatever the others hold; a chunk counted without the object that holds it. An attempt for which nothing is left fails as one that ran. Ordinary chats meanwhile get their whole answers.

--- a/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -7,13 +7,15 @@
 import httpcore
 
 from camphorhook_daemon.adapters import checked_network
+from camphorhook_daemon.domain import answer_memory
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.ports import upstreams as ports
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_KEEPALIVE_CONNECTIONS = 200
 KEEPALIVE_SECONDS = 20.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+MAX_ANSWER_BYTES = 64 * 1024 * 1024  # of one answer, and of all together
+CHUNK_OVERHEAD_BYTES = 64  # of the object that holds a chunk of a body
 REMOVED_HEADERS = frozenset(
     (
         "connection",
@@ -48,6 +50,7 @@
                 upstreams' certificates; None for plain HTTP.
         """
         self._scheme = "http"
+        self._memory = answer_memory.AnswerMemory(MAX_ANSWER_BYTES)
         context = None
         if certificate_authority is not None:
             self._scheme = "https"
@@ -122,7 +125,7 @@
         """
         async with self._open(record, call) as response:
             with _convert_errors(record):
-                body = await _read_body(response, record)
+                body = await self._read_body(response, record)
         headers = _read_headers(response)
         content_type = dict(headers).get("content-type", "")
         return ports.Answer(response.status, content_type, headers, body)
@@ -136,11 +139,27 @@
         async with self._open(record, call) as response:
             if response.status != 200:
                 with _convert_errors(record):
-                    body = await _read_body(response, record)
+                    body = await self._read_body(response, record)
                 yield response.status, body, None
             else:
                 yield 200, b"", _read_events(response, record)
 
+    async def _read_body(self, response, record):
+        """Return the whole body of a response.
+
+        Raises:
+            ports.AttemptError: there is no memory for it.
+        """
+        chunks = []
+        with contextlib.closing(self._memory.open()) as held:
+            async for chunk in response.aiter_stream():
+                try:
+                    held.add(len(chunk) + CHUNK_OVERHEAD_BYTES)
+                except answer_memory.Exhausted as error:
+                    raise _make_read_error(str(error), record) from error
+                chunks.append(chunk)
+            return b"".join(chunks)
+
     async def close(self):
         """Close all connections to upstreams."""
         await self._keepalive_pool.aclose()
@@ -181,22 +200,6 @@
     return [pair for pair in headers if pair[0] not in REMOVED_HEADERS]
 
 
-async def _read_body(response, record):
-    chunks = []
-    size = 0
-    async for chunk in response.aiter_stream():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise ports.AttemptError(
-                "the answer's body exceeds the size limit",
-                step="read",
-                peer=record.name,
-                sent=True,
-            )
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 async def _read_events(response, record):
     """Yield the ports.ServerEvent of each event that has data.
 
@@ -209,21 +212,21 @@
         async for chunk in response.aiter_stream():
             whole, rest = events.split_events(rest + chunk, len(rest))
             if len(rest) > events.MAX_EVENT_BYTES:
-                raise _make_event_error(
+                raise _make_read_error(
                     f"an event exceeds {events.MAX_EVENT_BYTES} bytes", record
                 )
             for block in events.split_blocks(whole):
                 try:
                     event = parse_event(block.decode())
                 except UnicodeDecodeError as error:
-                    raise _make_event_error(
+                    raise _make_read_error(
                         f"an event is not valid text: {error}", record
                     ) from error
                 if event.data:
                     yield event
 
 
-def _make_event_error(text, record):
+def _make_read_error(text, record):
     return ports.AttemptError(text, step="read", peer=record.name, sent=True)
 
 
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -1,6 +1,7 @@
 """Step definitions for answers of upstreams at the own interface."""
 
 import collections
+import tracemalloc
 import types
 
 import behave
@@ -33,6 +34,8 @@
 }
 BLOCK = b" " * 65536
 TIMEOUT_SECONDS = 20.0
+PAUSE_SECONDS = 0.01
+BYTES_PER_MIB = 1024 * 1024
 
 
 async def _serve(stream, what):
@@ -160,3 +163,70 @@
 @behave.then("all attempts are {seen:Word}")
 def check_all_seen(context, seen):
     assert list(context.outcome) == [seen], context.outcome
+
+
+@behave.given("engines that answer with {what}, without end")
+def set_endless(context, what):
+    context.what = what
+
+
+@behave.when("{count:d} chats that are {how} are sent to them at a time")
+def send_endless(context, count, how):
+    ordinary = context.ordinary = []
+
+    async def serve(stream):
+        async with stream:
+            fields = await broken_answers.read_head(stream)
+            if "x-ordinary" in fields:
+                await stream.send_all(OK + ANSWERS["a document"])
+            else:
+                await broken_answers.send_without_end(stream, context.what)
+
+    async def read(client, record, call):
+        if how == "streamed":
+            async with client.stream(record, call) as (_, _, events):
+                async for _ in events or ():
+                    continue
+        else:
+            await client.fetch(record, call)
+
+    async def attempt(client, record, call):
+        broken = 0
+
+        async def send():
+            nonlocal broken
+            try:
+                await read(client, record, call)
+            except ports.AttemptError:
+                broken += 1
+
+        async def send_ordinary():
+            sound = call._replace(headers=[("x-ordinary", "1")])
+            while True:
+                ordinary.append((await client.fetch(record, sound)).body)
+                await trio.sleep(PAUSE_SECONDS)
+
+        tracemalloc.start()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_ordinary)
+            async with trio.open_nursery() as endless:
+                for _ in range(count):
+                    endless.start_soon(send)
+            nursery.cancel_scope.cancel()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        return broken == count, peak
+
+    _run_attempt(context, attempt, serve)
+
+
+@behave.then("no chat is answered, and at most {megabytes:d} MiB were in use")
+def check_memory(context, megabytes):
+    all_broken, peak = context.outcome
+    print(f"peak {peak / BYTES_PER_MIB:.1f} MiB")
+    assert all_broken and peak <= megabytes * BYTES_PER_MIB, context.outcome
+
+
+@behave.then("ordinary chats meanwhile get their whole answers")
+def check_ordinary(context):
+    assert context.ordinary and set(context.ordinary) == {DOCUMENT}
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -42,3 +42,25 @@
       | a length too long  | a reset                    | broken |
       | chunks without end | a close                    | broken |
       | no length          | an end                     | whole  |
+
+  # Each answer was kept up to its own limit, whatever the others held.
+  Scenario Outline: Answers without end take the memory of one large answer
+    Given engines that answer with <what>, without end
+    When 20 chats that are <how> are sent to them at a time
+    Then no chat is answered, and at most 80 MiB were in use
+
+    Examples: by answer
+      | what                 | how          |
+      | a body               | not streamed |
+      | a body of a length   | not streamed |
+      | chunks               | not streamed |
+      | the body of an error | not streamed |
+      | the body of an error | streamed     |
+      | a field              | not streamed |
+      | trailers             | not streamed |
+      | an event             | streamed     |
+
+  Scenario: Ordinary answers are whole while others use up the memory
+    Given engines that answer with a body, without end
+    When 20 chats that are not streamed are sent to them at a time
+    Then ordinary chats meanwhile get their whole answers
