Bound the events of streams that the own interface keeps

What callers saw: an engine that sends valid events without end to streamed chats makes the instance keep them all, for clients that take their stream up again, until its memory is used up and all its requests end. Cause: a stream kept each event until a minute after its end, without a bound. Change: the streams of an instance share 256 MiB beyond the first 4 MiB of each, above what an answer of 6,000 tokens takes. A stream for which nothing is left ends as answer_too_large, without another attempt, as no engine is at fault for that; its memory is free again once it is forgotten.

--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -274,7 +274,11 @@
         return None
 
     async def _stream_chat(self, context, admitted, receive):
-        stream = streams.ResponseStream(admitted.response_id, context.account)
+        stream = streams.ResponseStream(
+            admitted.response_id,
+            context.account,
+            self._components.streams.memory,
+        )
         self._components.streams.add(stream)
         stream.attach()
         self._components.nursery.start_soon(self._run_stream, admitted, stream)
@@ -375,7 +379,32 @@
                 )
             finally:
                 stream.detach()
-        stream = streams.ResponseStream(response_id, context.account, number)
+        stream = streams.ResponseStream(
+            response_id,
+            context.account,
+            self._components.streams.memory,
+            number,
+        )
+        try:
+            return await self._send_resumed(
+                context, stream, number, receive, point
+            )
+        finally:
+            stream.release()
+
+    async def _send_resumed(self, context, stream, number, receive, point):
+        """Fill a stream from its owner or engine while it is sent.
+
+        Args:
+            context: the _RequestContext of the request.
+            stream: the ResponseStream, without events.
+            number: number of the last event that the client has.
+            receive: the ASGI receive function.
+            point: the streams.ResumePoint; None if the client has no event.
+
+        Returns:
+            What `_send_stream` returns.
+        """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._components.resumer.fill,
--- a/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -15,6 +15,7 @@
 MAX_KEEPALIVE_CONNECTIONS = 200
 KEEPALIVE_SECONDS = 20.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # of one answer, and of all together
+FREE_ANSWER_BYTES = 256 * 1024  # above an ordinary answer
 CHUNK_OVERHEAD_BYTES = 64  # of the object that holds a chunk of a body
 REMOVED_HEADERS = frozenset(
     (
@@ -50,7 +51,9 @@
                 upstreams' certificates; None for plain HTTP.
         """
         self._scheme = "http"
-        self._memory = answer_memory.AnswerMemory(MAX_ANSWER_BYTES)
+        self._memory = answer_memory.AnswerMemory(
+            MAX_ANSWER_BYTES, FREE_ANSWER_BYTES
+        )
         context = None
         if certificate_authority is not None:
             self._scheme = "https"
--- a/packages/daemon/src/camphorhook_daemon/domain/answer_memory.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answer_memory.py
@@ -4,24 +4,27 @@
 answers to many requests at a time. Each step takes constant time.
 """
 
-# Of each answer, in bytes. It holds nearly every chat, so that no ordinary
-# answer fails while others use up the memory.
-FREE_BYTES = 256 * 1024
-
 
 class Exhausted(Exception):
     """There is no memory left for more of an answer."""
 
 
 class AnswerMemory:
-    """The memory that answers share beyond what is free for each."""
+    """The memory that answers share beyond what is free for each.
+
+    Attributes:
+        free_bytes: what each answer may take besides, so that no ordinary
+            one fails while others use up the memory.
+    """
 
-    def __init__(self, most_bytes):
+    def __init__(self, most_bytes, free_bytes):
         """Create a memory that nothing is held in.
 
         Args:
-            most_bytes: what all answers may take beyond FREE_BYTES each.
+            most_bytes: what all answers may take beyond free_bytes each.
+            free_bytes: see the attribute.
         """
+        self.free_bytes = free_bytes
         self._left = most_bytes
 
     def open(self):
@@ -56,7 +59,7 @@
         Raises:
             Exhausted: there is no memory for them.
         """
-        shared = max(0, self._size + size - FREE_BYTES)
+        shared = max(0, self._size + size - self._memory.free_bytes)
         self._memory.take(shared - self._shared)
         self._size += size
         self._shared = shared
--- a/packages/daemon/src/camphorhook_daemon/domain/answers.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/answers.py
@@ -10,6 +10,7 @@
 
 from camphorhook_common import jsontext
 from camphorhook_common import wire
+from camphorhook_daemon.domain import answer_memory
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.ports import upstreams as ports
 
@@ -57,6 +58,7 @@
         last_failure: description of the last failure.
         version: software version of the engine that began the answer; None
             before its first event.
+        is_too_large: whether there was no memory for more of it.
     """
 
     def __init__(self):
@@ -70,6 +72,7 @@
         self.usage_tokens = 0
         self.last_failure = "no upstream answered"
         self.version = None
+        self.is_too_large = False
 
 
 class EngineStreamReader:
@@ -231,6 +234,9 @@
             self._stream_id,
             self.sequence,
         )
-        stream.append(
-            wire.StreamEvent(streams.format_resume_point(point), data)
-        )
+        event = wire.StreamEvent(streams.format_resume_point(point), data)
+        try:
+            stream.append(event)
+        except answer_memory.Exhausted as error:
+            self.progress.is_too_large = True
+            raise self._make_error(str(error)) from error
--- a/packages/daemon/src/camphorhook_daemon/domain/chats.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/chats.py
@@ -135,6 +135,10 @@
     def _find_final_failure(self, admitted, progress, reservation):
         """Return a RequestFailure if no further attempt may be made."""
         service = admitted.service
+        if progress.is_too_large:
+            return _make_failure(
+                progress, "answer_too_large", progress.last_failure
+            )
         if progress.attempts >= MAX_ATTEMPTS:
             return _make_failure(
                 progress, "upstream_failed", progress.last_failure
--- a/packages/daemon/src/camphorhook_daemon/domain/resumption.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/resumption.py
@@ -3,6 +3,7 @@
 from camphorhook_common import errors
 from camphorhook_common import logs
 from camphorhook_common import wire
+from camphorhook_daemon.domain import answer_memory
 from camphorhook_daemon.domain import answers
 from camphorhook_daemon.domain import streams
 from camphorhook_daemon.ports import upstreams as ports
@@ -30,6 +31,9 @@
         try:
             if await self._copy_from_owner(stream):
                 return
+        except answer_memory.Exhausted as error:
+            stream.finish(_make_stream_lost_failure(str(error)))
+            return
         except errors.UnreachableError as error:
             logs.log(
                 "info",
--- a/packages/daemon/src/camphorhook_daemon/domain/streams.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/streams.py
@@ -14,8 +14,16 @@
 import trio
 
 from camphorhook_common import wire
+from camphorhook_daemon.domain import answer_memory
 
 RETENTION_SECONDS = 60.0
+# An event's data is held twice, as an event and as a part of the whole text.
+DATA_COPIES = 2
+EVENT_OVERHEAD_BYTES = 256  # of an event's id and objects
+# Of each stream, and what all streams share beyond that. An answer of 6,000
+# tokens, in events of 200 bytes, takes no more than the first.
+FREE_STREAM_BYTES = 4 * 1024 * 1024
+MAX_SHARED_BYTES = 256 * 1024 * 1024
 RESUME_POINT_SEPARATOR = "~"
 TAG_BYTES = 8
 TAG_KEY_BYTES = 64
@@ -108,14 +116,16 @@
         ended_at: when the stream ended, on trio's clock; None before.
     """
 
-    def __init__(self, response_id, account, skipped=0):
+    def __init__(self, response_id, account, memory, skipped=0):
         """Create a stream without events.
 
         Args:
             response_id: id of the response.
             account: name of the client account it belongs to.
+            memory: the answer_memory.AnswerMemory that holds its events.
             skipped: number of events that the client has received already.
         """
+        self._held = memory.open()
         self.response_id = response_id
         self.account = account
         self._skipped = skipped
@@ -141,7 +151,12 @@
         return self._events[number - self._skipped :]
 
     def append(self, event):
-        """Append an event and notify the readers."""
+        """Append an event and notify the readers.
+
+        Raises:
+            answer_memory.Exhausted: there is no memory for it.
+        """
+        self._held.add(DATA_COPIES * len(event.data) + EVENT_OVERHEAD_BYTES)
         self._events.append(event)
         self._notify_readers()
 
@@ -153,6 +168,10 @@
             self.ended_at = trio.current_time()
             self._notify_readers()
 
+    def release(self):
+        """Give back the memory; the stream must not be used any more."""
+        self._held.close()
+
     def attach(self):
         """Register a reader."""
         self.readers += 1
@@ -175,9 +194,16 @@
 
 
 class StreamStore:
-    """The streams of the responses that this instance owns."""
+    """The streams of the responses that this instance owns.
+
+    Attributes:
+        memory: the answer_memory.AnswerMemory of all streams.
+    """
 
     def __init__(self):
+        self.memory = answer_memory.AnswerMemory(
+            MAX_SHARED_BYTES, FREE_STREAM_BYTES
+        )
         self._streams = {}
 
     def add(self, stream):
@@ -200,7 +226,7 @@
         limit = trio.current_time() - RETENTION_SECONDS
         for response_id, stream in list(self._streams.items()):
             if stream.ended_at is not None and stream.ended_at < limit:
-                del self._streams[response_id]
+                self._streams.pop(response_id).release()
 
     async def answer(self, message):
         """Return the reply to a ReadStream, after at most its wait_ms."""
--- a/tests/features/steps/stream_origins.py
+++ b/tests/features/steps/stream_origins.py
@@ -519,7 +519,9 @@
         progress = answers.Progress()
         assert progress.version is None
         reader = answers.EngineStreamReader(
-            streams.ResponseStream("response", "account"),
+            streams.ResponseStream(
+                "response", "account", streams.StreamStore().memory
+            ),
             progress,
             "engine",
             "stream",
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -5,10 +5,13 @@
 import types
 
 import behave
+import msgspec
 import trio
+from trio import testing
 
 from camphorhook_daemon.adapters import upstreams
 from camphorhook_daemon.domain import answers
+from camphorhook_daemon.domain import streams
 from camphorhook_daemon.ports import upstreams as ports
 from tests.features.steps import endings
 from tests.standins import broken_answers
@@ -35,6 +38,11 @@
 BLOCK = b" " * 65536
 TIMEOUT_SECONDS = 20.0
 PAUSE_SECONDS = 0.01
+LONG_PIECE = "w" * 65536
+ENDLESS_EVENTS = 500  # to each stream; 32 MB of text
+ORDINARY_EVENTS = 6000
+ORDINARY_IN_TURN = 20  # so that they end after the memory is used up
+LONGER_EVENTS = 300  # 20 MB of text
 BYTES_PER_MIB = 1024 * 1024
 
 
@@ -230,3 +238,76 @@
 @behave.then("ordinary chats meanwhile get their whole answers")
 def check_ordinary(context):
     assert context.ordinary and set(context.ordinary) == {DOCUMENT}
+
+
+class StreamedChat:
+    """A streamed chat at an instance, without its connections.
+
+    Attributes:
+        stream: the ResponseStream.
+        sequence: number of the engine's last event.
+    """
+
+    def __init__(self, store, name):
+        self.stream = streams.ResponseStream(name, "account", store.memory)
+        store.add(self.stream)
+        self.sequence = 0
+        self._progress = answers.Progress()
+        self._reader = answers.EngineStreamReader(
+            self.stream, self._progress, "engine", name, wants_usage=False
+        )
+
+    def process(self, content):
+        """Process an event with a piece of text."""
+        self.sequence += 1
+        choice = {"delta": {"content": content}}
+        data = msgspec.json.encode({"choices": [choice]}).decode()
+        self._reader.process(ports.ServerEvent(str(self.sequence), data))
+
+
+@behave.when("{count:d} engines send events without end to streamed chats")
+def stream_without_end(context, count):
+    async def run():
+        store = streams.StreamStore()
+        ordinary = StreamedChat(store, "ordinary")
+        sending = {StreamedChat(store, f"chat-{n}") for n in range(count)}
+        tracemalloc.start()
+        for _ in range(ENDLESS_EVENTS):
+            for _ in range(ORDINARY_IN_TURN):
+                if ordinary.sequence < ORDINARY_EVENTS:
+                    ordinary.process("w123 ")
+            for chat in list(sending):
+                try:
+                    chat.process(LONG_PIECE)
+                except ports.AttemptError:
+                    chat.stream.finish()
+                    sending.remove(chat)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        context.outcome = (not sending, peak)
+        context.ordinary = ordinary
+        # Streams that have ended are forgotten after a while.
+        await trio.sleep(streams.RETENTION_SECONDS + 1.0)
+        store.evict_expired()
+        context.longer = StreamedChat(store, "longer")
+        for _ in range(LONGER_EVENTS):
+            context.longer.process(LONG_PIECE)
+
+    trio.run(run, clock=testing.MockClock(autojump_threshold=0))
+
+
+@behave.then(
+    "all these streams break off, and at most {megabytes:d} MiB were in use"
+)
+def check_streams_bounded(context, megabytes):
+    check_memory(context, megabytes)
+
+
+@behave.then("a chat of {count:d} tokens that is streamed meanwhile is whole")
+def check_ordinary_stream(context, count):
+    assert context.ordinary.stream.last_number == count == ORDINARY_EVENTS
+
+
+@behave.then("once those streams are forgotten, a longer one is whole")
+def check_longer_stream(context):
+    assert context.longer.stream.last_number == LONGER_EVENTS
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -64,3 +64,10 @@
     Given engines that answer with a body, without end
     When 20 chats that are not streamed are sent to them at a time
     Then ordinary chats meanwhile get their whole answers
+
+  # A stream's events were all kept, for clients that take it up again.
+  Scenario: Streams of valid events without end take bounded memory
+    When 20 engines send events without end to streamed chats
+    Then all these streams break off, and at most 400 MiB were in use
+    And a chat of 6000 tokens that is streamed meanwhile is whole
+    And once those streams are forgotten, a longer one is whole
