--- a/packages/common/src/camphorhook_common/answer_heads.py
+++ b/packages/common/src/camphorhook_common/answer_heads.py
@@ -10,7 +10,10 @@
 _STATUS_LINE = re.compile(
     rb"HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n"
 )
+_INFORMATIONAL = re.compile(rb"HTTP/1\.[0-9] 1")
 _CONTINUATION = re.compile(rb"\n[ \t]")
+_END = re.compile(rb"\n\r?\n")
+_MAX_END_BYTES = 3
 _SHOWN_BYTES = 80  # of a status line in an error
 
 
@@ -34,11 +37,6 @@
         raise HeadError("a line of the head begins with a blank")
 
 
-_HEAD_END = re.compile(rb"\n\r?\n")
-_MAX_END_BYTES = 3
-_INFORMATIONAL = re.compile(rb"HTTP/1\.[0-9] 1")
-
-
 class HeadFinder:
     """Finds the heads in the bytes of a connection, and checks them.
 
@@ -62,7 +60,7 @@
             return
         begin = max(0, len(self._head) - _MAX_END_BYTES + 1)
         self._head += data
-        while end := _HEAD_END.search(self._head, begin):
+        while end := _END.search(self._head, begin):
             head = bytes(self._head[: end.end()])
             check_head(head)
             if not _INFORMATIONAL.match(head):
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -443,7 +443,7 @@
         return data
 
     def _ends_with_connection(self):
-        """Return whether the connection's end is all that ends the body."""
+        """Return whether only the connection's end marks that of the body."""
         head = self.head
         return head is not None and head.describe_framing() == "close"
 
