Use the usual terms for acknowledged bytes and folded lines

What: tcp.py and its callers say acknowledged in place of taken, and answer_heads.py names obsolete line folding.

--- a/packages/client/src/camphorhook/checked_network.py
+++ b/packages/client/src/camphorhook/checked_network.py
@@ -55,12 +55,12 @@
                 f"the connection ended after an error: {self._write_error}"
             )
         socket = self.get_extra_info("socket")
-        deadline = time.monotonic() + tcp.TAKEN_SECONDS
+        deadline = time.monotonic() + tcp.ACKNOWLEDGMENT_SECONDS
         try:
-            while not tcp.is_all_taken(socket):
+            while not tcp.is_all_acknowledged(socket):
                 if time.monotonic() >= deadline:
                     return
-                time.sleep(tcp.TAKEN_POLL_SECONDS)
+                time.sleep(tcp.POLL_SECONDS)
         except OSError as error:
             raise httpcore.ReadError(str(error)) from error
 
--- a/packages/common/src/camphorhook_common/answer_heads.py
+++ b/packages/common/src/camphorhook_common/answer_heads.py
@@ -1,8 +1,8 @@
 """Checks of the heads of HTTP/1.1 answers that h11 does not make.
 
-h11 joins a line that begins with a blank to the line before, although it may
-be a field of its own that says where the body ends. It also reads other major
-versions, and control bytes in the reason phrase.
+h11 unfolds lines that begin with white space (obsolete line folding), although
+such a line may be a field of its own that says where the body ends. It also
+reads other major versions, and control bytes in the reason phrase.
 """
 
 import re
@@ -11,7 +11,7 @@
     rb"HTTP/1\.[0-9] [0-9]{3}(?: [\t\x20-\x7e\x80-\xff]*)?\r?\n"
 )
 _INFORMATIONAL = re.compile(rb"HTTP/1\.[0-9] 1")
-_CONTINUATION = re.compile(rb"\n[ \t]")
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
 _END = re.compile(rb"\n\r?\n")
 _MAX_END_BYTES = 3
 _SHOWN_BYTES = 80  # of a status line in an error
@@ -28,13 +28,13 @@
         head: its bytes, from the status line to the empty line.
 
     Raises:
-        HeadError: the status line is invalid, or a line begins with a blank.
+        HeadError: the status line is invalid, or a line is folded.
     """
     if not _STATUS_LINE.match(head):
         line = head.partition(b"\n")[0].rstrip(b"\r")[:_SHOWN_BYTES]
         raise HeadError(f"illegal status line: {line!r}")
-    if _CONTINUATION.search(head):
-        raise HeadError("a line of the head begins with a blank")
+    if _FOLDED_LINE.search(head):
+        raise HeadError("folded line in the head")
 
 
 class HeadFinder:
--- a/packages/common/src/camphorhook_common/tcp.py
+++ b/packages/common/src/camphorhook_common/tcp.py
@@ -6,15 +6,15 @@
 import fcntl
 import select
 
-# For all that was sent to be taken once the peer has closed its side: many
-# round trips within a region, and more than the delay of an acknowledgment.
-TAKEN_SECONDS = 0.5
-TAKEN_POLL_SECONDS = 0.002  # acknowledgments wake no task
+# For the rest of what was sent, once the peer has closed its side: many round
+# trips within a region, and more than the delay of an acknowledgment.
+ACKNOWLEDGMENT_SECONDS = 0.5
+POLL_SECONDS = 0.002  # acknowledgments wake no task
 TIOCOUTQ = 0x5411  # of the Linux headers; the module termios is not loaded
 
 
-def measure_unsent(socket):
-    """Return the bytes that were sent and that the peer has not taken.
+def measure_unacknowledged(socket):
+    """Return the bytes that were sent and that the peer has not acknowledged.
 
     Raises:
         OSError: the socket is closed.
@@ -36,18 +36,18 @@
     return found[0][1] if found else 0
 
 
-def is_all_taken(socket):
-    """Return whether the peer has taken all bytes that were sent.
+def is_all_acknowledged(socket):
+    """Return whether the peer has acknowledged all bytes that were sent.
 
-    A peer that closes the connection before resets it, but only as the rest
-    arrives. An orderly end that it sent first shows nothing of that.
+    A peer that closes the connection before that resets it, but only as the
+    rest arrives. The orderly end that may come first shows nothing of it.
 
     Raises:
         OSError: the connection was reset.
     """
-    unsent = measure_unsent(socket)
+    unacknowledged = measure_unacknowledged(socket)
     if poll(socket, 0) & select.POLLERR:
         raise ConnectionResetError(
-            "the connection was reset before all that was sent had been taken"
+            "the connection was reset before all bytes were acknowledged"
         )
-    return not unsent
+    return not unacknowledged
--- a/packages/daemon/src/camphorhook_daemon/adapters/checked_network.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/checked_network.py
@@ -55,10 +55,10 @@
                 f"the connection ended after an error: {self._write_error}"
             )
         socket = self.get_extra_info("socket")
-        with trio.move_on_after(tcp.TAKEN_SECONDS):
+        with trio.move_on_after(tcp.ACKNOWLEDGMENT_SECONDS):
             try:
-                while not tcp.is_all_taken(socket):
-                    await trio.sleep(tcp.TAKEN_POLL_SECONDS)
+                while not tcp.is_all_acknowledged(socket):
+                    await trio.sleep(tcp.POLL_SECONDS)
             except OSError as error:
                 raise httpcore.ReadError(str(error)) from error
 
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -115,20 +115,20 @@
     def _measure_unsent(self):
         """Return the bytes that were sent and that the peer has not taken."""
         try:
-            return tcp.measure_unsent(self._raw)
+            return tcp.measure_unacknowledged(self._raw)
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
 
-    async def wait_until_taken(self):
-        """Wait until the peer has taken all that was sent, but not for long.
+    async def wait_until_acknowledged(self):
+        """Wait until the peer has acknowledged all bytes, but not for long.
 
         Raises:
             trio.BrokenResourceError: the connection was reset.
         """
-        with trio.move_on_after(tcp.TAKEN_SECONDS):
+        with trio.move_on_after(tcp.ACKNOWLEDGMENT_SECONDS):
             try:
-                while not tcp.is_all_taken(self._raw):
-                    await trio.sleep(tcp.TAKEN_POLL_SECONDS)
+                while not tcp.is_all_acknowledged(self._raw):
+                    await trio.sleep(tcp.POLL_SECONDS)
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -435,7 +435,7 @@
         try:
             data = await connection.receive()
             if not data and self._ends_with_connection():
-                await connection.wait_until_taken()
+                await connection.wait_until_acknowledged()
         except trio.BrokenResourceError as error:
             raise self._make_error("the connection was reset", error)
         if data:
--- a/tests/features/steps/early_answers.py
+++ b/tests/features/steps/early_answers.py
@@ -14,7 +14,7 @@
 UPLOAD = b"u" * broken_answers.UPLOAD_BYTES
 PART = b"the begin of an answer that does not go on"
 EVENTS = 3
-INTERRUPTED = "by way of an instance that fails so"
+BY_FAILING_INSTANCE = "by way of an instance that fails so"
 
 
 class EarlyUpstream(routers.ScriptedUpstream):
@@ -68,7 +68,7 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            if way == INTERRUPTED:
+            if way == BY_FAILING_INSTANCE:
                 await routers.start_upstreams(nursery, context.upstreams)
                 port = context.upstreams[0].port
                 port = await ways.open_front(nursery, port, kind)
