--- a/tests/features/steps/answer_heads.py
+++ b/tests/features/steps/answer_heads.py
@@ -8,6 +8,7 @@
 from tests.features.steps import connections
 from tests.features.steps import endings
 from tests.harness import routers
+from tests.standins import broken_answers
 from tests.standins import resets
 
 EVENTS = 3
@@ -50,7 +51,7 @@
         async with stream:
             while True:
                 try:
-                    fields = await endings.read_fields(stream)
+                    fields = await broken_answers.read_head(stream)
                 except EOFError:
                     return
                 request = fields["x-request-id"]
--- a/tests/features/steps/endings.py
+++ b/tests/features/steps/endings.py
@@ -12,6 +12,7 @@
 from camphorhook_daemon.domain.routing import stream_relay
 from tests.features.steps import connections
 from tests.harness import routers
+from tests.standins import broken_answers
 from tests.standins import resets
 
 EVENTS_BEFORE_END = 3
@@ -48,7 +49,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            fields = await read_fields(stream)
+            fields = await broken_answers.read_head(stream)
             self.requests.append(fields["x-request-id"])
             last = int(fields.get("last-event-id", "0"))
             body = connections.make_events(last + 1, EVENTS)
@@ -76,19 +77,6 @@
         await stream.send_all(head.encode() + body)
 
 
-async def read_fields(stream):
-    """Return the headers of a request without a body, in lower case."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        piece = await stream.receive_some()
-        if not piece:
-            raise EOFError(f"got {len(data)} bytes of a request")
-        data += piece
-    lines = data.partition(b"\r\n\r\n")[0].decode().splitlines()[1:]
-    pairs = [line.partition(": ")[::2] for line in lines]
-    return {name.lower(): value for name, value in pairs}
-
-
 class LogLines(logging.Handler):
     """Collects the inputs of log lines by their message."""
 
--- a/tests/features/steps/take_up_errors.py
+++ b/tests/features/steps/take_up_errors.py
@@ -6,6 +6,7 @@
 from tests.features.steps import connections
 from tests.features.steps import endings
 from tests.harness import routers
+from tests.standins import broken_answers
 
 SECRET = b"the-error-itself"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -79,7 +80,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            fields = await endings.read_fields(stream)
+            fields = await broken_answers.read_head(stream)
             request = fields["x-request-id"]
             self.requests.append(request)
             if "last-event-id" in fields:
--- a/tests/features/steps/unbounded.py
+++ b/tests/features/steps/unbounded.py
@@ -7,6 +7,7 @@
 
 from tests.features.steps import endings
 from tests.harness import routers
+from tests.standins import broken_answers
 from tests.standins import resets
 
 MAX_MEMORY_BYTES = 4 * 1024 * 1024
@@ -53,7 +54,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            fields = await endings.read_fields(stream)
+            fields = await broken_answers.read_head(stream)
             request = fields["x-request-id"]
             self.shared.append(request)
             self.is_first = len(self.shared) == 1
@@ -97,7 +98,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            fields = await endings.read_fields(stream)
+            fields = await broken_answers.read_head(stream)
             request = fields["x-request-id"]
             self.requests.append(request)
             body = b"x" * self.size
@@ -131,7 +132,7 @@
     async def serve(self, stream):
         """Answer one request and close the connection."""
         async with stream:
-            fields = await endings.read_fields(stream)
+            fields = await broken_answers.read_head(stream)
             self.shared.append(fields["x-request-id"])
             head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
             if len(self.shared) > 1:
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -49,7 +49,7 @@
 async def _serve(stream, what):
     """Answer one request and close the connection."""
     async with stream:
-        await endings.read_fields(stream)
+        await broken_answers.read_head(stream)
         try:
             await stream.send_all(OK + ANSWERS[what])
             while "without end" in what:
