Send larger chunks in the answers without end

Cause: 20 answers in chunks of 4 KB took 9.6 s of the 20 s that a hang is told by (upstreams.feature), most of it in h11, which leaves little beside a load. Change: the stand-in sends chunks of 32 KB; the bounds are as they were.

--- a/tests/standins/broken_answers.py
+++ b/tests/standins/broken_answers.py
@@ -189,7 +189,7 @@
     ),
     "the size of a chunk": (_CHUNKED, b"0"),
     "the extension of a chunk": (_CHUNKED + b"1;", b"x"),
-    "chunks": (_CHUNKED, b"1000\r\n" + b": note\n\n" * 512 + b"\r\n"),
+    "chunks": (_CHUNKED, b"8000\r\n" + b": note\n\n" * 4096 + b"\r\n"),
     "chunks of a byte": (_CHUNKED, b"1\r\nx\r\n"),
     "trailers": (_CHUNKED + b"0\r\n", b"X-Filler: some value\r\n"),
     "a body": (_STREAM + b"\r\n", b"x"),
