--- a/packages/client/src/camphorhook/checked_network.py
+++ b/packages/client/src/camphorhook/checked_network.py
@@ -49,7 +49,12 @@
         return data
 
     def _check_end(self):
-        """Raise httpcore.ReadError if the end follows an error of writing."""
+        """Check the end of the connection, which may be that of a body.
+
+        Raises:
+            httpcore.ReadError: an error of writing came before it, or the
+                connection is reset before all bytes are acknowledged.
+        """
         if self._write_error is not None:
             raise httpcore.ReadError(
                 f"the connection ended after an error: {self._write_error}"
--- a/packages/common/src/camphorhook_common/answer_heads.py
+++ b/packages/common/src/camphorhook_common/answer_heads.py
@@ -13,7 +13,7 @@
 _INFORMATIONAL = re.compile(rb"HTTP/1\.[0-9] 1")
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _END = re.compile(rb"\n\r?\n")
-_MAX_END_BYTES = 3
+_MAX_END_BYTES = 3  # that _END matches
 _SHOWN_BYTES = 80  # of a status line in an error
 
 
@@ -40,7 +40,8 @@
 class HeadFinder:
     """Finds the heads in the bytes of a connection, and checks them.
 
-    It is for clients that leave the reading of answers to a library.
+    It is for clients of an HTTP library that shows no bytes of a head. What is
+    held of an unfinished head is bounded by the library, which reads it too.
     """
 
     def __init__(self):
--- a/packages/daemon/src/camphorhook_daemon/adapters/connection.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection.py
@@ -120,7 +120,9 @@
             raise trio.BrokenResourceError(str(error)) from error
 
     async def wait_until_acknowledged(self):
-        """Wait until the peer has acknowledged all bytes, but not for long.
+        """Wait until the peer has acknowledged all bytes that were sent.
+
+        It waits for tcp.ACKNOWLEDGMENT_SECONDS at most.
 
         Raises:
             trio.BrokenResourceError: the connection was reset.
--- a/tests/standins/broken_answers.py
+++ b/tests/standins/broken_answers.py
@@ -9,7 +9,7 @@
 from tests.standins import resets
 
 READ_ON_SECONDS = 0.3  # without bytes, after which an upload has ended
-RESET_DELAY_SECONDS = 0.05
+RESET_DELAY_SECONDS = 0.05  # for the answer to be read before
 UPLOAD_BYTES = 3_000_000  # more than the sockets' buffers take at once
 
 FRAMINGS = {
@@ -20,7 +20,9 @@
 
 
 async def read_head(stream):
-    """Return the headers of a request, in lower case, and read no further.
+    """Return the headers of a request; names are in lower case.
+
+    At most 1023 bytes of what follows the head are read.
 
     Raises:
         EOFError: the connection was closed before.
