Serve client accounts whose names no header can hold

Cause: the name went into the header for upstreams as it is. Encoding it as Latin-1 raised UnicodeEncodeError; h11 refuses the others with LocalProtocolError. Neither is an AttemptError, so that the listener closed the connection.

Change: a name that a header can hold stays as it is, byte by byte. Any other one becomes an encoded word (RFC 2047). The forms are made for all names of a document together, so that no two of them are the same, and depend on nothing else, so that all instances send the same.

--- a/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
@@ -1,5 +1,13 @@
 """Converts HTTP headers between text and the bytes that h11 uses."""
 
+import binascii
+import itertools
+import re
+
+LAST_LATIN_1 = "\xff"
+# What h11 refuses in a value; recipients drop blanks at its ends.
+_REFUSED = re.compile(r"[\0\n\v\f\r]|\A[ \t]|[ \t]\Z")
+
 # Headers of one connection (RFC 9110, 7.6.1) and of the body's framing.
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -54,3 +62,43 @@
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in pairs
     ]
+
+
+def can_hold(text):
+    """Return whether a header's value can be a text as it is, in Latin-1."""
+    return max(text, default="") <= LAST_LATIN_1 and not _REFUSED.search(text)
+
+
+def encode_word(text, language=""):
+    """Return any text as an encoded word, which a header's value can hold.
+
+    It is the text's UTF-8 in base64 (RFC 2047), in one word of any length.
+
+    Args:
+        text: the text, without lone surrogates.
+        language: language tag to add (RFC 2231, 5); empty for none.
+    """
+    charset = f"utf-8*{language}" if language else "utf-8"
+    data = binascii.b2a_base64(text.encode(), newline=False)
+    return f"=?{charset}?B?{data.decode()}?="
+
+
+def encode_distinctly(texts):
+    """Return header values by text, different ones for different texts.
+
+    A text that a header can hold is its own value. Any other one becomes an
+    encoded word. If that is itself one of the texts, the word gets a language
+    tag for private use: x-2, x-3, and so on.
+
+    Args:
+        texts: the texts, without lone surrogates; their order is of no
+            consequence.
+    """
+    values = {text: text for text in texts if can_hold(text)}
+    for text in set(texts) - values.keys():
+        word = encode_word(text)
+        numbers = itertools.count(2)
+        while word in texts:
+            word = encode_word(text, f"x-{next(numbers)}")
+        values[text] = word
+    return values
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -32,6 +32,8 @@
         resumes: id of the request that brought the first event of the stream
             that the client takes up; empty if it takes none up.
         hint: the costs.Hint of the client.
+        account_header: value of the header that names the client account to
+            upstreams; empty on a public route.
     """
 
     request: str
@@ -49,6 +51,7 @@
     deadline: float
     resumes: str = ""
     hint: costs.Hint = costs.Hint()
+    account_header: str = ""
 
 
 class HeadInfo(typing.NamedTuple):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
@@ -107,4 +107,5 @@
         arrival.received_at + timeout,
         arrival.resumes,
         arrival.hint,
+        account.header if account else "",
     )
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
@@ -86,10 +86,12 @@
     Attributes:
         name: unique name.
         priority: priority of its requests; None for that of the route.
+        header: value of the header that names it to upstreams.
     """
 
     name: str
     priority: int | None
+    header: str
 
 
 class RoutingTable:
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -6,6 +6,7 @@
 
 from camphorhook_common import errors
 from camphorhook_common import jsontext
+from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.domain.routing import table
 
 SECONDS_PER_MS = 0.001
@@ -234,8 +235,9 @@
 def _read_accounts(tenants):
     if tenants is None:
         return None
+    headers = header_codec.encode_distinctly([one.name for one in tenants])
     return {
-        key: table.Account(tenant.name, tenant.priority)
+        key: table.Account(tenant.name, tenant.priority, headers[tenant.name])
         for tenant in tenants
         for key in tenant.api_keys
     }
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -122,8 +122,8 @@
         (DEADLINE_MS, str(max(1, int(left / SECONDS_PER_MS)))),
         (EXPECT_INSTANCE, target.name),
     ]
-    if request.account:
-        headers.append((TENANT, request.account))
+    if request.account_header:
+        headers.append((TENANT, request.account_header))
     if request.route.is_sticky:
         priority = max(0, min(MAX_PRIORITY, request.priority))
         headers.append((REQUEST_PRIORITY, str(priority)))
--- /dev/null
+++ b/tests/features/steps/odd_names.py
@@ -0,0 +1,144 @@
+"""Step definitions for client accounts with odd names."""
+
+import json
+
+import behave
+import h11
+import hypothesis
+from hypothesis import strategies
+
+from camphorhook_daemon.adapters import header_codec
+from tests.features.steps import platform
+from tests.harness import platforms
+from tests.harness import processes
+
+PLAIN_NAMES = (
+    "a\xe9\xfc",
+    "tab\there",
+    "\x7f",
+    "\x85",
+    "%E9%AB%98",
+    '"quoted"',
+    "two  blanks",
+    "blank",  # and others that differ in blanks only
+    "x" * 8000,
+    # What other names would be sent as if these accounts were not there.
+    header_codec.encode_word("高雄"),
+    header_codec.encode_word("高雄", "x-2"),
+    "高雄".encode().decode("latin-1"),
+)
+ENCODED_NAMES = (
+    "高雄",
+    "高雄補習班",
+    "a€b",
+    "🐤",
+    "line\r\nX-Tenant: other",
+    "line\nend",
+    "nul\0",
+    " blank",
+    "blank ",
+    "\ttab",
+    "form\x0cfeed",
+    "補" * 2000,
+)
+NAMES = (*PLAIN_NAMES, *ENCODED_NAMES)
+
+
+def make_key(number):
+    return f"odd-{number}"
+
+
+@behave.when("a document adds client accounts with odd names")
+def add_accounts(context):
+    document = json.loads(platforms.make_document(2))
+    document["Tenants"] += [
+        {"Name": name, "ApiKeys": [make_key(number)]}
+        for number, name in enumerate(NAMES)
+    ]
+    body = json.dumps(document).encode()
+    answer = context.platform.call_control("PUT", "/-/config", body)
+    assert answer.status == 200, (answer.status, answer.body)
+    last = make_key(len(NAMES) - 1)
+    for entry in platform.ENTRIES:
+        processes.wait_until(
+            lambda one=entry: context.platform.request(
+                one, "/safe/a", last
+            ).status
+            != 401,
+            what=f"document 2 at {entry}",
+        )
+
+
+@behave.then("each of them is served by both entry instances")
+def check_served(context):
+    failed = []
+    for number, name in enumerate(NAMES):
+        for entry in platform.ENTRIES:
+            answer = context.platform.request(
+                entry, "/unsafe/a", make_key(number), f"{entry}/{number}"
+            )
+            if answer.status != 200:
+                failed.append((name[:20], entry, answer.status))
+    assert not failed, failed
+
+
+def map_names(context, entry):
+    """Return the name that upstreams got, by name of the account."""
+    sent = {
+        one["request"]: one["tenant"]
+        for one in context.platform.list_effects()
+    }
+    return {
+        name: sent[f"{entry}/{number}"] for number, name in enumerate(NAMES)
+    }
+
+
+@behave.then(
+    "upstreams got the names in distinct forms, the same from both instances"
+)
+def check_distinct(context):
+    first, second = (map_names(context, one) for one in platform.ENTRIES)
+    assert first == second
+    assert len(set(first.values())) == len(NAMES), first
+
+
+@behave.then("names that a header can hold arrived unchanged")
+def check_unchanged(context):
+    arrived = map_names(context, platform.ENTRIES[0])
+    for name in PLAIN_NAMES:
+        assert arrived[name] == name, (name, arrived[name])
+
+
+def send_value(value):
+    """Return what a server reads of a header's value."""
+    pairs = header_codec.encode_headers([("host", "h"), ("x", value)])
+    request = h11.Request(method="GET", target="/", headers=pairs)
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(h11.Connection(h11.CLIENT).send(request))
+    return dict(header_codec.decode_headers(server.next_event().headers))["x"]
+
+
+@behave.then(
+    "each of {count:d} drawn sets of names has distinct header values that "
+    "arrive as sent"
+)
+def check_drawn(context, count):
+    texts = strategies.one_of(
+        strategies.text(max_size=8),
+        strategies.sampled_from(NAMES),
+        strategies.text(max_size=4).map(header_codec.encode_word),
+    )
+
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.given(strategies.lists(texts, unique=True, max_size=8))
+    def check(names):
+        values = header_codec.encode_distinctly(names)
+        assert len(set(values.values())) == len(names)
+        assert values == header_codec.encode_distinctly(names[::-1])
+        for name, value in values.items():
+            assert send_value(value) == value
+            assert value == name or not header_codec.can_hold(name)
+
+    check()
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -355,7 +355,7 @@
 
     def _make_table(self, routes):
         limits = tables.ClientLimits(16384, 1 << 22, 10, 30)
-        accounts = {"key": tables.Account("account", None)}
+        accounts = {"key": tables.Account("account", None, "account")}
         return tables.RoutingTable(
             1, routes, [self._service], limits, accounts
         )
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -249,7 +249,8 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return False
         headers = {
-            name.decode(): value.decode() for name, value in request.headers
+            name.decode(): value.decode("latin-1")
+            for name, value in request.headers
         }
         await self._answer(stream, http, request, headers)
         return http.our_state is h11.DONE
