Answer requests that an unexpected error of the instance ends

Callers saw: any error of the instance's own code on the way to an upstream closed the connection without an answer, for a header, a target or anything else. A closed connection promises nothing, so that a booking may not be repeated though it has certainly not run.

Cause: the application expects AttemptError only; what it does not expect reached the listener, which answered nothing. An attempt counted as sent before its first byte.

Change: a request that can't be written as HTTP raises RequestUnsendable before a connection is used, and counts against no upstream. The application answers an unexpected error with 503 while no byte can have reached an upstream, and with 502 from then on. The listener answers what is left with 500, or 503 while it reads the request. Each one writes a log line with its trace. An answer that has begun is cut off as before.

--- a/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/connection_pool.py
@@ -203,9 +203,11 @@
         Raises:
             ports.AttemptError: no answer was received; `sent` says whether
                 any byte of the request may have been sent.
+            ports.RequestUnsendable: the call can't be written as HTTP.
             ports.SendWithheld: the call's `find_obstacle` named a reason
                 not to send it.
         """
+        request = make_request(call, target)
         if call.uses_new_connection or not call.request_id:
             pooled = await self._connect(target)
         else:
@@ -219,7 +221,7 @@
         answer = AnswerReader(pooled, target, self.heard_at, self._requires_id)
         can_reuse = False
         try:
-            await answer.start(call)
+            await answer.start(request, call)
             yield answer
             can_reuse = answer.is_reusable()
         finally:
@@ -287,15 +289,19 @@
         failure.__cause__ = error
         return failure
 
-    async def start(self, call):
-        """Send the request and read the answer's head.
+    async def start(self, request, call):
+        """Send a request and read the answer's head.
+
+        Args:
+            request: the h11.Request of the call.
+            call: the ports.Call.
 
         Raises:
             ports.AttemptError: no head was received in time.
         """
-        self._request = make_request(call, self._target)
+        self._request = request
         http = self._pooled.http
-        data = http.send(self._request)
+        data = http.send(request)
         if call.body:
             data += http.send(h11.Data(data=call.body))
         data += http.send(h11.EndOfMessage())
@@ -479,17 +485,27 @@
 
     A host header is added if there is none, and a content-length if there
     is a body or the method usually has one.
+
+    Raises:
+        ports.RequestUnsendable: the target or a header is not valid in HTTP.
     """
     headers = list(call.headers)
     if not any(name == "host" for name, _ in headers):
         headers.insert(0, ("host", f"{target.address}:{target.port}"))
     if call.body or call.method not in ("GET", "HEAD", "DELETE"):
         headers.append(("content-length", str(len(call.body))))
-    return h11.Request(
-        method=call.method,
-        target=call.path,
-        headers=header_codec.encode_headers(headers),
-    )
+    try:
+        return h11.Request(
+            method=call.method,
+            target=call.path,
+            headers=header_codec.encode_headers(headers),
+        )
+    except (UnicodeEncodeError, h11.LocalProtocolError) as error:
+        raise ports.RequestUnsendable(
+            f"the request is not valid HTTP: {error}",
+            step="write request",
+            peer=target.name,
+        ) from error
 
 
 def _read_event(http):
--- a/packages/daemon/src/camphorhook_daemon/adapters/exchanges.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/exchanges.py
@@ -75,11 +75,12 @@
             all_headers.append(("content-length", str(length)))
         if self._connection.is_closing():
             all_headers.append(("connection", "close"))
-        self.has_started = True
-        return h11.Response(
+        head = h11.Response(
             status_code=status,
             headers=header_codec.encode_headers(all_headers),
         )
+        self.has_started = True
+        return head
 
     async def send_chunk(self, data):
         """Send the next part of the answer's body."""
--- a/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/listeners.py
@@ -182,7 +182,10 @@
                 with_trace=True,
                 step="serve",
             )
-            return None
+            # A handler may have acted on the request before it failed.
+            return http_connection.RequestError(
+                503 if connection.is_reading else 500, "unexpected error"
+            )
         if connection.close_reason is None:
             return None
         # A handler may have run the request, and an idle client has none.
--- a/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
@@ -9,6 +9,7 @@
 
 STOPPING_REASON = "the instance stops"
 STOPPING_RETRY_SECONDS = 0.1  # another instance may take it at once
+ERROR_REASON = "unexpected error of the instance"
 
 
 class RequestApp:
@@ -38,6 +39,24 @@
             exchange: the exchanges.Exchange.
         """
         arrival = self._protocol.read_arrival(exchange)
+        progress = self._protocol.make_progress(exchange)
+        try:
+            await self._serve(exchange, arrival, progress)
+        except Exception as error:
+            if exchange.has_started:
+                raise
+            logs.log(
+                "error",
+                f"unexpected error before the answer: {error!r}",
+                with_trace=True,
+                request=arrival.request,
+                step="serve",
+            )
+            failure = attempts.Failure(_find_status(progress), ERROR_REASON)
+            await self._refuse(exchange, arrival, failure)
+
+    async def _serve(self, exchange, arrival, progress):
+        """Answer an intake.Arrival."""
         request = intake.authorize(arrival, self._rules)
         if isinstance(request, attempts.Failure):
             await self._refuse(exchange, arrival, request)
@@ -48,13 +67,11 @@
             )
             await self._refuse(exchange, arrival, failure)
             return
-        progress = self._protocol.make_progress(exchange)
         with self._shutdown.track() as scope:
             await self._forward(exchange, arrival, request, progress)
         if scope.cancelled_caught and not exchange.has_started:
             # The connection of an answer that has begun is closed within it.
-            status = 502 if progress.sends or progress.runs else 503
-            failure = attempts.Failure(status, STOPPING_REASON)
+            failure = attempts.Failure(_find_status(progress), STOPPING_REASON)
             await self._refuse(exchange, arrival, failure)
 
     async def _forward(self, exchange, arrival, request, progress):
@@ -99,3 +116,11 @@
         await exchange.send_answer(
             failure.status, headers, failure.reason.encode() + b"\n"
         )
+
+
+def _find_status(progress):
+    """Return the status of a request that was given up on.
+
+    503 promises that no upstream has run the request or will; 502 does not.
+    """
+    return 502 if progress.sends or progress.runs else 503
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -131,6 +131,7 @@
         can_retry: whether another attempt may follow what the client has.
         position: the stream_relay.Position of the client in a stream.
         sends: number of attempts that may have reached an upstream.
+        is_sent: whether a byte of the last attempt may have been sent.
         runs: number of attempts that an upstream ran.
         excluded: names of upstreams that must not be tried again.
         failed: names of upstreams that ran the request and failed.
@@ -154,6 +155,7 @@
         self.can_retry = True
         self.position = stream_relay.Position(resume_after)
         self.sends = 0
+        self.is_sent = False
         self.runs = 0
         self.excluded = set()
         self.failed = set()
@@ -175,6 +177,16 @@
             self.handed_over_to = handover.service
             self.excluded.update(handover.excluded)
 
+    def begin_attempt(self):
+        """Count an attempt of which no byte was sent yet."""
+        self.sends += 1
+        self.is_sent = False
+
+    def abandon_attempt(self):
+        """Stop counting an attempt that an unexpected error ended unsent."""
+        if not self.is_sent:
+            self.sends -= 1
+
     def count_output(self, data):
         """Count the output tokens in complete events of a stream."""
         tokens = costs.TOKENS_PER_EVENT * events.count_events(data)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -264,7 +264,7 @@
                 "left_ms": int((request.deadline - now) * 1000),
             },
         )
-        progress.sends += 1
+        progress.begin_attempt()
         progress.upstream = target
         progress.observation = self._selector.observe(request, choice, now)
         progress.work = attempts.PendingWork(
@@ -278,6 +278,9 @@
             return self._handle_withheld(request, progress, error)
         except ports.AttemptError as error:
             return self._handle_failure(request, target, progress, error)
+        except Exception:
+            progress.abandon_attempt()
+            raise
         finally:
             self._release_place(service, progress)
             progress.work.release()
@@ -639,7 +642,7 @@
             obstacle = self._find_obstacle(
                 request, choice.upstream, progress.permit
             )
-            wait.is_sent = not obstacle
+            wait.is_sent = progress.is_sent = not obstacle
             if not obstacle:
                 progress.observation.record_sent()
             return obstacle
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
@@ -86,7 +86,7 @@
             },
         )
         handover = progress.make_handover(service)
-        progress.sends += 1
+        progress.begin_attempt()
         try:
             with self._gateways.watch(
                 gateway,
@@ -112,6 +112,9 @@
             return attempts.Failure(503, error.message, CUT_OFF_RETRY_SECONDS)
         except ports.AttemptError as error:
             return self._handle_failure(request, gateway, progress, error)
+        except Exception:
+            progress.abandon_attempt()
+            raise
 
     def _handle_failure(self, request, gateway, progress, error):
         self._gateways.record_failure(gateway.name)
@@ -140,7 +143,7 @@
 
         def check_before_sending():
             obstacle = find_obstacle()
-            wait.is_sent = not obstacle
+            wait.is_sent = progress.is_sent = not obstacle
             return obstacle
 
         left = request.deadline - self._now()
--- a/packages/daemon/src/camphorhook_daemon/platform_composition.py
+++ b/packages/daemon/src/camphorhook_daemon/platform_composition.py
@@ -514,7 +514,7 @@
                     )
                     await bodies.read_start(answer, MAX_PROBE_BYTES)
                 return True
-            except ports.AttemptError as error:
+            except (ports.AttemptError, ports.RequestUnsendable) as error:
                 logs.log("info", error.format(), step="probe upstream")
         return False
 
--- a/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/ports/upstreams.py
@@ -36,6 +36,10 @@
     """A request was not sent, since it may no longer be sent."""
 
 
+class RequestUnsendable(errors.CamphorhookError):
+    """A request can't be written as HTTP, so that nothing was sent."""
+
+
 def _find_no_obstacle():
     return ""
 
