Count no more prompt tokens of a request than an engine can hold

One part of 18 digits is enough if enough clients send it at once: each number fits into a message, their sum does not.

Cause: PendingWork added up whatever a client named, for any service, into the load of an upstream, and the next Notice could not be encoded. The same figures decide where other requests go: one prompt of 18 digits turned all 90 other requests away from its engine.

Change: numbers above costs.MAX_TOKENS are left out of the parts, as malformed ones were; a prompt longer than its engine can hold counts as none, and none is counted for an upstream that is no engine. So the load on an upstream is at most the requests in flight times MAX_REQUEST_WORK, and what a request added is what it takes away. A load that an instance of an older build reports beyond that counts as requests without tokens. The header goes to upstreams unchanged.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -26,7 +26,6 @@
 # The client's estimate of the output tokens, and the most it accepts.
 OUTPUT = PREFIX + "output"
 MOST_OUTPUT = PREFIX + "most-output"
-MAX_TOKENS = 10_000_000.0  # a higher number is taken for an error
 # Of a request: the version that began its stream. Of an answer: the version
 # of the upstream that sent it.
 VERSION = PREFIX + "version"
@@ -110,14 +109,17 @@
         "",
         exchange.received_at,
         costs.Hint(
-            numerals.parse_number(get(OUTPUT), MAX_TOKENS) or None,
-            numerals.parse_number(get(MOST_OUTPUT), MAX_TOKENS) or math.inf,
+            numerals.parse_number(get(OUTPUT), costs.MAX_TOKENS) or None,
+            numerals.parse_number(get(MOST_OUTPUT), costs.MAX_TOKENS)
+            or math.inf,
         ),
     )
 
 
 def read_parts(text):
-    """Return (id, tokens) pairs of ID:TOKENS entries, malformed ones left out.
+    """Return (id, tokens) pairs of ID:TOKENS entries.
+
+    Malformed entries and those of more than costs.MAX_TOKENS are left out.
 
     Args:
         text: the entries, separated by commas.
@@ -126,7 +128,7 @@
     for entry in text.split(","):
         part, _, text = entry.strip().partition(":")
         tokens = numerals.parse_unsigned(text)
-        if part and tokens is not None:
+        if part and tokens is not None and tokens <= costs.MAX_TOKENS:
             parts.append((part, tokens))
     return tuple(parts)
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/attempts.py
@@ -213,14 +213,25 @@
         total: work of the whole request.
     """
 
-    def __init__(self, loads, upstream, request, choice, estimate=None):
+    def __init__(self, loads, upstream, request, choice, longest_prompt):
+        """Count the work of a request until `release` is called.
+
+        Args:
+            loads: the loads.FleetLoads.
+            upstream: name of the upstream.
+            request: the Request.
+            choice: the choice.Choice.
+            longest_prompt: tokens of the longest prompt that the upstream
+                can hold; 0 if it is no engine.
+        """
         self._loads = loads
         self._upstream = upstream
-        self.estimate = estimate
-        tokens = sum(count for _, count in request.parts)
-        if choice.is_cached or choice.source is not None:
-            tokens = request.parts[-1][1]
-        self._prefill = tokens
+        self.estimate = estimate = choice.estimate
+        self._prefill = costs.count_prefill_tokens(
+            request.parts,
+            choice.is_cached or choice.source is not None,
+            longest_prompt,
+        )
         self._rest = 0 if estimate is None else estimate.compute_work()
         self.total = self._prefill + self._rest
         loads.begin(upstream, self.total)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/costs.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/costs.py
@@ -13,9 +13,12 @@
 import math
 import typing
 
+MAX_TOKENS = 10_000_000  # a client's higher number is taken for an error
 PREFILL_TOKENS_PER_MS = 64.0  # that an engine prefills at the usual speed
 # Work that an output token adds to the engine's other requests.
 OUTPUT_TOKEN_WORK = 5.0
+# Most work of one request: a prompt and an output of the highest number.
+MAX_REQUEST_WORK = int((1 + OUTPUT_TOKEN_WORK) * MAX_TOKENS)
 # Work that fits into the step in which an engine generates an output token.
 STEP_WORK = 234.0
 TOKENS_PER_EVENT = 8  # output tokens that an event of a stream holds
@@ -62,6 +65,21 @@
         )
 
 
+def count_prefill_tokens(parts, has_shared, longest):
+    """Return the tokens that an engine has to prefill for a prompt.
+
+    Args:
+        parts: (id, tokens) of each part, as the client names them.
+        has_shared: whether the engine has all parts but the last one.
+        longest: tokens of the longest prompt that the engine can hold. The
+            parts of a longer one are taken for an error and count as none.
+    """
+    tokens = sum(count for _, count in parts)
+    if tokens > longest:
+        return 0
+    return parts[-1][1] if has_shared else tokens
+
+
 class _Mean:
     """Weighted mean of logarithms that limits outliers."""
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/dissemination.py
@@ -11,6 +11,7 @@
 import functools
 
 from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import relays
 from camphorhook_daemon.domain.routing import summaries
 from camphorhook_daemon.ports import notices
@@ -45,6 +46,18 @@
             self.failures[upstream] += failures
 
 
+def _limit_load(in_flight, pending_prefill_tokens):
+    """Return a load that another instance reported.
+
+    Older builds add up any number that clients name. Tokens that its
+    requests can't have count as none.
+    """
+    most = max(0, in_flight) * costs.MAX_REQUEST_WORK
+    if not 0 <= pending_prefill_tokens <= most:
+        pending_prefill_tokens = 0
+    return in_flight, pending_prefill_tokens
+
+
 def _make_pending():
     return {GROUP: _PendingSummary(), WHOLE: _PendingSummary()}
 
@@ -160,7 +173,7 @@
         """Apply a Notice; ignore it if its sender is not in the plan."""
         if notice.sender not in self.plan.members:
             return
-        loads = {name: tuple(load) for name, *load in notice.loads}
+        loads = {name: _limit_load(*load) for name, *load in notice.loads}
         self._loads.set_reported(notice.sender, loads)
         self._cache_index.merge_placements(notice.placements, self._now())
         self._outcomes.merge(notice.outcomes)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/forwarding.py
@@ -268,7 +268,11 @@
         progress.upstream = target
         progress.observation = self._selector.observe(request, choice, now)
         progress.work = attempts.PendingWork(
-            self._loads, target.name, request, choice, choice.estimate
+            self._loads,
+            target.name,
+            request,
+            choice,
+            self._find_longest_prompt(service),
         )
         self.changed.set()
         try:
@@ -287,6 +291,11 @@
             self._loads.end(target.name)
             self.changed.set()
 
+    def _find_longest_prompt(self, service):
+        """Return the tokens of the longest prompt of a service's upstreams."""
+        spec = self._rules.get_table().services.get(service)
+        return 0 if spec is None else spec.longest_prompt
+
     async def _knows_versions(self, request, progress):
         """Return whether the versions of upstreams are known well enough.
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
@@ -3,6 +3,8 @@
 import collections
 import typing
 
+from camphorhook_daemon.domain.routing import costs
+
 
 class Share(typing.NamedTuple):
     """The share of a route's requests that a service gets."""
@@ -70,6 +72,19 @@
     memory_tokens: int
     copy_rate: float = 0.0
 
+    @property
+    def longest_prompt(self):
+        """Tokens of the longest prompt that an upstream can hold.
+
+        It is 0 if they are no engines. The memory of an engine is not known
+        if the document has none.
+        """
+        if not self.is_engine:
+            return 0
+        if self.memory_tokens <= 0:
+            return costs.MAX_TOKENS
+        return min(self.memory_tokens, costs.MAX_TOKENS)
+
 
 class ClientLimits(typing.NamedTuple):
     """Limits for the requests of a client, in bytes and seconds."""
--- a/packages/daemon/src/camphorhook_daemon/platform/protocol.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/protocol.py
@@ -17,7 +17,6 @@
 PROMPT_PREFIX = "x-prompt-prefix"
 LENGTH_HINT = "x-length-hint"  # client's estimate of the output tokens
 USAGE = "x-token-usage"  # prompt tokens and most output tokens
-MAX_TOKENS = 10_000_000.0  # a higher number is taken for an error
 LAST_EVENT_ID = "last-event-id"
 RESUMES = "resumes"  # id of the request that brought a stream's first event
 TENANT = "x-tenant"
@@ -94,11 +93,11 @@
         length: text of LENGTH_HINT, perhaps empty.
         usage: text of USAGE, perhaps empty.
     """
-    output = numerals.parse_number(length, MAX_TOKENS)
+    output = numerals.parse_number(length, costs.MAX_TOKENS)
     words = usage.split(",")
     most = None
     if len(words) == 2:
-        most = numerals.parse_number(words[1], MAX_TOKENS)
+        most = numerals.parse_number(words[1], costs.MAX_TOKENS)
     return costs.Hint(
         output if output and output >= 1 else None,
         most if most and most >= 1 else math.inf,
--- a/tests/features/steps/request_cost.py
+++ b/tests/features/steps/request_cost.py
@@ -303,10 +303,10 @@
     context.fleet_loads = fleet_loads.FleetLoads("here", lambda: 0.0)
     request = types.SimpleNamespace(parts=(("s", shared), ("o", own)))
     held = choice.Choice(None, 0.0, 0.0, 0, is_cached=True)
-    estimate = costs.Estimate(output, 0.0)
+    held = held._replace(estimate=costs.Estimate(output, 0.0))
     context.progress = attempts.Progress("")
     context.progress.work = attempts.PendingWork(
-        context.fleet_loads, "engine", request, held, estimate
+        context.fleet_loads, "engine", request, held, shared + own
     )
 
 
--- a/tests/features/unexpected_errors.feature
+++ b/tests/features/unexpected_errors.feature
@@ -13,12 +13,12 @@
 
     Examples: before an upstream was reached
       | what                                 | status | count |
-      | encoding a header for the upstream    | 503    | 0     |
-      | choosing the upstream                 | 503    | 0     |
-      | writing headers for the upstream      | 503    | 0     |
-      | writing headers for another instance  | 503    | 0     |
+      | encoding a header for the upstream   | 503    | 0     |
+      | choosing the upstream                | 503    | 0     |
+      | writing headers for the upstream     | 503    | 0     |
+      | writing headers for another instance | 503    | 0     |
 
     Examples: otherwise
       | what                                 | status | count |
-      | reading the request                   | 500    | 0     |
-      | recording that the answer has begun   | 502    | 1     |
+      | reading the request                  | 500    | 0     |
+      | recording that the answer has begun  | 502    | 1     |
