Keep an instance running if a message can't be made, encoded or applied

Cause: publish_notices, publish_summaries, the reception of notices and the transport's tasks run in the root nursery. None expected that a message can't be encoded, which msgspec reports as OverflowError or UnicodeEncodeError, nor that making or applying one fails.

Change: Codec.encode raises ProtocolError. A notice that can't be encoded is dropped; a call with such a message fails as if the peer could not be reached, which all callers expect; such a reply becomes an ErrorReply; the exchange of states skips a turn. An unexpected error while notices and summaries are made or applied costs that one message, as they are estimates that the next one replaces. Values of summaries are limited at both ends, as a negative one raises struct.error. Each case writes a log line.

An unexpected error of a handler of messages still ends the process: a replica must not go on with a state that was changed in part.

--- a/packages/common/src/camphorhook_common/codec.py
+++ b/packages/common/src/camphorhook_common/codec.py
@@ -20,8 +20,20 @@
         self._decoders = {}
 
     def encode(self, value):
-        """Return a value as (kind, MessagePack body)."""
-        return self._kind_of[type(value)], self._encoder.encode(value)
+        """Return a value as (kind, MessagePack body).
+
+        Raises:
+            errors.ProtocolError: a field holds a number of more than 64 bits
+                or text that has no UTF-8.
+        """
+        kind = self._kind_of[type(value)]
+        try:
+            return kind, self._encoder.encode(value)
+        except (OverflowError, UnicodeEncodeError) as error:
+            raise errors.ProtocolError(
+                f"{type(value).__name__} can't be encoded: {error}",
+                step="encode",
+            ) from error
 
     def decode(self, kind, body):
         """Return the value that a kind and a MessagePack body encode.
--- a/packages/common/src/camphorhook_common/logs.py
+++ b/packages/common/src/camphorhook_common/logs.py
@@ -1,5 +1,6 @@
 """Logging of JSON lines through absl.logging."""
 
+import contextlib
 import json
 import logging
 import os
@@ -181,3 +182,21 @@
     logger = absl_logging.get_absl_logger()
     number = logging.getLevelName(level.upper())
     logger.log(number, message, exc_info=with_trace, extra=fields)
+
+
+@contextlib.contextmanager
+def log_unexpected_errors(step):
+    """Log any error of the block with its trace, and go on after the block.
+
+    For tasks on whose failure the process would end, where what they failed
+    to do can be left undone.
+
+    Args:
+        step: the step of the block, for the log line.
+    """
+    try:
+        yield
+    except Exception as error:
+        log(
+            "error", f"unexpected error: {error!r}", with_trace=True, step=step
+        )
--- a/packages/daemon/src/camphorhook_daemon/adapters/notices.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/notices.py
@@ -95,11 +95,17 @@
     def publish(self, topic, message):
         """Send a message to the subscribers of a topic; never blocks.
 
+        One that can't be encoded is dropped.
+
         Args:
             topic: a topic of `ports.notices`.
             message: a message of `wire`.
         """
-        kind, body = wire.encode(message)
+        try:
+            kind, body = wire.encode(message)
+        except errors.ProtocolError as error:
+            logs.log("error", error.format(), step="publish")
+            return
         frames = [topic, body]
         if kind != _KINDS[topic]:
             frames.insert(1, kind.encode())
@@ -108,6 +114,9 @@
     async def receive(self, apply):
         """Pass each received message to a function until cancelled.
 
+        A message that the function fails on is dropped: the records that it
+        would have changed are estimates, which later messages replace.
+
         Args:
             apply: function of one message.
         """
@@ -127,4 +136,5 @@
             except errors.ProtocolError as error:
                 logs.log("warning", error.format(), step="receive notice")
                 continue
-            apply(message)
+            with logs.log_unexpected_errors("apply notice"):
+                apply(message)
--- a/packages/daemon/src/camphorhook_daemon/adapters/peers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/peers.py
@@ -271,6 +271,9 @@
     async def run(self):
         """Answer peers' messages and receive replies until cancelled.
 
+        An unexpected error of the handler ends the process: a replica must
+        not go on with a state that was changed in part.
+
         Raises:
             errors.StorageError: the journal can't be written; the process
                 must exit.
@@ -289,6 +292,15 @@
         self._count_bytes(kind, "sent", len(header) + len(body))
         return header + body
 
+    def _pack_reply(self, reply, number):
+        """Return the frame of a reply, or of why it can't be encoded."""
+        try:
+            return self._pack(reply, number)
+        except errors.ProtocolError as error:
+            logs.log("error", error.format(), step="reply")
+            reply = wire.ErrorReply(error.step, error.message)
+            return self._pack(reply, number)
+
     def _unpack(self, frame):
         kind, stamp, number = _HEADER.unpack_from(frame)
         kind = kind.decode("ascii", "replace")
@@ -319,7 +331,7 @@
         except errors.CamphorhookError as error:
             reply = wire.ErrorReply(error.step, error.message)
         try:
-            self._router.send([address, self._pack(reply, number)])
+            self._router.send([address, self._pack_reply(reply, number)])
         except zmq.ZMQError:
             logs.log(
                 "debug", "peer disconnected before its reply", step="reply"
@@ -349,7 +361,8 @@
 
         Raises:
             errors.UnreachableError: the peer is not connected, no reply
-                arrived within the timeout, or the reply is an error.
+                arrived within the timeout, the reply is an error, or the
+                message can't be encoded.
         """
         step = type(message).__name__
         reply = None
@@ -390,6 +403,11 @@
             raise errors.UnreachableError(
                 "not connected", step=step, peer=peer
             ) from error
+        except errors.ProtocolError as error:
+            logs.log("error", error.format(), step=step, peer=peer)
+            raise errors.UnreachableError(
+                error.message, step=step, peer=peer
+            ) from error
         finally:
             link.pending_calls.pop(number, None)
 
--- a/packages/daemon/src/camphorhook_daemon/domain/exchange.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/exchange.py
@@ -167,14 +167,17 @@
             self.is_stopping,
         )
         known_incarnation = cursor.incarnation
-        _, body = wire.encode(message)
-        self._last_size = len(body) + MESSAGE_OVERHEAD_BYTES
         try:
+            _, body = wire.encode(message)
+            self._last_size = len(body) + MESSAGE_OVERHEAD_BYTES
             reply = await self._transport.call(
                 name, message, CALL_TIMEOUT_SECONDS
             )
         except errors.UnreachableError:
             return
+        except errors.ProtocolError as error:
+            logs.log("error", error.format(), step="exchange", peer=name)
+            return
         cursor.reset_if_restarted(reply.incarnation)
         if known_incarnation == cursor.incarnation:
             cursor.upstreams = upstream_cursor
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/publishing.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from camphorhook_common import logs
 from camphorhook_daemon.domain.routing import dissemination
 from camphorhook_daemon.ports import notices
 
@@ -9,7 +10,10 @@
 async def publish_notices(forwarder, disseminator, map_instances, exchange):
     """Publish the load of this instance at each change, until cancelled.
 
-    Changes within the shortest interval are combined into one notice.
+    Changes within the shortest interval are combined into one notice. After
+    an unexpected error the next notice follows at its time: without one the
+    others place requests a little worse, and without this instance its
+    clients lose theirs.
 
     Args:
         forwarder: the forwarding.Forwarder, whose `changed` is awaited.
@@ -22,10 +26,11 @@
         with trio.move_on_after(dissemination.MAX_INTERVAL_SECONDS):
             await forwarder.changed.wait()
         forwarder.changed = trio.Event()
-        if disseminator.update_instances(map_instances()):
-            _subscribe(exchange, disseminator)
-        _publish_news(exchange, disseminator)
-        exchange.publish(notices.NOTICE, disseminator.make_notice())
+        with logs.log_unexpected_errors("publish notice"):
+            if disseminator.update_instances(map_instances()):
+                _subscribe(exchange, disseminator)
+            _publish_news(exchange, disseminator)
+            exchange.publish(notices.NOTICE, disseminator.make_notice())
         await trio.sleep(disseminator.compute_notice_interval())
 
 
@@ -45,14 +50,22 @@
 
 
 async def publish_summaries(disseminator, exchange):
-    """Publish summaries while this instance is a relay, until cancelled."""
+    """Publish summaries while this instance is a relay, until cancelled.
+
+    An unexpected error costs one summary, as with `publish_notices`.
+    """
     while True:
         await trio.sleep(disseminator.compute_summary_interval())
         if not disseminator.plan.is_relay:
             await trio.sleep(dissemination.MAX_INTERVAL_SECONDS)
             continue
-        for summary in disseminator.make_summaries():
-            topic = notices.GROUP_SUMMARY
-            if summary.scope == dissemination.WHOLE:
-                topic = notices.FLEET_SUMMARY
-            exchange.publish(topic, summary)
+        with logs.log_unexpected_errors("publish summaries"):
+            _publish_summaries(exchange, disseminator)
+
+
+def _publish_summaries(exchange, disseminator):
+    for summary in disseminator.make_summaries():
+        topic = notices.GROUP_SUMMARY
+        if summary.scope == dissemination.WHOLE:
+            topic = notices.FLEET_SUMMARY
+        exchange.publish(topic, summary)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/summaries.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/summaries.py
@@ -41,24 +41,27 @@
 def pack(sums):
     """Pack UpstreamTotals by name into bytes; leave out all-zero ones.
 
-    Values that exceed the range of their field are capped.
+    Values outside the range of their field are moved to its end.
     """
     return b"".join(
         _ENTRY.pack(
             compute_fingerprint(name),
-            min(one.in_flight, _MAX_UINT16),
-            min(
-                max(0, one.pending_prefill_tokens) // PREFILL_UNIT_TOKENS,
-                _MAX_UINT16,
+            _limit(one.in_flight, _MAX_UINT16),
+            _limit(
+                one.pending_prefill_tokens // PREFILL_UNIT_TOKENS, _MAX_UINT16
             ),
-            min(one.successes, _MAX_UINT8),
-            min(one.failures, _MAX_UINT8),
+            _limit(one.successes, _MAX_UINT8),
+            _limit(one.failures, _MAX_UINT8),
         )
         for name, one in sums.items()
         if any(one)
     )
 
 
+def _limit(number, most):
+    return max(0, min(number, most))
+
+
 def unpack(packed, names):
     """Return UpstreamTotals by name; leave out unknown upstreams.
 
