Probe upstreams by any health path that a document may have

Callers saw: with a HealthPath that is no valid request target, such as a Chinese one or one with a blank, an entry instance ended as soon as the service's upstreams fell silent, with all requests on it.

Cause: the path became the target of a probe as it is. h11 refused it, and Links.run, a task of the root nursery, does not expect that error.

Evidence: the new scenario on: entry-1 ended with UnicodeEncodeError from the probe.

Change: the path is percent-encoded as it is read from the document. All but visible ASCII changes, a path without a slash at its beginning gets one, and all others stay as they are. Documents are accepted as before.

After: both entry instances serve on, and the servers are asked for the encoded path.

--- a/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/table.py
@@ -52,7 +52,7 @@
 
     Attributes:
         name: unique name.
-        health_path: path of the health check.
+        health_path: request target of the health check.
         most_connections: connections that one of its upstreams accepts.
         cold_rate: requests per second that an upstream can take from the
             whole fleet while it is cold; 0 if upstreams are never cold.
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -7,6 +7,7 @@
 from camphorhook_common import errors
 from camphorhook_common import jsontext
 from camphorhook_daemon.adapters import header_codec
+from camphorhook_daemon.adapters import targets
 from camphorhook_daemon.domain.routing import table
 
 SECONDS_PER_MS = 0.001
@@ -195,7 +196,7 @@
     engine = service.engine
     return table.Service(
         service.name,
-        service.health_path,
+        targets.encode_path(service.health_path),
         service.max_connections,
         service.cold_per_s,
         engine is not None,
--- a/tests/features/odd_names.feature
+++ b/tests/features/odd_names.feature
@@ -1,5 +1,5 @@
 @no_fleet
-Feature: Client accounts are served whatever their names
+Feature: Texts of documents that HTTP can't carry as they are
 
   # The header with the name was encoded as Latin-1: of other accounts every
   # connection was closed without an answer.
@@ -12,3 +12,22 @@
 
   Scenario: Header values of drawn names
     Then each of 500 drawn sets of names has distinct header values that arrive as sent
+
+  # Probes are sent when no upstream answers. A path that is no valid target
+  # ended the process that probed.
+  Scenario: A health path that is no valid target, with real processes
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
+    When a document gives a service the health path "補 \r\n\0"
+    And its servers stand still while clients send requests
+    Then no process ended, and both entry instances serve on
+    And the servers were asked for "/%E8%A3%9C%20%0D%0A%00"
+
+  Scenario Outline: Health paths as targets
+    Then the health path "<path>" is sent as "<target>"
+
+    Examples:
+      | path        | target      |
+      | /health?a=b | /health?a=b |
+      | /%41        | /%41        |
+      |             | /           |
+      | health      | /health     |
--- a/tests/features/steps/odd_names.py
+++ b/tests/features/steps/odd_names.py
@@ -1,5 +1,6 @@
-"""Step definitions for client accounts with odd names."""
+"""Step definitions for texts of documents that HTTP can't carry."""
 
+import concurrent.futures
 import json
 
 import behave
@@ -8,6 +9,7 @@
 from hypothesis import strategies
 
 from camphorhook_daemon.adapters import header_codec
+from camphorhook_daemon.adapters import targets
 from tests.features.steps import platform
 from tests.harness import platforms
 from tests.harness import processes
@@ -42,6 +44,8 @@
     "補" * 2000,
 )
 NAMES = (*PLAIN_NAMES, *ENCODED_NAMES)
+SERVERS = [f"server-{number}" for number in range(1, 6)]
+STANDSTILL_MS = "4000"  # for upstreams to be suspected and probed
 
 
 def make_key(number):
@@ -142,3 +146,57 @@
             assert value == name or not header_codec.can_hold(name)
 
     check()
+
+
+def read_escapes(text):
+    """Return the text of a step with its escape sequences replaced."""
+    return json.loads(f'"{text}"'.replace("\\0", "\\u0000"))
+
+
+@behave.when('a document gives a service the health path "{path}"')
+def set_health_path(context, path):
+    document = json.loads(platforms.make_document(2))
+    document["Services"][0]["HealthPath"] = read_escapes(path)
+    body = json.dumps(document).encode()
+    answer = context.platform.call_control("PUT", "/-/config", body)
+    assert answer.status == 200, (answer.status, answer.body)
+
+
+@behave.when("its servers stand still while clients send requests")
+def stop_servers(context):
+    for server in SERVERS:
+        context.platform.pause(server)
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        for entry in platform.ENTRIES * 8:
+            pool.submit(
+                context.platform.request,
+                entry,
+                "/safe/a",
+                platform.KEY,
+                headers={"X-Deadline-Ms": STANDSTILL_MS},
+            )
+    for server in SERVERS:
+        context.platform.resume(server)
+    for entry in platform.ENTRIES:
+        processes.wait_until(
+            lambda one=entry: not context.platform.running[one].is_running()
+            or context.platform.request(one, "/safe/a", platform.KEY).status
+            == 200,
+            what=f"an answer at {entry}",
+        )
+
+
+@behave.then('the servers were asked for "{target}"')
+def check_target(context, target):
+    targets_asked = {one["target"] for one in context.platform.list_effects()}
+    assert target in targets_asked, targets_asked
+
+
+@behave.then('the health path "{path}" is sent as "{target}"')
+def check_encoded(context, path, target):
+    assert targets.encode_path(path) == target
+
+
+@behave.then('the health path "" is sent as "{target}"')
+def check_empty(context, target):
+    assert targets.encode_path("") == target
