Bound the numbers that upstreams send to the own interface

Callers saw: an announcement with an absurd incarnation, sequence, load or port, or an answer that counts absurd tokens, ended the process of the instance that got it at its next exchange with another one.

Change: whole numbers of an announcement are 0 to 2**63-1, ports 1 to 65535, and others are refused with the field's name; a count of tokens that is no number up to costs.MAX_TOKENS counts as none.

--- a/packages/daemon/src/camphorhook_daemon/domain/limits.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/limits.py
@@ -13,6 +13,7 @@
 import trio
 
 from camphorhook_common import wire
+from camphorhook_daemon.domain.routing import costs
 
 DEMAND_DECAY_SECONDS = 5.0
 USAGE_TTL_SECONDS = 15.0
@@ -162,7 +163,15 @@
             self.state_changed = trio.Event()
 
     def release(self, account, tokens):
-        """Record the end of an admitted request and the tokens it used."""
+        """Record the end of an admitted request.
+
+        Args:
+            account: name of the client account.
+            tokens: those that it used, as the engine counted them; another
+                value than a number up to costs.MAX_TOKENS counts as none.
+        """
+        if not (isinstance(tokens, int) and 0 <= tokens <= costs.MAX_TOKENS):
+            tokens = 0
         known = self._accounts[account]
         known.active -= 1
         known.decay()
--- a/packages/daemon/src/camphorhook_daemon/domain/membership.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/membership.py
@@ -27,6 +27,9 @@
 FLAP_LIMIT = 3
 _LOAD_FORMAT = struct.Struct(">IHH")
 _SEQUENCE_MASK = 0xFFFF
+# Whole numbers that fit into messages, without a sign.
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
 
 class Announcement(typing.NamedTuple):
@@ -36,14 +39,14 @@
     failure_domain: str
     service: str
     address: str
-    port: int
-    incarnation: int
-    sequence: int
-    ttl_ms: int
+    port: _Port
+    incarnation: _Count
+    sequence: _Count
+    ttl_ms: _Count
     models: tuple[str, ...] = ()
     state: typing.Literal["live", "leaving"] = "live"
-    active: int = 0
-    capacity: int = 1
+    active: _Count = 0
+    capacity: _Count = 1
     features: tuple[str, ...] = ()
     version: str = ""
 
--- a/tests/features/malformed.feature
+++ b/tests/features/malformed.feature
@@ -11,6 +11,13 @@
   Scenario: Registrations with drawn faults
     Then each of 500 registrations with random faults is read and can be encoded, or is refused
 
+  # Numbers that fit into no message ended the process that exchanged them.
+  Scenario: Announcements with drawn faults
+    Then each of 500 announcements with random faults is exchanged, or refused
+
+  Scenario: Usages that engines report with drawn values
+    Then each of 300 usages that an engine may report is exchanged
+
   Scenario: Headers of clients with drawn values
     Then each of 500 requests with random headers is read, or refused with a status
 
--- a/tests/features/steps/malformed.py
+++ b/tests/features/steps/malformed.py
@@ -2,6 +2,8 @@
 
 import json
 import random
+import time
+import types
 
 import behave
 import h11
@@ -9,11 +11,14 @@
 from hypothesis import strategies
 import trio
 
+from camphorhook_common import clock
 from camphorhook_common import commands
 from camphorhook_common import errors
 from camphorhook_common import wire
 from camphorhook_daemon.adapters import connection_pool
 from camphorhook_daemon.adapters import exchanges
+from camphorhook_daemon.domain import limits
+from camphorhook_daemon.domain import membership
 from camphorhook_daemon.domain.routing import attempts
 from camphorhook_daemon.domain.routing import intake
 from camphorhook_daemon.platform import documents
@@ -65,6 +70,25 @@
 }
 
 
+ANNOUNCEMENT = {
+    "name": "engine",
+    "failure_domain": "zone-a",
+    "service": "engines",
+    "address": "10.1.2.3",
+    "port": 8080,
+    "incarnation": time.time_ns(),
+    "sequence": 4,
+    "ttl_ms": 3000,
+    "active": 2,
+    "capacity": 8,
+}
+ACCOUNT_ROW = {
+    "requests_per_second": 9.0,
+    "tokens_per_minute": 600,
+    "concurrency": 9,
+}
+
+
 def corrupt_bytes(data, draw):
     """Return the bytes with one to four random faults."""
     data = bytearray(data)
@@ -214,6 +238,63 @@
         check({**REGISTRATION, "Address": address})
 
 
+def encode_exchange(upstreams=(), loads=b"", usages=()):
+    """Encode the wire.Exchange that an instance would send."""
+    wire.encode(
+        wire.Exchange(
+            "here", "1", False, list(upstreams), loads, list(usages), [], False
+        )
+    )
+
+
+@behave.then(
+    "each of {count:d} announcements with random faults is exchanged, or "
+    "refused"
+)
+def check_announcements(context, count):
+    recorder = types.SimpleNamespace(record=lambda *_, **__: None)
+
+    def check(value):
+        directory = membership.Directory(recorder)
+        body = json.dumps(value).encode()
+        try:
+            one = membership.parse_announcement(body, "zone-a")
+        except errors.CamphorhookError as error:
+            assert error.message
+            return
+        directory.add_announcement(one)
+        records, loads, cursor = directory.collect_changes("other", 0)
+        encode_exchange(records, loads)
+        later = one._replace(sequence=one.sequence + 1, active=one.active + 1)
+        directory.add_announcement(later)
+        encode_exchange(*directory.collect_changes("other", cursor)[:2])
+
+    async def run():
+        check_each(count, corrupt_json(ANNOUNCEMENT), check)
+        for name in ("incarnation", "sequence", "active", "capacity", "port"):
+            for number in (-1, 2**64, 2**70, -(2**70)):
+                check({**ANNOUNCEMENT, name: number})
+
+    trio.run(run)
+
+
+@behave.then("each of {count:d} usages that an engine may report is exchanged")
+def check_usages(context, count):
+    def check(tokens):
+        account_limits = limits.AccountLimits("here", 1, clock.HybridClock())
+        account_limits.admit("account", ACCOUNT_ROW)
+        account_limits.admit("account", ACCOUNT_ROW)
+        account_limits.release("account", tokens)
+        encode_exchange(usages=account_limits.collect_usages())
+
+    async def run():
+        check_each(count, SCALARS, check)
+        for tokens in (2**64, 10**30, -(2**64)):
+            check(tokens)
+
+    trio.run(run)
+
+
 def read_request(headers):
     """Return the Exchange of a request; None where h11 refuses it."""
     lines = [
