Send any path and header of clients on from the own interface

Callers saw: at the own interface, a request with a path or an Idempotency-Key beyond ASCII got no answer of its own, and one with a blank in its path (%20) seemed to crash each upstream that it was sent to.

ASGI gives the path decoded; httpcore refuses text beyond ASCII with TypeError, and h11 a target with a blank, which was read as a broken connection.

Evidence: the new scenario failed before with TypeError. That a blank counts as a crash is read from the code: LocalProtocolError is a ProtocolError.

Change: paths are percent-encoded and headers encoded as Latin-1, as they came.

--- a/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/upstreams.py
@@ -7,6 +7,8 @@
 import httpcore
 
 from camphorhook_daemon.adapters import checked_network
+from camphorhook_daemon.adapters import header_codec
+from camphorhook_daemon.adapters import targets
 from camphorhook_daemon.domain import answer_memory
 from camphorhook_daemon.domain.routing import events
 from camphorhook_daemon.ports import upstreams as ports
@@ -76,8 +78,9 @@
         )
 
     def _make_request(self, record, call):
-        url = f"{self._scheme}://{record.address}:{record.port}{call.path}"
         host = f"{record.address}:{record.port}"
+        # ASGI gives paths with their percent-encoding removed.
+        url = f"{self._scheme}://{host}{targets.encode_path(call.path)}"
         headers = [("host", host), *call.headers]
         if call.body or call.method not in ("GET", "HEAD"):
             headers.append(("content-length", str(len(call.body))))
@@ -90,7 +93,7 @@
         return httpcore.Request(
             call.method,
             url,
-            headers=headers,
+            headers=header_codec.encode_headers(headers),
             content=call.body,
             extensions={"timeout": timeout},
         )
--- a/tests/features/steps/upstreams.py
+++ b/tests/features/steps/upstreams.py
@@ -311,3 +311,27 @@
 @behave.then("once those streams are forgotten, a longer one is whole")
 def check_longer_stream(context):
     assert context.longer.stream.last_number == LONGER_EVENTS
+
+
+@behave.when('a request for "{path}" with the header value "{value}" is sent')
+def send_odd_request(context, path, value):
+    received = []
+
+    async def serve(stream):
+        async with stream:
+            received.append(await stream.receive_some())
+            await stream.send_all(OK + ANSWERS["a document"])
+
+    async def attempt(client, record, call):
+        headers = [("idempotency-key", value)]
+        await client.fetch(record, call._replace(path=path, headers=headers))
+        return received[0].decode("latin-1")
+
+    _run_attempt(context, attempt, serve)
+
+
+@behave.then('the upstream gets the target "{target}" and "{value}"')
+def check_odd_request(context, target, value):
+    head = context.outcome
+    assert head.startswith(f"GET {target} HTTP/1.1\r\n"), head
+    assert f"idempotency-key: {value}\r\n" in head, head
--- a/tests/features/upstreams.feature
+++ b/tests/features/upstreams.feature
@@ -71,3 +71,8 @@
     Then all these streams break off, and at most 400 MiB were in use
     And a chat of 6000 tokens that is streamed meanwhile is whole
     And once those streams are forgotten, a longer one is whole
+
+  # The upstream was taken to have crashed, or the client got no answer.
+  Scenario: Paths and headers of clients that ASCII can't hold
+    When a request for "/a b/é高?c=d" with the header value "ä" is sent
+    Then the upstream gets the target "/a%20b/%C3%A9%E9%AB%98?c=d" and "ä"
