Name the field of a text without UTF-8 in the error of its document

Callers saw: a document in which a name has a lone surrogate was refused with the offset of a byte, so that its account was hard to find.

Cause: msgspec tells the path of a value of the wrong type only.

Change: when JSON can't be read, the standard library reads it, which takes lone surrogates; the path of the first text that has one is added to the error. It runs for refused JSON only.

After: "... - at `$.Tenants[1].Name`"; the new scenario failed before, as the error named byte 845.

--- a/packages/common/src/camphorhook_common/jsontext.py
+++ b/packages/common/src/camphorhook_common/jsontext.py
@@ -1,5 +1,6 @@
 """Decoding of JSON that comes from outside the fleet."""
 
+import json
 import re
 import typing
 
@@ -9,6 +10,7 @@
 # stack, so that what one instance reads another could not.
 MAX_DEPTH = 128
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"?', re.DOTALL)
+_SURROGATE = re.compile("[\ud800-\udfff]")
 _NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
 
 
@@ -34,7 +36,29 @@
             _check_depth(data)
         return msgspec.json.decode(data, type=type)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise DecodeError(str(error)) from error
+        path = _find_lone_surrogate(data)
+        where = f"; lone surrogate - at `{path}`" if path else ""
+        raise DecodeError(f"{error}{where}") from error
+
+
+def _find_lone_surrogate(data):
+    """Return the path of a text that has no UTF-8, as msgspec writes it.
+
+    It is empty if there is none, or the JSON can't be read for another reason.
+    """
+    try:
+        found = [("$", json.loads(data))]
+    except (ValueError, RecursionError):
+        return ""
+    while found:
+        path, value = found.pop()
+        if isinstance(value, str) and _SURROGATE.search(value):
+            return path
+        if isinstance(value, dict):
+            found += [(f"{path}.{key}", one) for key, one in value.items()]
+        elif isinstance(value, list):
+            found += [(f"{path}[{n}]", one) for n, one in enumerate(value)]
+    return ""
 
 
 def _check_depth(data):
--- a/tests/features/odd_names.feature
+++ b/tests/features/odd_names.feature
@@ -13,6 +13,10 @@
   Scenario: Header values of drawn names
     Then each of 500 drawn sets of names has distinct header values that arrive as sent
 
+  # The error named a byte only.
+  Scenario: A name that has no form is refused with the document
+    Then a document with a lone surrogate in the name of account 2 is refused, and the error names "$.Tenants[1].Name"
+
   # Probes are sent when no upstream answers. A path that is no valid target
   # ended the process that probed.
   Scenario: A health path that is no valid target, with real processes
--- a/tests/features/steps/odd_names.py
+++ b/tests/features/steps/odd_names.py
@@ -10,6 +10,7 @@
 
 from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.adapters import targets
+from camphorhook_daemon.platform import documents
 from tests.features.steps import platform
 from tests.harness import platforms
 from tests.harness import processes
@@ -200,3 +201,15 @@
 @behave.then('the health path "" is sent as "{target}"')
 def check_empty(context, target):
     assert targets.encode_path("") == target
+
+
+@behave.then(
+    "a document with a lone surrogate in the name of account {number:d} is "
+    'refused, and the error names "{path}"'
+)
+def check_surrogate(context, number, path):
+    document = json.loads(platforms.make_document(2))
+    document["Tenants"] *= number
+    document["Tenants"][-1] = {"Name": "a\ud800", "ApiKeys": ["other"]}
+    (fault,) = documents.list_faults(json.dumps(document).encode())
+    assert path in fault, fault
