Serve client accounts by keys that Latin-1 can't hold

Callers saw: a key beyond Latin-1 was acknowledged with its document, and 401 came for each request with it.

Cause: headers are read as Latin-1, and the key was looked up as it stands in the document. White space beyond blanks and tabs was cut off its ends, too.

Change: the table holds such a key as its UTF-8 reads in Latin-1, which is how clients can send it. A key that Latin-1 can hold is looked up as before, and goes first if both read alike. Only blanks and tabs are cut off.

--- a/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
@@ -64,6 +64,16 @@
     ]
 
 
+def read_sent(text):
+    """Return how a text is read that a client sends in a header.
+
+    What Latin-1 can't hold, clients send in UTF-8.
+    """
+    if max(text, default="") <= LAST_LATIN_1:
+        return text
+    return text.encode().decode("latin-1")
+
+
 def can_hold(text):
     """Return whether a header's value can be a text as it is, in Latin-1."""
     return max(text, default="") <= LAST_LATIN_1 and not _REFUSED.search(text)
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -237,8 +237,10 @@
     if tenants is None:
         return None
     headers = header_codec.encode_distinctly([one.name for one in tenants])
-    return {
+    accounts = {
         key: table.Account(tenant.name, tenant.priority, headers[tenant.name])
         for tenant in tenants
         for key in tenant.api_keys
     }
+    read = {header_codec.read_sent(key): accounts[key] for key in accounts}
+    return read | {key: accounts[key] for key in accounts if key in read}
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -33,7 +33,7 @@
     text = exchange.get_header("authorization")
     if text[: len(BEARER)].lower() != BEARER:
         return ""
-    return text[len(BEARER) :].strip()
+    return text[len(BEARER) :].strip(" \t")
 
 
 def make_progress(exchange):
--- a/tests/features/odd_names.feature
+++ b/tests/features/odd_names.feature
@@ -17,6 +17,12 @@
   Scenario: A name that has no form is refused with the document
     Then a document with a lone surrogate in the name of account 2 is refused, and the error names "$.Tenants[1].Name"
 
+  # A key beyond Latin-1 was compared with its UTF-8 read as Latin-1.
+  Scenario: Keys that clients send in UTF-8
+    Given a document with the keys "é", "鑰匙Ġ" and "Ã©" of three accounts
+    Then a client that sends each key as a header can hold it has its account
+    And the key "高" that no account has is unknown
+
   # Probes are sent when no upstream answers. A path that is no valid target
   # ended the process that probed.
   Scenario: A health path that is no valid target, with real processes
--- a/tests/features/steps/odd_names.py
+++ b/tests/features/steps/odd_names.py
@@ -7,10 +7,13 @@
 import h11
 import hypothesis
 from hypothesis import strategies
+import trio
 
+from camphorhook_daemon.adapters import exchanges
 from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.adapters import targets
 from camphorhook_daemon.platform import documents
+from camphorhook_daemon.platform import entry as entries
 from tests.features.steps import platform
 from tests.harness import platforms
 from tests.harness import processes
@@ -213,3 +216,46 @@
     document["Tenants"][-1] = {"Name": "a\ud800", "ApiKeys": ["other"]}
     (fault,) = documents.list_faults(json.dumps(document).encode())
     assert path in fault, fault
+
+
+@behave.given(
+    'a document with the keys "{first}", "{second}" and "{third}" of three '
+    "accounts"
+)
+def read_keys(context, first, second, third):
+    document = json.loads(platforms.make_document(2))
+    document["Tenants"] = [
+        {"Name": f"of {key}", "ApiKeys": [key]}
+        for key in (first, second, third)
+    ]
+    context.keys = (first, second, third)
+    context.routing = documents.read(json.dumps(document).encode())
+
+
+def find_account(context, key):
+    """Return the account of a client that sends a key."""
+    encoding = "latin-1" if max(key) <= "\xff" else "utf-8"
+    value = f"Bearer {key}".encode(encoding)
+    pairs = [("host", "h"), ("authorization", value)]
+    client, server = h11.Connection(h11.CLIENT), h11.Connection(h11.SERVER)
+    request = h11.Request(method="GET", target="/safe/a", headers=pairs)
+    server.receive_data(client.send(request))
+
+    async def read():
+        return exchanges.Exchange(None, server.next_event())
+
+    arrival = entries.read_arrival(trio.run(read))
+    return context.routing.find_account(arrival.key)
+
+
+@behave.then(
+    "a client that sends each key as a header can hold it has its account"
+)
+def check_keys(context):
+    for key in context.keys:
+        assert find_account(context, key).name == f"of {key}", key
+
+
+@behave.then('the key "{key}" that no account has is unknown')
+def check_unknown_key(context, key):
+    assert find_account(context, key) is None
