Escape the values of labels in metrics

Operators saw: with a quote, a backslash or a line end in the name of a route or service, the whole text of metrics could not be read.

Cause: names of documents became labels as they were.

Change: the three characters are escaped as the exposition format asks.

After: the new scenario passes; before, the line ended inside the label.

--- a/packages/daemon/src/camphorhook_daemon/adapters/metrics.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/metrics.py
@@ -128,7 +128,14 @@
     return lines
 
 
+# Characters of a label's value that the format has escaped.
+_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
 def _format_labels(key):
     if not key:
         return ""
-    return "{" + ",".join(f'{name}="{value}"' for name, value in key) + "}"
+    labels = (
+        f'{name}="{str(value).translate(_ESCAPES)}"' for name, value in key
+    )
+    return "{" + ",".join(labels) + "}"
--- a/tests/features/odd_names.feature
+++ b/tests/features/odd_names.feature
@@ -23,6 +23,9 @@
     Then a client that sends each key as a header can hold it has its account
     And the key "高" that no account has is unknown
 
+  Scenario: Names of routes and services as labels of metrics
+    Then the label "a\\b\"c\nd" appears as "a\\b\"c\nd" in the metrics
+
   # Probes are sent when no upstream answers. A path that is no valid target
   # ended the process that probed.
   Scenario: A health path that is no valid target, with real processes
--- a/tests/features/steps/odd_names.py
+++ b/tests/features/steps/odd_names.py
@@ -11,6 +11,7 @@
 
 from camphorhook_daemon.adapters import exchanges
 from camphorhook_daemon.adapters import header_codec
+from camphorhook_daemon.adapters import metrics
 from camphorhook_daemon.adapters import targets
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry as entries
@@ -259,3 +260,10 @@
 @behave.then('the key "{key}" that no account has is unknown')
 def check_unknown_key(context, key):
     assert find_account(context, key) is None
+
+
+@behave.then('the label "{value}" appears as "{escaped}" in the metrics')
+def check_label(context, value, escaped):
+    counts = metrics.Metrics()
+    counts.add("requests_total", route=read_escapes(value))
+    assert f'{{route="{escaped}"}} 1' in counts.render(), counts.render()
