Serve services whose names are beyond Latin-1

Callers saw: a document may name a service in any script and was acknowledged, but each registration of its upstreams was refused, so that all its requests got 503.

Cause: registrations were checked for what a header can hold, because the name of the service is a header between instances.

Change: the header holds an encoded word where it must, and where the name looks like one; the other instance decodes it. Instances of older builds get ordinary names as before. The check of registrations lets the service be in any script; all its other parts stay.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -59,7 +59,7 @@
         (AFTER, resume_after),
         (SENDS, str(handover.sends)),
         (RUNS, str(handover.runs)),
-        (SERVICE, handover.service),
+        (SERVICE, header_codec.encode_text(handover.service)),
         (EXCLUDED, ",".join(handover.excluded)),
     ]
     if request.hint.output is not None:
@@ -139,7 +139,7 @@
     handover = attempts.Handover(
         numerals.parse_unsigned(get(SENDS)) or 0,
         numerals.parse_unsigned(get(RUNS)) or 0,
-        get(SERVICE),
+        header_codec.decode_text(get(SERVICE)),
         get(VERSION, None),
         tuple(name for name in get(EXCLUDED).split(",") if name),
     )
--- a/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
@@ -5,6 +5,7 @@
 import re
 
 LAST_LATIN_1 = "\xff"
+_WORD_START, _WORD_END = "=?utf-8?B?", "?="  # RFC 2047
 # What h11 refuses in a value; recipients drop blanks at its ends.
 _REFUSED = re.compile(r"[\0\n\v\f\r]|\A[ \t]|[ \t]\Z")
 
@@ -88,9 +89,32 @@
         text: the text, without lone surrogates.
         language: language tag to add (RFC 2231, 5); empty for none.
     """
-    charset = f"utf-8*{language}" if language else "utf-8"
+    start = _WORD_START
+    if language:
+        start = start.replace("?B?", f"*{language}?B?")
     data = binascii.b2a_base64(text.encode(), newline=False)
-    return f"=?{charset}?B?{data.decode()}?="
+    return f"{start}{data.decode()}{_WORD_END}"
+
+
+def encode_text(text):
+    """Return a header's value that `decode_text` turns into a text.
+
+    Args:
+        text: the text, without lone surrogates.
+    """
+    is_word = text.startswith(_WORD_START)
+    return text if can_hold(text) and not is_word else encode_word(text)
+
+
+def decode_text(value):
+    """Return the text of a value of `encode_text`, any other one unchanged."""
+    if not (value.startswith(_WORD_START) and value.endswith(_WORD_END)):
+        return value
+    data = value[len(_WORD_START) : -len(_WORD_END)]
+    try:
+        return binascii.a2b_base64(data).decode()
+    except ValueError:
+        return value
 
 
 def encode_distinctly(texts):
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/registry.py
@@ -48,7 +48,8 @@
             return f"{field} has characters that no header can hold"
         if not text and field != "version":
             return f"{field} is empty"
-        if any(one > LAST_LATIN_1 for one in text):
+        # Documents name services, and may do so in any script.
+        if field != "service" and max(text, default="") > LAST_LATIN_1:
             return f"{field} has characters beyond Latin-1"
     if not 1 <= registration.capacity <= MAX_CAPACITY:
         return f"{registration.capacity} places are not 1 to {MAX_CAPACITY}"
--- a/tests/features/odd_names.feature
+++ b/tests/features/odd_names.feature
@@ -23,6 +23,22 @@
     Then a client that sends each key as a header can hold it has its account
     And the key "高" that no account has is unknown
 
+  # Registrations of its upstreams were refused, so that it had none.
+  Scenario Outline: A service with a name beyond Latin-1
+    Given an upstream of the service "<service>"
+    When a <kind> request is sent to it, <way>
+    Then the upstream has answered it
+
+    Examples:
+      | service            | kind       | way                        |
+      | sun☼               | booking    | directly                   |
+      | sun☼               | booking    | by way of another instance |
+      | 日                 | stream     | by way of another instance |
+      | =?utf-8?B?5pel?=   | repeatable | by way of another instance |
+
+  Scenario: Services with drawn names are handed over
+    Then each of 500 drawn names of services is read as it was sent
+
   Scenario: Names of routes and services as labels of metrics
     Then the label "a\\b\"c\nd" appears as "a\\b\"c\nd" in the metrics
 
--- a/tests/features/steps/odd_names.py
+++ b/tests/features/steps/odd_names.py
@@ -1,7 +1,9 @@
 """Step definitions for texts of documents that HTTP can't carry."""
 
+import collections
 import concurrent.futures
 import json
+import unittest.mock
 
 import behave
 import h11
@@ -15,9 +17,12 @@
 from camphorhook_daemon.adapters import targets
 from camphorhook_daemon.platform import documents
 from camphorhook_daemon.platform import entry as entries
+from tests.features.steps import endings
 from tests.features.steps import platform
 from tests.harness import platforms
 from tests.harness import processes
+from tests.harness import routers
+from tests.harness import ways
 
 PLAIN_NAMES = (
     "a\xe9\xfc",
@@ -267,3 +272,51 @@
     counts = metrics.Metrics()
     counts.add("requests_total", route=read_escapes(value))
     assert f'{{route="{escaped}"}} 1' in counts.render(), counts.render()
+
+
+@behave.given('an upstream of the service "{service}"')
+def set_service(context, service):
+    context.service = service
+
+
+@behave.when("a {kind} request is sent to it, {way}")
+def send_to_service(context, kind, way):
+    context.upstream = routers.ScriptedUpstream(1)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            port = await ways.open_way(
+                nursery, [context.upstream], kind, way, collections.Counter()
+            )
+            context.answer = await endings.exchange(port)
+            nursery.cancel_scope.cancel()
+
+    with unittest.mock.patch.object(routers, "SERVICE", context.service):
+        trio.run(run)
+
+
+@behave.then("the upstream has answered it")
+def check_service(context):
+    assert context.answer[0] == 200, context.answer
+    assert context.upstream.requests == ["r1"], context.upstream.requests
+
+
+@behave.then(
+    "each of {count:d} drawn names of services is read as it was sent"
+)
+def check_handed_over(context, count):
+    @hypothesis.settings(
+        max_examples=count, deadline=None, database=None, derandomize=True
+    )
+    @hypothesis.given(
+        strategies.one_of(
+            strategies.text(max_size=8),
+            strategies.sampled_from(NAMES),
+            strategies.text(max_size=4).map(header_codec.encode_word),
+        )
+    )
+    def check(name):
+        value = header_codec.encode_text(name)
+        assert header_codec.decode_text(send_value(value)) == name
+
+    check()
