--- a/tests/features/steps/claimed_tokens.py
+++ b/tests/features/steps/claimed_tokens.py
@@ -129,6 +129,7 @@
             await trio.testing.wait_all_tasks_blocked(0.05)
             assert engines[0].requests, "the prompt is not running"
             engines[0].run_seconds = 0.0
+            engines[0].requests.clear()
             del router.selector.withdrawals.is_leaving
             for number in range(count):
                 await router.send(part=(f"part-{number}", 5000))
