Look for lone surrogates only where JSON can't be read

Cause: values of a wrong type have no lone surrogate, and every refused document was read twice. Change: such errors keep msgspec's text alone; a comment says which of two keys that read alike goes first.

--- a/packages/common/src/camphorhook_common/jsontext.py
+++ b/packages/common/src/camphorhook_common/jsontext.py
@@ -35,6 +35,8 @@
         if data.count(b"[") + data.count(b"{") > MAX_DEPTH:
             _check_depth(data)
         return msgspec.json.decode(data, type=type)
+    except msgspec.ValidationError as error:
+        raise DecodeError(str(error)) from error
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         path = _find_lone_surrogate(data)
         where = f"; lone surrogate - at `{path}`" if path else ""
--- a/packages/daemon/src/camphorhook_daemon/platform/documents.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/documents.py
@@ -242,5 +242,6 @@
         for tenant in tenants
         for key in tenant.api_keys
     }
-    read = {header_codec.read_sent(key): accounts[key] for key in accounts}
-    return read | {key: accounts[key] for key in accounts if key in read}
+    sent = {header_codec.read_sent(key): accounts[key] for key in accounts}
+    # A key that is sent as it is goes before one that reads like it.
+    return sent | {key: accounts[key] for key in accounts if key in sent}
