--- a/tests/features/claimed_tokens.feature
+++ b/tests/features/claimed_tokens.feature
@@ -14,6 +14,13 @@
       | 1     | 20    |
       | 60    | 1     |
 
+  Scenario: What a new instance gets does not end one of an older build
+    Given a platform with 3 replicas, 2 entry instances and 5 servers
+    And entry-2 runs the build af14b49
+    When 60 prompts of 18 digits reach entry-1 at once
+    Then each of them is answered 200
+    And no process ended, and both entry instances serve on
+
   Scenario: Drawn prompts of requests that begin and end
     Then the load of 300 drawn sequences of requests can be published, and none is left behind
 
--- a/tests/features/steps/claimed_tokens.py
+++ b/tests/features/steps/claimed_tokens.py
@@ -15,6 +15,8 @@
 from camphorhook_daemon.domain.routing import loads as fleet_loads
 from camphorhook_daemon.domain.routing import table as tables
 from tests.features.steps import dissemination
+from tests.harness import builds
+from tests.harness import processes
 from tests.harness import routers
 
 HIGHEST = 10**18 - 1
@@ -27,7 +29,7 @@
     "each entry instance gets {count:d} prompts at once, of {parts:d} x 18 "
     "digits"
 )
-def send_prompts(context, count, parts):
+def send_prompts(context, count, parts, entries=ENTRIES):
     prompt = ",".join(f"{n + 1:08x}:{HIGHEST}" for n in range(parts))
 
     def send(entry):
@@ -39,7 +41,24 @@
         ).status
 
     with concurrent.futures.ThreadPoolExecutor(2 * count) as pool:
-        context.statuses = list(pool.map(send, ENTRIES * count))
+        context.statuses = list(pool.map(send, entries * count))
+
+
+@behave.given("{entry:Word} runs the build {commit:Word}")
+def replace_entry(context, entry, commit):
+    context.platform.kill(entry)
+    program = builds.find_program(commit)
+    context.platform.start(entry, first=False, program=program)
+    processes.wait_until(
+        lambda: context.platform.request(entry, "/safe/a", "key-1").status
+        == 200,
+        what=f"an answer at {entry}",
+    )
+
+
+@behave.when("{count:d} prompts of 18 digits reach {entry:Word} at once")
+def send_prompts_to_one(context, count, entry):
+    send_prompts(context, count, 1, (entry,))
 
 
 @behave.then("each of them is answered 200")
