--- a/packages/daemon/src/camphorhook_daemon/domain/routing/costs.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/costs.py
@@ -17,7 +17,8 @@
 PREFILL_TOKENS_PER_MS = 64.0  # that an engine prefills at the usual speed
 # Work that an output token adds to the engine's other requests.
 OUTPUT_TOKEN_WORK = 5.0
-# Most work of one request: a prompt and an output of the highest number.
+# Most work of one request, in prompt tokens: a prompt and an output of
+# MAX_TOKENS each.
 MAX_REQUEST_WORK = int((1 + OUTPUT_TOKEN_WORK) * MAX_TOKENS)
 # Work that fits into the step in which an engine generates an output token.
 STEP_WORK = 234.0
