--- a/review/standins_3/fleet.py
+++ b/review/standins_3/fleet.py
@@ -385,7 +385,12 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
-        self.control = list(fleet.replicas)
+        # Address of each node for this server's calls; the first one that
+        # acknowledges a call is enough.
+        self.control = {
+            name: (fleet.find_ip(name), fleet.control)
+            for name in fleet.replicas
+        }
         self.slots = 64
         self._answer = answer
         self._proxy = proxy
@@ -416,7 +421,7 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def register(self):
-        """Send one ping, to the next node if one does not acknowledge it."""
+        """Send one ping; return the node that acknowledged it."""
         self.sequence += 1
         body = json.dumps({
             "Service": self.service, "Address": self.address,
@@ -425,14 +430,30 @@
             "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
             "Sequence": self.sequence, "born": self.born,
         }).encode()
-        for name in list(self.control):
-            status, _, _ = await call(
-                self.fleet.find_ip(name), self.fleet.control, "PUT",
-                f"/-/instances/{self.name}", body, 1.0
+        return await self._call_control("PUT", body)
+
+    async def leave(self):
+        """Send DELETE /-/instances/ID; return the node that acknowledged."""
+        self._beat.cancel()
+        return await self._call_control("DELETE", b"")
+
+    async def _call_control(self, method, body):
+        """Call one node after another until one acknowledges it in a second.
+
+        Returns:
+            The name of that node; "" if none did.
+        """
+        for name, (ip, port) in self.control.items():
+            status, _, text = await call(
+                ip, port, method, f"/-/instances/{self.name}", body, 1.0
             )
+            if method != "PUT" or status != 200:
+                self.fleet.record.write(
+                    f"{self.name}: {method} at {name}: {status or text}"
+                )
             if 200 <= status < 300:
-                return True
-        return False
+                return name
+        return ""
 
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
@@ -499,6 +520,11 @@
 
     async def open(self, ip, port):
         """Return the address at which a server is reached from now on."""
+        ip, port = await self.open_way(ip, port)
+        return f"{ip}:{port}"
+
+    async def open_way(self, ip, port):
+        """Return (IP address, port) of a new way to an address."""
         async def serve(reader, writer):
             task = asyncio.current_task()
             self._tasks.add(task)
@@ -511,7 +537,7 @@
                 writer.close()
 
         listener = await asyncio.start_server(serve, ip, 0, limit=4096)
-        return f"{ip}:{listener.sockets[0].getsockname()[1]}"
+        return ip, listener.sockets[0].getsockname()[1]
 
     async def _pass(self, ip, port, reader, writer):
         source = self._find_machine(
