Keep headers of clients apart from those that instances add to a hand-over

Cause: a request that is handed over has one list of headers, the client's and behind them those by which instances tell each other its id, key, deadline and progress. The reader took the first header of a name. So whatever own header a client sent, its value counted. Only clients that wrote such a name were affected; on direct links nothing reads these headers.

Change: handover_headers gives an external header whose name begins with "camphorhook-" the prefix "camphorhook-x-", and the reader takes it off again. An external name can't be that of an own header, whichever there are, and the reader never looks among external ones. Upstreams get the client's header as it was sent, as on direct links. Instances of older builds drop escaped names. What an older build hands over has the client's headers ahead of its own; a name that occurs twice, or an own header ahead of the request's id, is refused with 503 as not sent, and logged. The entry instance's limit on heads covers the prefix (it is shorter than the shortest line that it is added to).

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -1,20 +1,21 @@
 """Requests that one instance hands over to another, over HTTP.
 
-They have the headers to pass on to the upstream, and those below. The port
-is not open to clients.
+They have the headers to pass on to the upstream, and those below, which
+`handover_headers` keeps apart. The port is not open to clients.
 """
 
 import math
 
 from camphorhook_common import numerals
+from camphorhook_daemon.adapters import handover_headers
 from camphorhook_daemon.adapters import header_codec
 from camphorhook_daemon.domain.routing import attempts
 from camphorhook_daemon.domain.routing import costs
 from camphorhook_daemon.domain.routing import gateways
 from camphorhook_daemon.domain.routing import intake
 
-PREFIX = "camphorhook-"
-REQUEST = PREFIX + "request"
+PREFIX = handover_headers.PREFIX
+REQUEST = PREFIX + "request"  # the first own header of a request
 KEY = PREFIX + "key"
 DEADLINE_MS = PREFIX + "deadline-ms"
 PARTS = PREFIX + "parts"  # ID:TOKENS entries, separated by commas
@@ -50,8 +51,7 @@
         handover: the attempts.Handover.
     """
     parts = ",".join(f"{part}:{tokens}" for part, tokens in request.parts)
-    headers = [
-        *request.headers,
+    own = [
         (REQUEST, request.request),
         (KEY, request.key),
         (DEADLINE_MS, str(max(1, int(left / SECONDS_PER_MS)))),
@@ -63,12 +63,12 @@
         (EXCLUDED, ",".join(handover.excluded)),
     ]
     if request.hint.output is not None:
-        headers.append((OUTPUT, f"{request.hint.output:.0f}"))
+        own.append((OUTPUT, f"{request.hint.output:.0f}"))
     if request.hint.most_output < math.inf:
-        headers.append((MOST_OUTPUT, f"{request.hint.most_output:.0f}"))
+        own.append((MOST_OUTPUT, f"{request.hint.most_output:.0f}"))
     if handover.version is not None:
-        headers.append((VERSION, handover.version))
-    return headers
+        own.append((VERSION, handover.version))
+    return handover_headers.join(request.headers, own)
 
 
 def read_outcome(head):
@@ -91,31 +91,54 @@
 
 
 def read_arrival(exchange):
-    """Return the intake.Arrival of an exchanges.Exchange."""
-    get = exchange.get_header
-    dropped = header_codec.list_hop_by_hop(exchange.headers)
-    deadline_ms = numerals.parse_unsigned(get(DEADLINE_MS)) or 1
+    """Return the intake.Arrival of an exchanges.Exchange.
+
+    Raises:
+        intake.Unreadable: an instance of an older build passes on headers
+            that can't be told from its own.
+    """
+    external, own = _read_headers(exchange)
+    dropped = header_codec.list_hop_by_hop(external)
+    deadline_ms = numerals.parse_unsigned(own.get(DEADLINE_MS, "")) or 1
     return intake.Arrival(
-        get(REQUEST),
+        own.get(REQUEST, ""),
         exchange.method,
         exchange.target,
-        get("host"),
-        _drop_own(pair for pair in exchange.headers if pair[0] not in dropped),
+        exchange.get_header("host"),
+        [pair for pair in external if pair[0] not in dropped],
         exchange.body,
-        get(KEY),
+        own.get(KEY, ""),
         deadline_ms * SECONDS_PER_MS,
-        read_parts(get(PARTS)),
-        get(AFTER),
+        read_parts(own.get(PARTS, "")),
+        own.get(AFTER, ""),
         "",
         exchange.received_at,
         costs.Hint(
-            numerals.parse_number(get(OUTPUT), costs.MAX_TOKENS) or None,
-            numerals.parse_number(get(MOST_OUTPUT), costs.MAX_TOKENS)
+            numerals.parse_number(own.get(OUTPUT, ""), costs.MAX_TOKENS)
+            or None,
+            numerals.parse_number(own.get(MOST_OUTPUT, ""), costs.MAX_TOKENS)
             or math.inf,
         ),
     )
 
 
+def _read_headers(exchange):
+    """Return the external headers of a request, and the own ones by name.
+
+    Raises:
+        intake.Unreadable: the own ones can't be told from others.
+    """
+    external, own = handover_headers.split(exchange.headers)
+    try:
+        values = handover_headers.index(own)
+    except handover_headers.AmbiguousError as error:
+        raise intake.Unreadable(str(error)) from error
+    if next(iter(values), None) != REQUEST or REFUSAL in values:
+        names = ", ".join(values)
+        raise intake.Unreadable(f"headers that are out of place: {names}")
+    return external, values
+
+
 def read_parts(text):
     """Return (id, tokens) pairs of ID:TOKENS entries.
 
@@ -135,22 +158,22 @@
 
 def make_progress(exchange):
     """Return the attempts.Progress of a request that is handed over."""
-    get = exchange.get_header
+    _, own = _read_headers(exchange)
     handover = attempts.Handover(
-        numerals.parse_unsigned(get(SENDS)) or 0,
-        numerals.parse_unsigned(get(RUNS)) or 0,
-        header_codec.decode_text(get(SERVICE)),
-        get(VERSION, None),
-        tuple(name for name in get(EXCLUDED).split(",") if name),
+        numerals.parse_unsigned(own.get(SENDS, "")) or 0,
+        numerals.parse_unsigned(own.get(RUNS, "")) or 0,
+        header_codec.decode_text(own.get(SERVICE, "")),
+        own.get(VERSION),
+        tuple(name for name in own.get(EXCLUDED, "").split(",") if name),
     )
-    return attempts.Progress(get(AFTER), handover)
+    return attempts.Progress(own.get(AFTER, ""), handover)
 
 
-def list_refusal_headers(arrival, failure):
+def list_refusal_headers(request, failure):
     """Return the headers of the instance's own answer.
 
     Args:
-        arrival: the intake.Arrival.
+        request: id of the request.
         failure: the attempts.Failure.
     """
     return [(REFUSAL, _CUT_OFF if failure.is_cut_off else _OTHER)]
--- a/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/request_app.py
@@ -38,8 +38,13 @@
         Args:
             exchange: the exchanges.Exchange.
         """
-        arrival = self._protocol.read_arrival(exchange)
-        progress = self._protocol.make_progress(exchange)
+        try:
+            arrival = self._protocol.read_arrival(exchange)
+            progress = self._protocol.make_progress(exchange)
+        except intake.Unreadable as error:
+            failure = attempts.Failure(503, f"not sent: {error}")
+            await self._refuse(exchange, "", failure)
+            return
         try:
             await self._serve(exchange, arrival, progress)
         except Exception as error:
@@ -53,26 +58,26 @@
                 step="serve",
             )
             failure = attempts.Failure(_find_status(progress), ERROR_REASON)
-            await self._refuse(exchange, arrival, failure)
+            await self._refuse(exchange, arrival.request, failure)
 
     async def _serve(self, exchange, arrival, progress):
         """Answer an intake.Arrival."""
         request = intake.authorize(arrival, self._rules)
         if isinstance(request, attempts.Failure):
-            await self._refuse(exchange, arrival, request)
+            await self._refuse(exchange, arrival.request, request)
             return
         if not self._shutdown.can_finish(request.route.name, request.deadline):
             failure = attempts.Failure(
                 503, STOPPING_REASON, STOPPING_RETRY_SECONDS
             )
-            await self._refuse(exchange, arrival, failure)
+            await self._refuse(exchange, arrival.request, failure)
             return
         with self._shutdown.track() as scope:
             await self._forward(exchange, arrival, request, progress)
         if scope.cancelled_caught and not exchange.has_started:
             # The connection of an answer that has begun is closed within it.
             failure = attempts.Failure(_find_status(progress), STOPPING_REASON)
-            await self._refuse(exchange, arrival, failure)
+            await self._refuse(exchange, arrival.request, failure)
 
     async def _forward(self, exchange, arrival, request, progress):
         reply = self._protocol.make_reply(exchange, progress)
@@ -89,18 +94,18 @@
             )
             return
         if failure is not None:
-            await self._refuse(exchange, arrival, failure)
+            await self._refuse(exchange, arrival.request, failure)
             return
         self._shutdown.record_duration(
             request.route.name, trio.current_time() - arrival.received_at
         )
 
-    async def _refuse(self, exchange, arrival, failure):
+    async def _refuse(self, exchange, request, failure):
         self._counts.add("requests_refused_total", status=failure.status)
         logs.log(
             "info",
             f"answered {failure.status}: {failure.reason}",
-            request=arrival.request,
+            request=request,
             step="refuse",
             inputs={
                 "version": self._rules.get_version(),
@@ -109,7 +114,7 @@
         )
         headers = [
             ("content-type", "text/plain"),
-            *self._protocol.list_refusal_headers(arrival, failure),
+            *self._protocol.list_refusal_headers(request, failure),
         ]
         if failure.retry_after:
             headers.append(("retry-after", f"{failure.retry_after:.2f}"))
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/intake.py
@@ -15,6 +15,10 @@
 )
 
 
+class Unreadable(Exception):
+    """It is not clear what a request asks for, so it must not be sent."""
+
+
 class Arrival(typing.NamedTuple):
     """A request as it arrived.
 
--- a/packages/daemon/src/camphorhook_daemon/platform/entry.py
+++ b/packages/daemon/src/camphorhook_daemon/platform/entry.py
@@ -46,11 +46,14 @@
     return exchange
 
 
-def list_refusal_headers(arrival, failure):
-    """Return the headers that tell a client which request is refused."""
-    if not arrival.request:
-        return []
-    return [(protocol.REQUEST_ID, arrival.request)]
+def list_refusal_headers(request, failure):
+    """Return the headers that tell a client which request is refused.
+
+    Args:
+        request: id of the request, perhaps empty.
+        failure: the attempts.Failure.
+    """
+    return [(protocol.REQUEST_ID, request)] if request else []
 
 
 class ReadinessApp:
--- /dev/null
+++ b/tests/features/handover_headers.feature
@@ -0,0 +1,41 @@
+@no_fleet
+Feature: Headers of clients and upstreams beside those of instances
+
+  # A client's header decided for which account its request ran, how long an
+  # upstream might work on it, and which part of a stream was left out.
+  Scenario Outline: Clients send each header that instances use among themselves
+    Given upstreams that answer each request
+    When a client sends each of these headers with <kind> requests, <way>
+    Then each request is answered, and ran once as the client asked
+    And upstreams got the header as the client sent it
+
+    Examples:
+      | kind       | way                        |
+      | booking    | directly                   |
+      | booking    | by way of another instance |
+      | repeatable | by way of another instance |
+      | stream     | by way of another instance |
+
+  # An instance of an older build passes on a client's headers ahead of its own.
+  Scenario Outline: Requests handed over with a header that may be a client's
+    Given upstreams that answer each request
+    When an instance hands a booking over <how>
+    Then it is refused as not sent, and the log says "<reason>"
+
+    Examples:
+      | how                                        | reason                              |
+      | with camphorhook-key twice                 | camphorhook-key occurs more than once |
+      | with CAMPHORHOOK-Key twice                 | camphorhook-key occurs more than once |
+      | with camphorhook-request twice             | camphorhook-request occurs more than once |
+      | with camphorhook-output first              | out of place: camphorhook-output    |
+      | with camphorhook-version first             | out of place: camphorhook-version   |
+      | with camphorhook-refusal last              | out of place: camphorhook-request   |
+      | without any header of its own              | out of place                        |
+
+  Scenario: Headers that newer builds add are no reason to refuse
+    Given upstreams that answer each request
+    When an instance hands a booking over with camphorhook-added-later last
+    Then it is answered 200
+
+  Scenario: Drawn headers through a hand-over
+    Then each of 300 drawn requests is read as it was handed over
--- a/tests/harness/routers.py
+++ b/tests/harness/routers.py
@@ -52,9 +52,12 @@
 
     Attributes:
         requests: ids of the requests it got.
+        heads: (name, value) pairs of the headers of each request; names are
+            in lower case.
         arrivals: times in seconds at which it got them.
         status: HTTP status of its answers.
         headers: additional header lines of its answers.
+        body: body of its answers.
         crash_target: path under which it crashes and starts again.
         crash_part: part of a prompt under which it crashes as it begins to
             answer.
@@ -71,9 +74,11 @@
         self.name = f"upstream-{number}"
         self.incarnation = 1
         self.requests = []
+        self.heads = []
         self.arrivals = []
         self.status = 200
         self.headers = ""
+        self.body = self.name.encode()
         self.crash_target = ""
         self.crash_part = ""
         self.is_reset_only = False
@@ -100,6 +105,7 @@
                     data += await stream.receive_some()
                 data = data[length:]
                 self.requests.append(request)
+                self.heads.append(_list_headers(head))
                 self.arrivals.append(trio.current_time())
                 if head.split()[1].decode() == self.crash_target:
                     self.incarnation += not self.is_reset_only
@@ -111,7 +117,7 @@
                     await stream.send_all(CHUNKED_START)
                     return
                 await trio.sleep(self.run_seconds)
-                body = self.name.encode()
+                body = self.body
                 await stream.send_all(
                     f"HTTP/1.1 {self.status} Status\r\n"
                     f"X-Request-Id: {request}\r\n{self.headers}"
@@ -134,6 +140,12 @@
         )
 
 
+def _list_headers(head):
+    lines = head.decode("latin-1").split("\r\n")[1:]
+    pairs = [line.partition(": ")[::2] for line in lines]
+    return [(name.lower(), value) for name, value in pairs]
+
+
 async def start_upstreams(nursery, upstreams):
     """Have ScriptedUpstreams listen; set the port of each."""
     for upstream in upstreams:
@@ -355,7 +367,10 @@
 
     def _make_table(self, routes):
         limits = tables.ClientLimits(16384, 1 << 22, 10, 30)
-        accounts = {"key": tables.Account("account", None, "account")}
+        accounts = {
+            "key": tables.Account("account", None, "account"),
+            "other-key": tables.Account("other", None, "other"),
+        }
         return tables.RoutingTable(
             1, routes, [self._service], limits, accounts
         )
