Keep headers of upstreams apart from an instance's own in answers handed back

What clients saw: bookings ran twice and were answered 503, which promises that they had not run, once an upstream's answer had a header Camphorhook-Refusal: cut off and came by way of another instance.

Cause: the answer of an upstream and what the instance that relays it adds shared one list of headers, the upstream's first. The other instance took the upstream's header for the word that nothing had been sent, and sent the request once more. In the same way an upstream's Camphorhook-Version decided which version a stream was held to.

Change: relayed answers go through handover_headers, like requests. From an instance of an older build, which passes on an upstream's headers unchanged, a name that occurs twice or a refusal beside a version (which older instances add to upstreams' answers only) counts as a run without an answer: 502, or another attempt if the request may be repeated. The instance is not taken to have failed.

handover_headers.feature: 8 of the 11 new scenarios fail without the change, none with it.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -72,22 +72,34 @@
 
 
 def read_outcome(head):
-    """Return the gateways.Outcome of a connection_pool.Head."""
-    refusal = head.get(REFUSAL)
+    """Return the gateways.Outcome of a connection_pool.Head.
+
+    An instance of an older build passes on an upstream's headers unchanged
+    and adds the version. So a refusal beside a version, like any header that
+    occurs twice, may be the upstream's.
+    """
+    _, own = handover_headers.split(head.headers)
+    try:
+        values = handover_headers.index(own)
+    except handover_headers.AmbiguousError:
+        return gateways.UNCLEAR
+    if REFUSAL in values and VERSION in values:
+        return gateways.UNCLEAR
+    refusal = values.get(REFUSAL)
     wait = numerals.parse_number(head.get(RETRY_AFTER, "0"), MAX_WAIT_SECONDS)
     return gateways.Outcome(
-        bool(refusal), refusal == _CUT_OFF, head.get(VERSION), wait or 0.0
+        bool(refusal),
+        refusal == _CUT_OFF,
+        values.get(VERSION, ""),
+        wait or 0.0,
     )
 
 
 def pick_response_headers(head):
     """Return the headers of an answer to pass on to the client."""
-    dropped = header_codec.list_hop_by_hop(head.headers)
-    return _drop_own(pair for pair in head.headers if pair[0] not in dropped)
-
-
-def _drop_own(headers):
-    return [pair for pair in headers if not pair[0].startswith(PREFIX)]
+    external, _ = handover_headers.split(head.headers)
+    dropped = header_codec.list_hop_by_hop(external)
+    return [pair for pair in external if pair[0] not in dropped]
 
 
 def read_arrival(exchange):
@@ -194,7 +206,8 @@
         self.finish = exchange.finish
 
     def _add_version(self, headers):
-        return [*headers, (VERSION, self._progress.upstream.version)]
+        own = [(VERSION, self._progress.upstream.version)]
+        return handover_headers.join(headers, own)
 
     async def start(self, status, headers, length=None):
         """Send the answer's head."""
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
@@ -8,6 +8,7 @@
 MAX_REASON_BYTES = 1024
 CUT_OFF_REASON = "this instance reaches no upstream"
 CUT_OFF_RETRY_SECONDS = 1.0  # until another instance may reach them
+UNCLEAR_REASON = "it is not clear whether an instance or an upstream answered"
 OUTAGE_REASON = "no instance reaches an upstream"
 # Attempts without a connection until a gateway gives a request back.
 MAX_UNREACHED = 2
@@ -131,10 +132,19 @@
         if not error.sent:
             progress.sends -= 1
             return attempts.AttemptResult.RETRY
-        progress.runs += 1
-        if request.route.is_idempotent and progress.can_retry:
-            return attempts.AttemptResult.RETRY
-        return attempts.Failure(502, error.message)
+        return _end_run(request, progress, error.message)
+
+    def _handle_unclear(self, request, gateway, progress):
+        """Count an answer that may be a refusal as a run that failed.
+
+        It says nothing about the gateway, which others go on to use.
+        """
+        progress.failed_gateways.add(gateway.name)
+        self._counts.add("gateway_requests_total", outcome="unclear")
+        answer_relay.log_step(
+            request, UNCLEAR_REASON, "warning", peer=gateway.name
+        )
+        return _end_run(request, progress, UNCLEAR_REASON)
 
     async def _exchange(
         self, request, gateway, handover, progress, reply, wait, find_obstacle
@@ -161,6 +171,8 @@
         async with self._pool.open(gateway, call) as answer:
             head = answer.head
             outcome = self._protocol.read_outcome(head)
+            if outcome.is_unclear:
+                return self._handle_unclear(request, gateway, progress)
             if outcome.is_refusal:
                 body, _ = await bodies.read_start(answer, MAX_REASON_BYTES)
                 return self._handle_refusal(
@@ -218,3 +230,17 @@
             progress.runs += 1
         reason = body.decode("utf-8", "replace").strip()
         return attempts.Failure(status, reason, outcome.retry_after)
+
+
+def _end_run(request, progress, reason):
+    """Return the result of an attempt that may have run and gave no answer.
+
+    Args:
+        request: the attempts.Request.
+        progress: the attempts.Progress.
+        reason: why, for the client.
+    """
+    progress.runs += 1
+    if request.route.is_idempotent and progress.can_retry:
+        return attempts.AttemptResult.RETRY
+    return attempts.Failure(502, reason)
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateways.py
@@ -44,12 +44,18 @@
         is_cut_off: the gateway reaches no upstream either and sent nothing.
         version: software version of the upstream that answered.
         retry_after: seconds after which the client may return; 0 if unknown.
+        is_unclear: what the gateway says can't be told from what the upstream
+            says, so the request may have run.
     """
 
     is_refusal: bool
     is_cut_off: bool
     version: str
     retry_after: float
+    is_unclear: bool = False
+
+
+UNCLEAR = Outcome(False, False, "", 0.0, True)
 
 
 class _Candidate:
--- a/tests/features/handover_headers.feature
+++ b/tests/features/handover_headers.feature
@@ -23,19 +23,52 @@
     Then it is refused as not sent, and the log says "<reason>"
 
     Examples:
-      | how                                        | reason                              |
-      | with camphorhook-key twice                 | camphorhook-key occurs more than once |
-      | with CAMPHORHOOK-Key twice                 | camphorhook-key occurs more than once |
-      | with camphorhook-request twice             | camphorhook-request occurs more than once |
-      | with camphorhook-output first              | out of place: camphorhook-output    |
-      | with camphorhook-version first             | out of place: camphorhook-version   |
-      | with camphorhook-refusal last              | out of place: camphorhook-request   |
-      | without any header of its own              | out of place                        |
+      | how                            | reason                                    |
+      | with camphorhook-key twice     | camphorhook-key occurs more than once     |
+      | with CAMPHORHOOK-Key twice     | camphorhook-key occurs more than once     |
+      | with camphorhook-request twice | camphorhook-request occurs more than once |
+      | with camphorhook-output first  | out of place: camphorhook-output          |
+      | with camphorhook-version first | out of place: camphorhook-version         |
+      | with camphorhook-refusal last  | out of place: camphorhook-request         |
+      | without any header of its own  | out of place                              |
 
   Scenario: Headers that newer builds add are no reason to refuse
     Given upstreams that answer each request
     When an instance hands a booking over with camphorhook-added-later last
     Then it is answered 200
 
+  # Another instance took the header for the word of the one that it had handed
+  # the request to, that nothing was sent, and sent a booking once more.
+  Scenario Outline: Upstreams send each header that instances use among themselves
+    Given upstreams that answer each request
+    When they add each of these headers to answers to <kind> requests, <way>
+    Then each request is answered, and ran once as the client asked
+    And clients got the header as the upstream sent it
+
+    Examples:
+      | kind       | way                        |
+      | booking    | directly                   |
+      | booking    | by way of another instance |
+      | repeatable | by way of another instance |
+      | stream     | by way of another instance |
+
+  # An instance of an older build passes on an upstream's headers and adds its
+  # own behind them.
+  Scenario Outline: Answers with a header that may be an upstream's
+    Given an instance of an older build that answers with <headers>
+    When a client sends a <kind> request that is handed over to it
+    Then it is answered <status> after <count> hand-overs
+    And the instance is not taken to have failed
+
+    Examples:
+      | headers                                   | kind       | status | count |
+      | the refusal "cut off" and its version     | booking    | 502    | 1     |
+      | the refusal "other" and its version       | booking    | 502    | 1     |
+      | the version "9.9" and its version         | booking    | 502    | 1     |
+      | the refusal "cut off" and its version     | stream     | 502    | 1     |
+      | the refusal "cut off" and its version     | repeatable | 502    | 2     |
+      | the key "k" and its version               | booking    | 200    | 1     |
+      | the x-camphorhook-key "k" and its version | booking    | 200    | 1     |
+
   Scenario: Drawn headers through a hand-over
     Then each of 300 drawn requests is read as it was handed over
--- a/tests/features/steps/handover_headers.py
+++ b/tests/features/steps/handover_headers.py
@@ -174,6 +174,81 @@
         assert got == sent, (sent, got)
 
 
+@behave.when(
+    "they add each of these headers to answers to {kind} requests, {way}"
+)
+def answer_each(context, kind, way):
+    context.sent = {}
+    attempts_made = collections.Counter()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            port = await ways.open_way(
+                nursery, context.upstreams, kind, way, attempts_made
+            )
+            with trio.fail_after(TIMEOUT_SECONDS):
+                for number, headers in enumerate(list_external()):
+                    lines = "".join(f"{name}: {x}\r\n" for name, x in headers)
+                    for upstream in context.upstreams:
+                        upstream.headers = lines
+                    request = f"r{number}"
+                    answer = await exchange(port, [], request)
+                    context.sent[request] = headers, answer
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.then("clients got the header as the upstream sent it")
+def check_returned(context):
+    for headers, (_, found, _) in context.sent.values():
+        got = [pair for pair in found if pair[0].startswith(handover.PREFIX)]
+        sent = [(name.lower(), value) for name, value in headers]
+        assert got == sent, (sent, got)
+
+
+@behave.given(
+    'an instance of an older build that answers with the {name} "{value}" '
+    "and its version"
+)
+def make_older_instance(context, name, value):
+    context.gateway = gateway = routers.ScriptedUpstream(1)
+    gateway.body = EVENTS
+    gateway.headers = (
+        f"{handover.PREFIX}{name}: {value}\r\n{handover.VERSION}: v1\r\n"
+    )
+
+
+@behave.when("a client sends a {kind} request that is handed over to it")
+def send_to_older_instance(context, kind):
+    context.failed_gateways = []
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            await routers.start_upstreams(nursery, [context.gateway])
+            front = ways.make_router([], kind)
+            front.use_gateway(context.gateway.port)
+            front.gateways.record_failure = context.failed_gateways.append
+            await front.open(nursery)
+            port = await front.listen(nursery)
+            with trio.fail_after(TIMEOUT_SECONDS):
+                context.answer = await exchange(port, [], "r1")
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@behave.then("it is answered {status:d} after {count:d} hand-overs")
+def check_handed_over_to(context, status, count):
+    assert context.answer[0] == status, context.answer
+    assert len(context.gateway.requests) == count, context.gateway.requests
+
+
+@behave.then("the instance is not taken to have failed")
+def check_not_failed(context):
+    assert not context.failed_gateways, context.failed_gateways
+
+
 @behave.when("an instance hands a booking over {how}")
 def hand_over(context, how):
     words = how.split()
