Pass on no header of an upstream by which instances tell clients what ran

What clients of the own interface saw: an answer of a plain service with a header Camphorhook-Disposition: not-run of its own came with that value and, behind it, the instance's "run". A client that reads the first one sends a booking that has run once more, under another key. The same held for Idempotent-Replayed, X-Request-Id and the names of instance and upstream.

Cause: as in hand-overs, the instance's headers and those it merely passes on shared one list.

Change: an upstream's headers with the prefix of instances' headers, and the two own ones with names in general use, are left out of the answer. What clients send was safe: only four headers are forwarded, by name.

--- a/packages/daemon/src/camphorhook_daemon/adapters/callers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/callers.py
@@ -325,7 +325,7 @@
             *context.headers,
             ("content-type", "text/event-stream; charset=utf-8"),
             ("cache-control", "no-store"),
-            ("camphorhook-response", stream.response_id),
+            (http.RESPONSE_HEADER, stream.response_id),
             (http.DISPOSITION_HEADER, "run"),
         ]
         has_begun = False
@@ -458,7 +458,7 @@
             *context.headers,
             *(
                 pair
-                for pair in result.answer.headers
+                for pair in http.pick_upstream_headers(result.answer.headers)
                 if pair[0] != "content-type"
             ),
             ("content-type", result.answer.content_type or "text/plain"),
@@ -538,5 +538,5 @@
         for name in FORWARDED_HEADERS
         if name in context.request.headers
     ]
-    forwarded.append(("camphorhook-account", context.account))
+    forwarded.append((http.ACCOUNT_HEADER, context.account))
     return forwarded
--- a/packages/daemon/src/camphorhook_daemon/adapters/handover_headers.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover_headers.py
@@ -11,7 +11,9 @@
 begins with PREFIX.
 """
 
-PREFIX = "camphorhook-"
+from camphorhook_daemon.adapters import header_codec
+
+PREFIX = header_codec.OWN_PREFIX
 # 14 bytes, fewer than the smallest line that it is added to: what it adds to a
 # client's headers fits the limit of `_read_gateway_limits`.
 EXTERNAL_PREFIX = PREFIX + "x-"
--- a/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/header_codec.py
@@ -5,6 +5,7 @@
 import re
 
 LAST_LATIN_1 = "\xff"
+OWN_PREFIX = "camphorhook-"  # of the names of headers that instances set
 _WORD_START, _WORD_END = "=?utf-8?B?", "?="  # RFC 2047
 # What h11 refuses in a value; recipients drop blanks at its ends.
 _REFUSED = re.compile(r"[\0\n\v\f\r]|\A[ \t]|[ \t]\Z")
--- a/packages/daemon/src/camphorhook_daemon/adapters/http.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/http.py
@@ -6,12 +6,18 @@
 import trio
 
 from camphorhook_common import wire
-
-DISPOSITION_HEADER = "camphorhook-disposition"
+from camphorhook_daemon.adapters import header_codec
+
+PREFIX = header_codec.OWN_PREFIX
+DISPOSITION_HEADER = PREFIX + "disposition"
+INSTANCE_HEADER = PREFIX + "instance"
+UPSTREAM_HEADER = PREFIX + "upstream"
+RESPONSE_HEADER = PREFIX + "response"
+ACCOUNT_HEADER = PREFIX + "account"  # of requests to upstreams
 REQUEST_ID_HEADER = "x-request-id"
-INSTANCE_HEADER = "camphorhook-instance"
-UPSTREAM_HEADER = "camphorhook-upstream"
 REPLAYED_HEADER = "idempotent-replayed"
+# Own headers of answers whose names are in general use.
+_SHARED_NAMES = frozenset((REQUEST_ID_HEADER, REPLAYED_HEADER))
 
 
 class Request(typing.NamedTuple):
@@ -91,6 +97,22 @@
     return wire.RequestFailure(413, "body_too_large", text, "not-run")
 
 
+def pick_upstream_headers(headers):
+    """Return the headers of an upstream's answer to pass on to a client.
+
+    Those by which an instance tells the client about the request are left
+    out, as only the instance's own may count.
+
+    Args:
+        headers: (name, value) pairs; names are in lower case.
+    """
+    return [
+        (name, value)
+        for name, value in headers
+        if not name.startswith(PREFIX) and name not in _SHARED_NAMES
+    ]
+
+
 async def send_head(send, status, headers):
     """Send the status and the headers of an answer.
 
--- a/tests/features/bookings.feature
+++ b/tests/features/bookings.feature
@@ -66,3 +66,10 @@
     Then the answer is 410 with code answer_not_recorded and disposition run
     And the booking "once-9" took effect 1 times
     And the status of "once-9" at c1 is finished with disposition run
+
+  # The service's headers came too, ahead of the instance's: a client that
+  # read the first disposition sent a booking again that had run.
+  Scenario: The service answers with headers that instances set
+    When a booking with key "once-10" is answered with each header that instances set, at a1
+    Then the answer has none of the service's values
+    And the answer has the disposition run or maybe-run
--- a/tests/features/steps/bookings.py
+++ b/tests/features/steps/bookings.py
@@ -1,11 +1,14 @@
 """Step definitions for requests that run at most once."""
 
+import http.client
+import json
 import threading
 import time
 
 import behave
 import httpcore
 
+from camphorhook_daemon.adapters import http as own_interface
 from tests.features.steps import faults
 from tests.features.steps import whole_path
 from tests.harness import callers
@@ -13,6 +16,7 @@
 
 SLOW_SECONDS = 2.0
 SETTLED_SECONDS = 30.0
+FOREIGN_VALUE = "not-run"
 UNSETTLED_CODES = ("claim_running", "no_quorum", "no_upstream")
 
 
@@ -192,3 +196,41 @@
 def check_other_status(context, key, state):
     answer = _read_status(context, key, "a1", "chk-test-parent")
     assert answer["state"] == state, answer
+
+
+@behave.when(
+    'a booking with key "{key:Word}" is answered with each header that '
+    "instances set, at {name:Word}"
+)
+def book_with_headers(context, key, name):
+    names = [
+        value
+        for constant, value in vars(own_interface).items()
+        if constant.endswith("_HEADER")
+    ] + ["camphorhook-added-later"]
+    headers = {one.title(): FOREIGN_VALUE for one in names}
+    address = whole_path.find_address(context, name)
+    connection = http.client.HTTPConnection(address)
+    connection.request(
+        "POST",
+        "/services/desk/bookings",
+        json.dumps({"what": key, "headers": headers}),
+        {
+            "Authorization": f"Bearer {context.fleet.plan.account_key}",
+            "Content-Type": "application/json",
+            "Idempotency-Key": key,
+        },
+    )
+    answer = connection.getresponse()
+    context.pairs = answer.getheaders()
+    body = answer.read()
+    connection.close()
+    headers = {one.lower(): value for one, value in context.pairs}
+    context.replies.append(callers.Reply(answer.status, headers, body))
+
+
+@behave.then("the answer has none of the service's values")
+def check_own_values(context):
+    assert context.replies[-1].status == 201, context.replies
+    found = [pair for pair in context.pairs if FOREIGN_VALUE in pair]
+    assert not found, found
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -7,8 +7,8 @@
 POST /bookings makes a booking and appends a line to the effects file. The
 body may hold `delay` (seconds before the line is written), `delay_after`
 (seconds after it), `crash` (`before` or `after` it: the process exits there)
-`status` (status code of the answer) and `filler` (bytes that the answer holds
-in addition).
+`status` (status code of the answer), `filler` (bytes that the answer holds in
+addition) and `headers` (names and values of more headers of the answer).
 GET /bookings lists the number of effects.
 """
 
@@ -70,7 +70,8 @@
         answer = {"booked": booking.get("what"), "server": self.name}
         if booking.get("filler"):
             answer["filler"] = "x" * booking["filler"]
-        await serving.send_json(send, status, answer)
+        more = booking.get("headers", {}).items()
+        await serving.send_json(send, status, answer, more)
 
 
 async def run(arguments):
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -20,20 +20,23 @@
             return body
 
 
-async def send_head(send, status, content_type):
-    """Send the status and the Content-Type header."""
+async def send_head(send, status, content_type, more=()):
+    """Send the status, the Content-Type header and more headers."""
+    headers = [("content-type", content_type), *more]
     await send(
         {
             "type": "http.response.start",
             "status": status,
-            "headers": [(b"content-type", content_type.encode())],
+            "headers": [
+                (name.encode(), value.encode()) for name, value in headers
+            ],
         }
     )
 
 
-async def send_json(send, status, value):
-    """Send a complete answer with a value as JSON."""
-    await send_head(send, status, "application/json")
+async def send_json(send, status, value, more=()):
+    """Send a complete answer with a value as JSON, and more headers."""
+    await send_head(send, status, "application/json", more)
     body = msgspec.json.encode(value)
     await send({"type": "http.response.body", "body": body})
 
