Keep names of upstreams apart that a hand-over leaves out

What callers saw: after a hand-over, a request could be sent again to the upstream that had just rejected or failed it, if that one's name has a comma.

Cause: the names of upstreams not to try are one list with commas between them, and names come from registrations, which may have any printable character. "a,b" was read as "a" and "b".

Change: commas and percent signs in such names are percent-encoded. Names without either are sent as before; an older build reads an encoded name as that of no upstream, as it did with the parts of one.

handover_headers.feature: the scenario, and the drawn one that now draws such names, fail without the change.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -23,7 +23,7 @@
 SENDS = PREFIX + "sends"
 RUNS = PREFIX + "runs"
 SERVICE = PREFIX + "service"
-EXCLUDED = PREFIX + "excluded"
+EXCLUDED = PREFIX + "excluded"  # names, as `_encode_item` writes them
 # The client's estimate of the output tokens, and the most it accepts.
 OUTPUT = PREFIX + "output"
 MOST_OUTPUT = PREFIX + "most-output"
@@ -60,7 +60,7 @@
         (SENDS, str(handover.sends)),
         (RUNS, str(handover.runs)),
         (SERVICE, header_codec.encode_text(handover.service)),
-        (EXCLUDED, ",".join(handover.excluded)),
+        (EXCLUDED, ",".join(map(_encode_item, handover.excluded))),
     ]
     if request.hint.output is not None:
         own.append((OUTPUT, f"{request.hint.output:.0f}"))
@@ -71,6 +71,16 @@
     return handover_headers.join(request.headers, own)
 
 
+def _encode_item(text):
+    """Return an item of a list whose items are separated by commas."""
+    return text.replace("%", "%25").replace(",", "%2C")
+
+
+def _decode_item(item):
+    """Return the text of an item; see `_encode_item`."""
+    return item.replace("%2C", ",").replace("%25", "%")
+
+
 def read_outcome(head):
     """Return the gateways.Outcome of a connection_pool.Head.
 
@@ -176,7 +186,11 @@
         numerals.parse_unsigned(own.get(RUNS, "")) or 0,
         header_codec.decode_text(own.get(SERVICE, "")),
         own.get(VERSION),
-        tuple(name for name in own.get(EXCLUDED, "").split(",") if name),
+        tuple(
+            _decode_item(item)
+            for item in own.get(EXCLUDED, "").split(",")
+            if item
+        ),
     )
     return attempts.Progress(own.get(AFTER, ""), handover)
 
--- a/tests/features/handover_headers.feature
+++ b/tests/features/handover_headers.feature
@@ -70,5 +70,10 @@
       | the key "k" and its version               | booking    | 200    | 1     |
       | the x-camphorhook-key "k" and its version | booking    | 200    | 1     |
 
+  # A request went back to an upstream that had rejected it, as the name with a
+  # comma was read as two names.
+  Scenario: Upstreams to leave out whose names have separators
+    Then a request that must not go to "a,b", "100%" and "%2C" is read as it was handed over
+
   Scenario: Drawn headers through a hand-over
     Then each of 300 drawn requests is read as it was handed over
--- a/tests/features/steps/handover_headers.py
+++ b/tests/features/steps/handover_headers.py
@@ -289,6 +289,14 @@
     assert any(reason in text for text in context.logged), context.logged
 
 
+@behave.then(
+    'a request that must not go to "{first}", "{second}" and "{third}" is '
+    "read as it was handed over"
+)
+def check_excluded(context, first, second, third):
+    check_handed_over([], (first, second, third))
+
+
 @behave.then("each of {count:d} drawn requests is read as it was handed over")
 def check_drawn(context, count):
     names = strategies.one_of(
@@ -310,12 +318,17 @@
         strategies.sampled_from(("1", "cut off", "other-key", "")),
         strategies.from_regex(r"\A([!-~]([ -~]{0,8}[!-~])?)?\Z"),
     )
+    # Names of registrations may have any printable character of Latin-1.
+    upstreams = strategies.one_of(
+        names,
+        strategies.text(strategies.sampled_from("a,%2C5\xe9"), min_size=1),
+    )
     pairs = strategies.lists(strategies.tuples(cased, values), max_size=12)
 
     @hypothesis.settings(
         max_examples=count, deadline=None, database=None, derandomize=True
     )
-    @hypothesis.given(pairs, strategies.lists(names, max_size=3))
+    @hypothesis.given(pairs, strategies.lists(upstreams, max_size=3))
     def check(headers, excluded):
         check_handed_over(headers, tuple(excluded))
 
