Bound the reason of a refused hand-over

Names of headers come from a client, by way of an instance of an older build, and go into a log line and an answer; they could take as much as the client's headers. A reason has 200 characters at most now.

--- a/packages/daemon/src/camphorhook_daemon/adapters/handover.py
+++ b/packages/daemon/src/camphorhook_daemon/adapters/handover.py
@@ -37,6 +37,7 @@
 # Of a refusal by the listener, before the request is read completely.
 REFUSAL_HEADERS = ((REFUSAL, _OTHER),)
 RETRY_AFTER = "retry-after"
+MAX_REASON_CHARACTERS = 200  # names of headers come from clients
 MAX_WAIT_SECONDS = 3600.0  # a longer one is taken for an error
 SECONDS_PER_MS = 0.001
 
@@ -154,10 +155,11 @@
     try:
         values = handover_headers.index(own)
     except handover_headers.AmbiguousError as error:
-        raise intake.Unreadable(str(error)) from error
+        text = str(error)[:MAX_REASON_CHARACTERS]
+        raise intake.Unreadable(text) from error
     if next(iter(values), None) != REQUEST or REFUSAL in values:
-        names = ", ".join(values)
-        raise intake.Unreadable(f"headers that are out of place: {names}")
+        text = f"headers are out of place: {', '.join(values) or 'none'}"
+        raise intake.Unreadable(text[:MAX_REASON_CHARACTERS])
     return external, values
 
 
--- a/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
+++ b/packages/daemon/src/camphorhook_daemon/domain/routing/gateway_attempts.py
@@ -135,9 +135,9 @@
         return _end_run(request, progress, error.message)
 
     def _handle_unclear(self, request, gateway, progress):
-        """Count an answer that may be a refusal as a run that failed.
+        """Count an answer whose outcome is unclear as a run that failed.
 
-        It says nothing about the gateway, which others go on to use.
+        It says nothing about the gateway, which other requests go on to use.
         """
         progress.failed_gateways.add(gateway.name)
         self._counts.add("gateway_requests_total", outcome="unclear")
