Play hand-overs between builds with headers that instances use

The scenarios play both directions with real processes, an entry instance without links to upstreams handing bookings to two others.

--- a/tests/features/older_builds.feature
+++ b/tests/features/older_builds.feature
@@ -17,3 +17,20 @@
       | new     | 1fc2f3c |
       | 71896a7 | new     |
       | new     | 71896a7 |
+
+  # The older build took a client's or an upstream's header for one of an
+  # instance: requests ran for another account, and bookings twice.
+  Scenario Outline: An instance of <first> hands over to <others> what has a header of instances
+    Given entry-1 of build <first> and two other entry instances of build <others>
+    When entry-1 reaches no upstream and gets bookings with a header of instances from <party>
+    Then none ran for another account or more than once
+    And the answers to bookings handed over are <statuses>
+
+    Examples:
+      | first   | others  | party     | statuses |
+      | new     | new     | clients   | 200      |
+      | new     | 6e7d415 | clients   | 200      |
+      | 6e7d415 | new     | clients   | 503      |
+      | new     | new     | upstreams | 200      |
+      | new     | 6e7d415 | upstreams | 502      |
+      | 6e7d415 | new     | upstreams | 200      |
--- a/tests/features/steps/older_builds.py
+++ b/tests/features/steps/older_builds.py
@@ -12,6 +12,7 @@
 from camphorhook_common import wire
 from tests.features.steps import platform as platform_steps
 from tests.harness import builds
+from tests.harness import partitions
 from tests.harness import platforms
 from tests.harness import processes
 
@@ -22,6 +23,12 @@
 REQUEST_INTERVAL_SECONDS = 0.02
 APPLY_SECONDS = 2.0
 START_SECONDS = 15.0
+HANDED_OVER = "sent by way of another instance"
+BOOKINGS = 20
+BOOKING_INTERVAL_SECONDS = 0.1
+# For the instance to notice that its links are silent.
+NOTICE_SECONDS = 3.0
+OTHER_KEY = "key-of-other"
 FIRST_ENGINE = 4
 ENGINE_PATH = "/tokens/stream?events=2&ms=5"
 
@@ -218,3 +225,91 @@
     print(f"{len(context.answers)} requests, {len(failed)} not served")
     shown = [(one[0], one[2].status, one[2].body[:80]) for one in failed[:5]]
     assert context.answers and not failed, shown
+
+
+@behave.given(
+    "entry-1 of build {first} and two other entry instances of build {others}"
+)
+def start_partitions(context, first, others):
+    context.world = world = partitions.Partitions(
+        pathlib.Path(context.folder), context.slot, 3
+    )
+    context.add_cleanup(world.close)
+    found = {one: others for one in world.entries}
+    world.start({**found, world.entries[0]: first})
+    document = json.loads(platforms.make_document(2))
+    document["Tenants"].append({"Name": "other", "ApiKeys": [OTHER_KEY]})
+    body = json.dumps(document).encode()
+    answer = world.platform.call_control("PUT", "/-/config", body)
+    assert answer.status == 200, (answer.status, answer.body)
+    for entry in world.entries:
+        processes.wait_until(
+            lambda one=entry: world.platform.request(
+                one, "/safe/a", OTHER_KEY
+            ).status
+            == 200,
+            what=f"document 2 at {entry}",
+        )
+    world.platform.effects.write_text("")
+
+
+@behave.when(
+    "entry-1 reaches no upstream and gets bookings with a header of "
+    "instances from {party}"
+)
+def book_with_header(context, party):
+    world, entry = context.world, context.world.entries[0]
+    target, headers = "/unsafe/a", {"Camphorhook-Key": OTHER_KEY}
+    if party == "upstreams":
+        target += "?header=Camphorhook-Refusal:cut%20off"
+        headers = {}
+    world.set_links([entry], "silent")
+    world.start_load(("/safe/a",))
+    time.sleep(NOTICE_SECONDS)
+    context.answers = {}
+
+    def book(request):
+        context.answers[request] = world.platform.request(
+            entry, target, KEY, request, headers=headers
+        )
+
+    threads = []
+    for number in range(BOOKINGS):
+        thread = threading.Thread(target=book, args=(f"booking-{number}",))
+        thread.start()
+        threads.append(thread)
+        time.sleep(BOOKING_INTERVAL_SECONDS)
+    for thread in threads:
+        thread.join()
+    world.set_links([entry], "none")
+    world.stop_load()
+
+
+@behave.then("none ran for another account or more than once")
+def check_bookings(context):
+    effects = context.world.platform.list_effects()
+    runs = [one for one in effects if one["request"] in context.answers]
+    counts = collections.Counter(one["request"] for one in runs)
+    print(f"{len(counts)} of {len(context.answers)} ran")
+    repeated = {one: count for one, count in counts.items() if count > 1}
+    assert not repeated, repeated
+    accounts = collections.Counter(one["tenant"] for one in runs)
+    assert set(accounts) <= {"account-1"}, accounts
+
+
+@behave.then("the answers to bookings handed over are {status:d}")
+def check_statuses(context, status):
+    log = context.world.platform.running["entry-1"].read_log()
+    handed_over = {
+        line["request"]
+        for line in map(json.loads, log.splitlines())
+        if line["message"] == HANDED_OVER
+    }
+    found = collections.Counter(
+        answer.status
+        for request, answer in context.answers.items()
+        if request in handed_over
+    )
+    print(found)
+    assert found[status] >= 0.9 * BOOKINGS, found
+    assert set(found) <= {status}, found
--- a/tests/harness/builds.py
+++ b/tests/harness/builds.py
@@ -11,7 +11,7 @@
 _SOURCES = ("packages/common/src", "packages/daemon/src")
 
 
-def find_program(commit):
+def find_program(commit, module="camphorhook_daemon.main"):
     """Return the command line of a commit's daemon on the platform.
 
     Its sources are unpacked once, into a folder of BUILDS.
@@ -19,6 +19,7 @@
     Args:
         commit: any name of a commit of this clone; NEW for the installed
             daemon.
+        module: what runs the daemon.
 
     Returns:
         The program of `platforms.Platform.start`; None for NEW.
@@ -34,8 +35,8 @@
     if not folder.exists():
         _unpack(commit, folder)
     path = ":".join(str(folder / one) for one in _SOURCES)
-    module = [sys.executable, "-m", "camphorhook_daemon.main", "--platform"]
-    return ["env", f"PYTHONPATH={path}", *module]
+    command = [sys.executable, "-m", module, "--platform"]
+    return ["env", f"PYTHONPATH={path}", *command]
 
 
 def _unpack(commit, folder):
--- a/tests/harness/partitions.py
+++ b/tests/harness/partitions.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from tests.harness import builds
 from tests.harness import platforms
 from tests.harness import processes
 
@@ -20,6 +21,7 @@
     "server-5": "engine",
     "server-6": "engine",
 }
+PROGRAM = "tests.harness.bound_daemon"
 TARGETS = ("/safe/a", "/unsafe/a", "/tokens/stream?events=5&ms=20")
 KEY = "key-1"
 REQUEST_INTERVAL_SECONDS = 0.05  # at each instance
@@ -51,17 +53,24 @@
         self._threads = []
         self._is_stopped = threading.Event()
 
-    def start(self):
-        """Start all processes and wait until every instance serves."""
+    def start(self, builds_of=None):
+        """Start all processes and wait until every instance serves.
+
+        Args:
+            builds_of: commits by entry instance, if not all are new.
+        """
         platform = self.platform
         self._start_proxy()
-        program = processes.run_module(
-            "tests.harness.bound_daemon", "--platform"
-        )
+        programs = {
+            entry: builds.find_program(commit, PROGRAM)
+            for entry, commit in (builds_of or {}).items()
+        }
+        new_program = processes.run_module(PROGRAM, "--platform")
         for number in (1, 2, 3):
             platform.start(f"replica-{number}")
         for entry in self.entries:
-            platform.start(entry, program=program)
+            program = programs.get(entry)
+            platform.start(entry, program=program or new_program)
         for number, (name, service) in enumerate(SERVERS.items()):
             domain = platforms.DOMAINS[number % len(platforms.DOMAINS)]
             address = f"{platform.find_address(name)}:{PROXY_PORT}"
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -13,7 +13,8 @@
 the effects file for each request that it executes. The path determines the
 answer: `slow` takes a second, `stream` sends ten events over a second,
 `stream?events=N&ms=PAUSE` sends N events with pauses of PAUSE milliseconds,
-`fail` answers 500, `crash` ends the process. A prompt part whose id begins
+`fail` answers 500, `crash` ends the process; with the query
+`header=NAME:VALUE`, the answer has that header. A prompt part whose id begins
 with `dead` ends it as it begins to answer; the effects file tells which
 requests crashed it. The path `/-/kv-list` lists the
 prompt parts of all requests so far. On SIGUSR1 the server starts to reject
@@ -75,6 +76,13 @@
     return int(fields.get("events", EVENTS)), pause
 
 
+def parse_headers(target):
+    """Return the (name, value) pairs that a target asks for in its answer."""
+    query = urllib.parse.urlsplit(target).query
+    fields = urllib.parse.parse_qsl(query)
+    return [value.split(":", 1) for name, value in fields if name == "header"]
+
+
 def make_event(number, version):
     """Return the bytes of an event of a stream."""
     text = f"id: {number}\nevent: {version}\ndata: piece {number}\n\n"
@@ -262,6 +270,7 @@
         def make_head(status, *more):
             pairs = [("X-Request-Id", headers.get("x-request-id", ""))]
             pairs += [("X-Response-Seal", f"seal-{self.name}"), *more]
+            pairs += parse_headers(request.target.decode())
             if self.state != "ready":
                 pairs.append(("Server-Leaving", "1"))
                 self._record(headers, "leaving")
