Name at the end of a test run each scenario that failed and isn't listed

The last lines before the counts now name each such scenario with its step and the error's line: of a failed assertion, of another error, of a missing step or of a hook. Scenarios of one name count one by one; before, the last of them stood for all, so one that failed could be hidden.

--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -8,7 +8,8 @@
 
 Each feature file runs in a process of its own, with its own ports. Those
 tagged @alone measure rates; they run after the others, one at a time. The
-listed scenarios are printed. The exit code is 0 if no other scenario failed.
+listed scenarios are printed. The exit code is 0 if no other scenario failed;
+the last lines name each one that did, its step and why it failed.
 """
 
 import concurrent.futures
@@ -17,6 +18,7 @@
 import pathlib
 import subprocess
 import sys
+import typing
 
 import docopt
 
@@ -25,6 +27,23 @@
 FEATURES = pathlib.Path("tests/features")
 KNOWN_FAILURES_FILE = pathlib.Path("KNOWN-RED.txt")
 FEATURE_TIMEOUT_SECONDS = 800
+PASSED = "passed"
+HOOK_ERROR = "HOOK-ERROR"  # begins behave's line on a failed hook
+MAX_REASON_CHARACTERS = 400
+
+
+class Result(typing.NamedTuple):
+    """Result of a scenario.
+
+    Attributes:
+        name: its feature file and its name.
+        status: behave's word for it, `passed` if all is well.
+        reason: the step that failed and its error, on one line, or empty.
+    """
+
+    name: str
+    status: str
+    reason: str = ""
 
 
 def read_known():
@@ -41,7 +60,7 @@
 
 
 def run_feature(path, slot):
-    """Run a feature file; return ([(scenario, status)], output).
+    """Run a feature file; return its Results and its output.
 
     A file without results counts as one failed scenario.
 
@@ -67,14 +86,30 @@
         timeout=FEATURE_TIMEOUT_SECONDS,
     )
     output = done.stdout + done.stderr
-    results = list(read_report(report, path))
+    results = list(read_report(report, path, output))
     if not results:
-        results = [(f"{path.name}: (did not run)", "failed")]
-    return results, output
+        results = [Result(f"{path.name}: (did not run)", "failed")]
+    return [_explain(one, output) for one in results], output
 
 
-def read_report(report, path):
-    """Yield (name, status) of each scenario in a JSON report of behave."""
+def _explain(result, output):
+    """Return a Result that failed outside its steps, with a reason."""
+    if result.status == PASSED or result.reason:
+        return result
+    lines = output.strip().splitlines()
+    hooks = [line for line in lines if line.startswith(HOOK_ERROR)]
+    reason = "".join((hooks or lines)[-1:])
+    return result._replace(reason=reason[:MAX_REASON_CHARACTERS])
+
+
+def read_report(report, path, output):
+    """Yield the Result of each scenario in a JSON report of behave.
+
+    Args:
+        report: path of the report.
+        path: of the feature file.
+        output: what behave printed in its plain format.
+    """
     if not report.exists() or not report.read_text().strip():
         return
     for feature in json.loads(report.read_text()):
@@ -83,7 +118,27 @@
                 continue
             # The name of a row of unnamed examples ends with a space.
             name = f"{path.name}: {element['name']}".strip()
-            yield name, element.get("status", "failed")
+            status = element.get("status", "failed")
+            yield Result(name, status, _find_reason(element, output))
+
+
+def _find_reason(element, output):
+    """Return the failed step of a scenario in a report, and its error."""
+    for step in element.get("steps", []):
+        result = step.get("result", {"status": "undefined"})
+        if result["status"] in (PASSED, "skipped"):
+            continue
+        message = result.get("error_message")
+        if message:
+            error = message.strip().partition("\n")[0]
+        else:
+            # The report has no traceback. It ends with the error.
+            printed = output.partition(element["name"])[2]
+            block = printed.partition(step["name"])[2].partition("\n\n")[0]
+            error = "".join(block.strip().splitlines()[1:][-1:])
+        reason = f"{step['name']}: {error or result['status']}"
+        return reason[:MAX_REASON_CHARACTERS]
+    return ""
 
 
 def is_alone(path):
@@ -93,18 +148,36 @@
 
 
 def run_all(paths, workers):
-    """Run feature files in parallel; return statuses by scenario."""
+    """Run feature files in parallel; return their Results."""
     run_one = slots.allocate_slots(run_feature, range(workers))
-    statuses = {}
+    found = []
     with concurrent.futures.ThreadPoolExecutor(workers) as pool:
         for results, output in pool.map(run_one, paths):
-            failed = [name for name, status in results if status != "passed"]
-            for name, status in results:
-                print(f"{status:8} {name}", flush=True)
-                statuses[name] = status
-            if failed:
+            for one in results:
+                print(f"{one.status:8} {one.name}", flush=True)
+            if any(one.status != PASSED for one in results):
                 print(output, flush=True)
-    return statuses
+            found += results
+    return found
+
+
+def report_results(results, known):
+    """Print the summary of a run; return whether it is as expected.
+
+    Args:
+        results: the Results of all scenarios that ran.
+        known: names of the scenarios that may fail.
+    """
+    statuses = {one.name: one.status for one in results}
+    for name in known:
+        print(f"known red: {name}: {statuses.get(name, 'not run')}")
+    failed = [one for one in results if one.status != PASSED]
+    unknown = [one for one in failed if one.name not in known]
+    print(f"known red {len(failed) - len(unknown)}")
+    for one in unknown:
+        print(f"failed, not listed: {one.name}: {one.reason}")
+    print(f"{len(results) - len(failed)} passed, {len(unknown)} failed")
+    return bool(results) and not unknown
 
 
 def main():
@@ -114,18 +187,9 @@
     paths = paths or sorted(FEATURES.glob("*.feature"))
     alone = [path for path in paths if is_alone(path)]
     others = [path for path in paths if path not in alone]
-    statuses = run_all(others, int(arguments["--workers"]))
-    statuses |= run_all(alone, 1)
-    known = read_known()
-    failed = [name for name, one in statuses.items() if one != "passed"]
-    unknown = [name for name in failed if name not in known]
-    for name in known:
-        state = statuses.get(name, "not run")
-        print(f"known red: {name}: {state}")
-    passed = len(statuses) - len(failed)
-    print(f"known red {len(failed) - len(unknown)}")
-    print(f"{passed} passed, {len(unknown)} failed")
-    sys.exit(1 if unknown or not statuses else 0)
+    results = run_all(others, int(arguments["--workers"]))
+    results += run_all(alone, 1)
+    sys.exit(0 if report_results(results, read_known()) else 1)
 
 
 if __name__ == "__main__":
