--- a/tests/features/handover_headers.feature
+++ b/tests/features/handover_headers.feature
@@ -37,6 +37,27 @@
     When an instance hands a booking over with camphorhook-added-later last
     Then it is answered 200
 
+  Scenario Outline: Clients send headers that only the system sets
+    Given upstreams that answer each request
+    When a client sends <name> in each case of letters, as a header and as a trailer, with bookings <way>
+    Then each is answered, and upstreams got no value of the client's
+
+    Examples: the names of the users' pages
+      | name               | way                        |
+      | Authorization      | by way of another instance |
+      | X-Tenant           | directly                   |
+      | X-Tenant           | by way of another instance |
+      | X-Deadline-Ms      | by way of another instance |
+      | X-Expect-Instance  | by way of another instance |
+      | X-Expect-Version   | by way of another instance |
+      | X-Request-Priority | by way of another instance |
+      | X-Hold             | by way of another instance |
+      | X-Pin-Ms           | by way of another instance |
+      | X-Kv-Backup        | by way of another instance |
+      | Kv-Fetch           | by way of another instance |
+      | Kv-From            | directly                   |
+      | Kv-From            | by way of another instance |
+
   # Another instance took the header for the word of the one that it had handed
   # the request to, that nothing was sent, and sent a booking once more.
   Scenario Outline: Upstreams send each header that instances use among themselves
--- a/tests/features/steps/handover_headers.py
+++ b/tests/features/steps/handover_headers.py
@@ -43,6 +43,7 @@
     handover.SERVICE: ("elsewhere",),
     handover.VERSION: ("9.9",),
 }
+FOREIGN_VALUE = "9-of-client"
 EVENTS = b"".join(b"id: %d\ndata: event\n\n" % n for n in (1, 2, 3, 4, 5))
 OTHER_VALUES = ("99",)
 HANDED_OVER = [
@@ -174,6 +175,67 @@
         assert got == sent, (sent, got)
 
 
+@behave.when(
+    "a client sends {name} in each case of letters, as a header and as a "
+    "trailer, with bookings {way}"
+)
+def send_reserved(context, name, way):
+    context.answers = []
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            port = await ways.open_way(
+                nursery,
+                context.upstreams,
+                "booking",
+                way,
+                collections.Counter(),
+            )
+            with trio.fail_after(TIMEOUT_SECONDS):
+                for form in (name, name.lower(), name.upper()):
+                    for place in ("first", "last", "trailer"):
+                        request = f"r{len(context.answers)}"
+                        status = await send_chunked(port, request, form, place)
+                        context.answers.append((request, status))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+async def send_chunked(port, request, name, place):
+    """Send a request in chunks with one more header; return the status.
+
+    Args:
+        port: of the instance's listener.
+        request: id of the request.
+        name: name of the header, whose value is FOREIGN_VALUE.
+        place: `first` or `last` among the headers, or `trailer`.
+    """
+    more = f"{name}: {FOREIGN_VALUE}\r\n"
+    usual = (
+        f"Host: host\r\nX-Request-Id: {request}\r\n"
+        f"Authorization: Bearer key\r\nX-Deadline-Ms: {DEADLINE_MS}\r\n"
+        "Transfer-Encoding: chunked\r\n"
+    )
+    heads = {"first": more + usual, "last": usual + more, "trailer": usual}
+    end = more if place == "trailer" else ""
+    text = f"POST / HTTP/1.1\r\n{heads[place]}\r\n1\r\nb\r\n0\r\n{end}\r\n"
+    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+        await stream.send_all(text.encode())
+        return int((await stream.receive_some()).split()[1])
+
+
+@behave.then("each is answered, and upstreams got no value of the client's")
+def check_reserved(context):
+    # The first Authorization or deadline counts, and may be no valid one.
+    for request, status in context.answers:
+        assert status in (200, 401), (request, status)
+    heads = [head for one in context.upstreams for head in one.heads]
+    assert len(heads) >= len(context.answers) * 2 / 3
+    for head in heads:
+        assert not [pair for pair in head if FOREIGN_VALUE in pair[1]], head
+
+
 @behave.when(
     "they add each of these headers to answers to {kind} requests, {way}"
 )
