--- a/tests/features/steps/handover_headers.py
+++ b/tests/features/steps/handover_headers.py
@@ -311,18 +311,23 @@
     assert not context.failed_gateways, context.failed_gateways
 
 
+def change_headers(how):
+    """Return the headers of a booking that is handed over, changed.
+
+    Args:
+        how: `without any header of its own`, or `with NAME PLACE`, where the
+            place is `first`, `last` or, for one that is there, `twice`.
+    """
+    if how.startswith("without"):
+        return []
+    _, name, place = how.split()
+    more = [(name, "99")]
+    return more + HANDED_OVER if place == "first" else HANDED_OVER + more
+
+
 @behave.when("an instance hands a booking over {how}")
 def hand_over(context, how):
-    words = how.split()
-    headers = list(HANDED_OVER)
-    if words[0] == "without":
-        headers = []
-    elif words[-1] == "twice":
-        headers += [(words[1], "other-key")]
-    elif words[-1] == "first":
-        headers.insert(0, (words[1], "99"))
-    else:
-        headers.append((words[1], "99"))
+    headers = change_headers(how)
     context.logged = []
 
     def log(level, text, **fields):
@@ -404,9 +409,7 @@
         headers: (name, value) pairs of the client, in any case of letters.
         excluded: names of upstreams.
     """
-    arrival = entry.read_arrival(
-        read_exchange(connection_pool.make_request(make_call(headers), TARGET))
-    )
+    arrival = entry.read_arrival(send([("host", "host"), *headers]))
     request = types.SimpleNamespace(
         headers=arrival.headers,
         request="r1",
@@ -416,30 +419,26 @@
     )
     sent = attempts.Handover(1, 2, routers.SERVICE, "v1", excluded)
     own = handover.make_headers(request, 3.0, "41", sent)
-    handed_over = read_exchange(
-        connection_pool.make_request(make_call(own, ()), TARGET)
-    )
+    handed_over = send(own)
     read = handover.read_arrival(handed_over)
     progress = handover.make_progress(handed_over)
     assert read.headers == arrival.headers, (read.headers, arrival.headers)
-    assert read[:1] + read[6:10] == ("r1", "key", 3.0, (("part", 7),), "41")
+    assert (read.request, read.key, read.deadline) == ("r1", "key", 3.0)
+    assert (read.parts, read.resume_after) == (request.parts, "41")
     assert progress.make_handover(routers.SERVICE) == sent._replace(
         excluded=tuple(progress.excluded)
     )
     assert progress.excluded == set(excluded)
 
 
-TARGET = routers.ScriptedUpstream(1)
-TARGET.address = "127.0.0.1"
-
-
-def make_call(headers, first=(("host", "host"),)):
-    """Return a ports.Call with headers."""
-    return ports.Call("POST", "/", [*first, *headers], b"", 1.0)
+def send(headers):
+    """Return the Exchange that a listener reads of a request with headers.
 
-
-def read_exchange(event):
-    """Return the Exchange that a listener reads of an h11.Request."""
+    Args:
+        headers: (name, value) pairs, with that of the host.
+    """
+    call = ports.Call("POST", "/", headers, b"", 1.0)
+    event = connection_pool.make_request(call, target=None)
     server = h11.Connection(h11.SERVER)
     server.receive_data(h11.Connection(h11.CLIENT).send(event))
     read = server.next_event()
