--- a/tests/features/steps/handover_headers.py
+++ b/tests/features/steps/handover_headers.py
@@ -131,18 +131,30 @@
     "a client sends each of these headers with {kind} requests, {way}"
 )
 def send_each(context, kind, way):
+    run_each(context, kind, way, exchange)
+
+
+def run_each(context, kind, way, ask):
+    """Send a request for each of `list_external`; keep it with its answer.
+
+    Args:
+        context: behave's context, with the upstreams.
+        kind: one of ways.KINDS.
+        way: one of ways.WAYS.
+        ask: async function of a port, headers and a request's id, which
+            returns what `exchange` does.
+    """
     context.sent = {}
-    attempts_made = collections.Counter()
 
     async def run():
         async with trio.open_nursery() as nursery:
             port = await ways.open_way(
-                nursery, context.upstreams, kind, way, attempts_made
+                nursery, context.upstreams, kind, way, collections.Counter()
             )
             with trio.fail_after(TIMEOUT_SECONDS):
                 for number, headers in enumerate(list_external()):
                     request = f"r{number}"
-                    answer = await exchange(port, headers, request)
+                    answer = await ask(port, headers, request)
                     context.sent[request] = headers, answer
             nursery.cancel_scope.cancel()
 
@@ -240,25 +252,13 @@
     "they add each of these headers to answers to {kind} requests, {way}"
 )
 def answer_each(context, kind, way):
-    context.sent = {}
-    attempts_made = collections.Counter()
+    async def ask(port, headers, request):
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        for upstream in context.upstreams:
+            upstream.headers = lines
+        return await exchange(port, [], request)
 
-    async def run():
-        async with trio.open_nursery() as nursery:
-            port = await ways.open_way(
-                nursery, context.upstreams, kind, way, attempts_made
-            )
-            with trio.fail_after(TIMEOUT_SECONDS):
-                for number, headers in enumerate(list_external()):
-                    lines = "".join(f"{name}: {x}\r\n" for name, x in headers)
-                    for upstream in context.upstreams:
-                        upstream.headers = lines
-                    request = f"r{number}"
-                    answer = await exchange(port, [], request)
-                    context.sent[request] = headers, answer
-            nursery.cancel_scope.cancel()
-
-    trio.run(run)
+    run_each(context, kind, way, ask)
 
 
 @behave.then("clients got the header as the upstream sent it")
